--- /dev/null
+++ b/crates/berylpin/src/commands/demo.rs
@@ -0,0 +1,129 @@
+//! `berylpin demo`: the whole system against stand-ins in one process.
+
+use crate::args::{CommandError, finish};
+use crate::bench::Bench;
+use berylpin_core::rank::Rank;
+use berylpin_standin::load::{Stream, Tally, drive};
+use berylpin_standin::sites::Site;
+use comfy_table::Table;
+use pico_args::Arguments;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// Daemons of the demo, spread over the data centres.
+const DAEMONS: usize = 9;
+
+/// Queries a second of each rank.
+const RATES: [f64; Rank::COUNT] = [40.0, 40.0, 20.0];
+
+/// Deadlines of each rank.
+const DEADLINES: [Duration; Rank::COUNT] =
+    [Duration::from_millis(250), Duration::from_secs(1), Duration::from_secs(5)];
+
+struct DemoOptions {
+    run_time: Duration,
+    site: Site,
+    seed: u64,
+}
+
+/// Runs the subcommand.
+pub(crate) fn run(mut args: Arguments) -> Result<(), CommandError> {
+    let seconds: u64 = args.opt_value_from_str("--seconds")?.unwrap_or(10);
+    let users: String = args.opt_value_from_str("--users")?.unwrap_or_else(|| "rizzo".to_owned());
+    let seed = args.opt_value_from_str("--seed")?.unwrap_or(1);
+    finish(args)?;
+    if !(1..=600).contains(&seconds) {
+        return Err(CommandError::Usage("--seconds takes a number from 1 to 600".to_owned()));
+    }
+    let site = Site::named(&users).ok_or_else(|| {
+        CommandError::Usage(format!("--users `{users}` is neither `rizzo` nor `kalipsan`"))
+    })?;
+    let options = DemoOptions { run_time: Duration::from_secs(seconds), site, seed };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()
+        .map_err(|e| CommandError::Failed(e.to_string()))?;
+    runtime.block_on(demo(options))
+}
+
+async fn demo(options: DemoOptions) -> Result<(), CommandError> {
+    let fail = |e: &dyn std::fmt::Display| CommandError::Failed(e.to_string());
+    eprintln!("starting stand-ins of {} and {DAEMONS} daemons", options.site.name);
+    let bench = Bench::start(&options.site, DAEMONS, options.seed).await.map_err(|e| fail(&e))?;
+    bench.wait_ready().await.map_err(|e| fail(&e))?;
+    eprintln!("running the load for {} s; Ctrl-C ends it early", options.run_time.as_secs());
+    let before = bench.work();
+    let tallies = tokio::select! {
+        tallies = run_load(&bench, &options) => Some(tallies),
+        _ = tokio::signal::ctrl_c() => None,
+    };
+    let work = bench.work().since(before);
+    bench.stop().await;
+    let Some(tallies) = tallies else {
+        eprintln!("ended early");
+        return Ok(());
+    };
+    print_report(&tallies);
+    let asked: u64 = tallies.iter().map(|tally| tally.asked).sum();
+    let extra = (work.ran + work.cancelled) as f64 / asked.max(1) as f64 - 1.0;
+    println!("upstream work beyond one sub-query a shard: {:.1}%", extra * 100.0);
+    Ok(())
+}
+
+async fn run_load(bench: &Bench, options: &DemoOptions) -> [Tally; Rank::COUNT] {
+    let client = reqwest::Client::new();
+    let mut drivers = JoinSet::new();
+    for (index, rank) in Rank::ALL.into_iter().enumerate() {
+        let groups = options.site.groups.len() as f64;
+        for (number, group) in options.site.groups.iter().enumerate() {
+            let stream = Stream {
+                rank,
+                target: group.name.to_owned(),
+                rate: RATES[index] / groups,
+                deadline: DEADLINES[index],
+            };
+            let seed = options.seed * 100 + (index * 10 + number) as u64;
+            let drive = drive(client.clone(), bench.entries(), stream, options.run_time, seed);
+            drivers.spawn(async move { (index, drive.await) });
+        }
+    }
+    let mut tallies: [Tally; Rank::COUNT] = Default::default();
+    let progress = tokio::spawn(show_progress(options.run_time));
+    while let Some(Ok((index, tally))) = drivers.join_next().await {
+        tallies[index].add(&tally);
+    }
+    progress.abort();
+    tallies
+}
+
+async fn show_progress(run_time: Duration) {
+    for second in 1..run_time.as_secs() {
+        sleep(Duration::from_secs(1)).await;
+        if second.is_multiple_of(5) {
+            eprintln!("{second} s of {} s", run_time.as_secs());
+        }
+    }
+}
+
+fn print_report(tallies: &[Tally; Rank::COUNT]) {
+    let mut table = Table::new();
+    table.set_header([
+        "rank", "sent", "complete", "partial", "refused", "failed", "p50 ms", "p99 ms", "coverage",
+    ]);
+    for (rank, tally) in Rank::ALL.into_iter().zip(tallies) {
+        table.add_row([
+            rank.name().to_owned(),
+            tally.sent.to_string(),
+            tally.complete.to_string(),
+            tally.partial.to_string(),
+            tally.refused.to_string(),
+            tally.failed.to_string(),
+            format!("{:.1}", tally.quantile_ms(0.5)),
+            format!("{:.1}", tally.quantile_ms(0.99)),
+            format!("{:.4}", tally.coverage()),
+        ]);
+    }
+    println!("{table}");
+}
--- /dev/null
+++ b/crates/berylpin/src/commands/mod.rs
@@ -0,0 +1,3 @@
+//! One module a subcommand.
+
+pub(crate) mod demo;
--- /dev/null
+++ b/crates/berylpin/src/main.rs
@@ -0,0 +1,18 @@
+//! `berylpin`: the operators' command line.
+
+mod args;
+mod bench;
+mod commands;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args = pico_args::Arguments::from_env();
+    match args::run(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("berylpin: {e}");
+            e.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/crates/berylpin_core/src/control/topology.rs
@@ -0,0 +1,204 @@
+//! The services of all documents, in arenas.
+
+use crate::arena::Arena;
+use crate::config::{ReplicaSettings, ServiceSettings, ShardSettings};
+use crate::ids::{GroupId, ReplicaId, ReplicaTag, ServiceId, ShardId};
+use std::sync::Arc;
+
+/// A group of services.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// The name in documents.
+    pub name: String,
+    /// The shards of all its services, sorted; empty when no service is left.
+    pub shards: Vec<ShardId>,
+}
+
+/// A service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// The document that is in force.
+    pub settings: Arc<ServiceSettings>,
+    /// The group of the document.
+    pub group: GroupId,
+    /// Its shards, sorted; empty once the document was deleted.
+    pub shards: Vec<ShardId>,
+}
+
+/// A shard.
+#[derive(Clone, Debug)]
+pub struct Shard {
+    /// The name, unique within its service.
+    pub name: String,
+    /// The service that it belongs to; never changes.
+    pub service: ServiceId,
+    /// Its replicas, sorted; empty once the document names none.
+    pub replicas: Vec<ReplicaId>,
+}
+
+/// A replica.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    /// The shard that it belongs to; never changes.
+    pub shard: ShardId,
+    /// Its settings, the newest that a document gave.
+    pub settings: ReplicaSettings,
+    /// Whether a document names it.
+    pub listed: bool,
+}
+
+/// The services of all documents.
+///
+/// An id keeps its meaning in every later topology of the same daemon, so state that outlives a
+/// change of configuration is indexed by it.
+#[derive(Clone, Debug, Default)]
+pub struct Topology {
+    /// All groups ever known.
+    pub groups: Arena<GroupId, Group>,
+    /// All services ever known.
+    pub services: Arena<ServiceId, Service>,
+    /// All shards ever known.
+    pub shards: Arena<ShardId, Shard>,
+    /// All replicas ever known.
+    pub replicas: Arena<ReplicaId, Replica>,
+    /// Sorted by tag; holds every replica of the arena.
+    by_tag: Vec<(ReplicaTag, ReplicaId)>,
+    /// Sorted by name; holds every group of the arena.
+    groups_by_name: Vec<(String, GroupId)>,
+    /// Sorted by name; holds every service of the arena.
+    services_by_name: Vec<(String, ServiceId)>,
+}
+
+impl Topology {
+    /// Returns the topology for the given documents, with the ids of this one kept.
+    #[must_use]
+    pub fn with_documents(&self, documents: &[Arc<ServiceSettings>]) -> Self {
+        let mut next = self.clone();
+        next.clear_lists();
+        for document in documents {
+            next.add_service(document);
+        }
+        next
+    }
+
+    /// Finds a replica by its tag.
+    pub fn replica(&self, tag: ReplicaTag) -> Option<ReplicaId> {
+        let at = self.by_tag.binary_search_by_key(&tag, |(t, _)| *t).ok()?;
+        Some(self.by_tag[at].1)
+    }
+
+    /// Finds the shards of a service or, failing that, of a group.
+    pub fn target(&self, name: &str) -> Option<(GroupId, &[ShardId])> {
+        let service = find(&self.services_by_name, name).map(|id| &self.services[id]);
+        if let Some(service) = service.filter(|service| !service.shards.is_empty()) {
+            return Some((service.group, &service.shards));
+        }
+        let group = find(&self.groups_by_name, name)?;
+        let shards = &self.groups[group].shards;
+        (!shards.is_empty()).then_some((group, shards))
+    }
+
+    /// Returns the service that a replica belongs to.
+    pub fn service_of(&self, replica: ReplicaId) -> &Service {
+        let shard = self.replicas[replica].shard;
+        &self.services[self.shards[shard].service]
+    }
+
+    fn clear_lists(&mut self) {
+        self.groups.iter_mut().for_each(|(_, group)| group.shards.clear());
+        self.services.iter_mut().for_each(|(_, service)| service.shards.clear());
+        self.shards.iter_mut().for_each(|(_, shard)| shard.replicas.clear());
+        self.replicas.iter_mut().for_each(|(_, replica)| replica.listed = false);
+    }
+
+    fn add_service(&mut self, settings: &Arc<ServiceSettings>) {
+        let group = self.group_named(&settings.group);
+        let service = self.service_named(settings, group);
+        for shard_settings in &settings.shards {
+            let shard = self.shard_named(service, shard_settings);
+            for replica_settings in &shard_settings.replicas {
+                let replica = self.replica_with(shard, replica_settings);
+                insert_sorted(&mut self.shards[shard].replicas, replica);
+            }
+            insert_sorted(&mut self.services[service].shards, shard);
+            insert_sorted(&mut self.groups[group].shards, shard);
+        }
+    }
+
+    fn group_named(&mut self, name: &str) -> GroupId {
+        let groups = &mut self.groups;
+        find_or_insert(&mut self.groups_by_name, name, || {
+            groups.push(Group { name: name.to_owned(), shards: Vec::new() })
+        })
+    }
+
+    fn service_named(&mut self, settings: &Arc<ServiceSettings>, group: GroupId) -> ServiceId {
+        let services = &mut self.services;
+        let id = find_or_insert(&mut self.services_by_name, &settings.name, || {
+            services.push(Service { settings: settings.clone(), group, shards: Vec::new() })
+        });
+        self.services[id].settings = settings.clone();
+        self.services[id].group = group;
+        id
+    }
+
+    fn shard_named(&mut self, service: ServiceId, settings: &ShardSettings) -> ShardId {
+        let known = self
+            .shards
+            .iter()
+            .find(|(_, shard)| shard.service == service && shard.name == settings.name);
+        if let Some((id, _)) = known {
+            return id;
+        }
+        let name = settings.name.clone();
+        self.shards.push(Shard { name, service, replicas: Vec::new() })
+    }
+
+    fn replica_with(&mut self, shard: ShardId, settings: &ReplicaSettings) -> ReplicaId {
+        let id = match self.by_tag.binary_search_by_key(&settings.tag, |(tag, _)| *tag) {
+            Ok(at) => self.by_tag[at].1,
+            Err(at) => {
+                let settings = settings.clone();
+                let id = self.replicas.push(Replica { shard, settings, listed: true });
+                self.by_tag.insert(at, (self.replicas[id].settings.tag, id));
+                id
+            }
+        };
+        let replica = &mut self.replicas[id];
+        replica.settings = settings.clone();
+        replica.listed = true;
+        id
+    }
+}
+
+fn find<T>(names: &[(String, T)], name: &str) -> Option<T>
+where
+    T: Copy,
+{
+    let at = names.binary_search_by(|(n, _)| n.as_str().cmp(name)).ok()?;
+    Some(names[at].1)
+}
+
+fn find_or_insert<T, F>(names: &mut Vec<(String, T)>, name: &str, make: F) -> T
+where
+    T: Copy,
+    F: FnOnce() -> T,
+{
+    match names.binary_search_by(|(n, _)| n.as_str().cmp(name)) {
+        Ok(at) => names[at].1,
+        Err(at) => {
+            let id = make();
+            names.insert(at, (name.to_owned(), id));
+            id
+        }
+    }
+}
+
+fn insert_sorted<T>(sorted: &mut Vec<T>, value: T)
+where
+    T: Copy + Ord,
+{
+    if let Err(at) = sorted.binary_search(&value) {
+        sorted.insert(at, value);
+    }
+}
--- /dev/null
+++ b/crates/berylpin_core/src/decision.rs
@@ -0,0 +1,70 @@
+//! Routing and placement decisions, for the log.
+
+use crate::ids::{QueryTag, ReplicaTag, Snapshot};
+use crate::message::FailReason;
+use crate::rank::Rank;
+use std::fmt;
+
+/// One decision; the shell writes a log line for each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// A query was pinned to a snapshot.
+    Pinned {
+        /// The query.
+        query: QueryTag,
+        /// Its rank.
+        rank: Rank,
+        /// The snapshot chosen.
+        snapshot: Snapshot,
+        /// Shards of the query.
+        shards: u32,
+        /// Shards known to serve the snapshot.
+        serving: u32,
+    },
+    /// A sub-query was routed to a replica.
+    Routed {
+        /// The query.
+        query: QueryTag,
+        /// The replica chosen.
+        replica: ReplicaTag,
+        /// Why there is an attempt at all.
+        cause: AttemptCause,
+    },
+    /// An owner took a sub-query from its queue and started it.
+    Started {
+        /// The query.
+        query: QueryTag,
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// A sub-query was refused.
+    Refused {
+        /// The query.
+        query: QueryTag,
+        /// The replica.
+        replica: ReplicaTag,
+        /// Why.
+        reason: FailReason,
+    },
+}
+
+/// Why an attempt was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptCause {
+    /// The first attempt at a shard.
+    First,
+    /// The earlier attempt failed.
+    Retry,
+    /// The earlier attempt is slow.
+    Hedge,
+}
+
+impl fmt::Display for AttemptCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::First => "first",
+            Self::Retry => "retry",
+            Self::Hedge => "hedge",
+        })
+    }
+}
--- /dev/null
+++ b/crates/berylpin_core/src/timers.rs
@@ -0,0 +1,41 @@
+//! Timers of one state machine; the shell sleeps until the earliest.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Instant;
+
+/// Timers ordered by time; a timer that lost its purpose is ignored when it fires.
+#[derive(Debug)]
+pub(crate) struct Timers<T> {
+    heap: BinaryHeap<Reverse<(Instant, T)>>,
+}
+
+impl<T> Default for Timers<T>
+where
+    T: Ord,
+{
+    fn default() -> Self {
+        Self { heap: BinaryHeap::new() }
+    }
+}
+
+impl<T> Timers<T>
+where
+    T: Ord,
+{
+    /// Sets a timer.
+    pub(crate) fn set(&mut self, at: Instant, timer: T) {
+        self.heap.push(Reverse((at, timer)));
+    }
+
+    /// Returns when the earliest timer fires.
+    pub(crate) fn next(&self) -> Option<Instant> {
+        self.heap.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Removes and returns a timer that is due.
+    pub(crate) fn pop_due(&mut self, now: Instant) -> Option<T> {
+        self.next().filter(|at| *at <= now)?;
+        self.heap.pop().map(|Reverse((_, timer))| timer)
+    }
+}
--- /dev/null
+++ b/crates/berylpin_daemon/src/clock.rs
@@ -0,0 +1,18 @@
+//! The clock of the machine.
+
+use berylpin_core::clock::Clock;
+use std::time::{Instant, SystemTime};
+
+/// The clock of the machine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
--- /dev/null
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -0,0 +1,221 @@
+//! A running daemon.
+
+use crate::control::{ControlContext, initial_view, run_control};
+use crate::http::{AdminState, CallerState, admin_routes, caller_routes};
+use crate::settings::DaemonSettings;
+use crate::traffic::{Mail, Mailbox, Mailboxes, ThreadContext, run_thread, serve_peers};
+use berylpin_core::clock::Clock;
+use berylpin_core::control::View;
+use berylpin_core::ids::{Key, ThreadId};
+use poem::Server;
+use poem::listener::TcpAcceptor;
+use rand::Rng;
+use slog::{Logger, info};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::runtime::{Builder, Handle, Runtime};
+use tokio::sync::{mpsc, watch};
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// How long requests in progress may take once a daemon stops accepting.
+const STOP_LIMIT: Duration = Duration::from_mins(1);
+
+/// Why a daemon does not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[error("{key} {address}: {source}")]
+    Listen {
+        /// The settings key of the address.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// A thread cannot be started.
+    #[error("thread: {0}")]
+    Thread(#[from] io::Error),
+}
+
+/// A running daemon; dropping it leaves its threads running until the process ends.
+pub struct Daemon {
+    settings: DaemonSettings,
+    mailboxes: Mailboxes,
+    stopping: Arc<AtomicBool>,
+    stop_accepting: watch::Sender<bool>,
+    control: JoinHandle<()>,
+    traffic: Vec<JoinHandle<()>>,
+    log: Logger,
+}
+
+struct TrafficParts {
+    cx: ThreadContext,
+    rx: mpsc::Receiver<Mail>,
+    mailbox: Mailbox,
+    callers: TcpListener,
+    peers: Option<TcpListener>,
+}
+
+impl Daemon {
+    /// Binds all addresses and starts all threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns the address that cannot be listened on or the thread that cannot be started.
+    pub fn start(
+        settings: DaemonSettings,
+        clock: Arc<dyn Clock>,
+        log: Logger,
+    ) -> Result<Self, StartError> {
+        let first_view = initial_view(&settings);
+        let (view_tx, view) = watch::channel(first_view);
+        let (stop_accepting, stopped) = watch::channel(false);
+        let stopping = Arc::new(AtomicBool::new(false));
+        let (boxes, mut receivers): (Vec<_>, Vec<_>) =
+            (0..settings.threads).map(|_| Mailbox::new()).unzip();
+        let mailboxes = Mailboxes::new(boxes);
+
+        let mut runtimes = Vec::new();
+        let mut traffic = Vec::new();
+        for (index, rx) in receivers.drain(..).enumerate() {
+            let runtime = Builder::new_current_thread().enable_all().build()?;
+            runtimes.push(runtime.handle().clone());
+            let guard = runtime.enter();
+            let id = ThreadId::from_index(index);
+            let cx = ThreadContext {
+                id,
+                mailboxes: mailboxes.clone(),
+                clock: clock.clone(),
+                log: log.clone(),
+                seed: rand::rng().random(),
+            };
+            let callers = listen("caller_address", settings.caller_address)?;
+            let first = index == 0;
+            let peers = first.then(|| listen("peer_address", settings.peer_address)).transpose()?;
+            let Some(mailbox) = mailboxes.get(id).cloned() else { continue };
+            let parts = TrafficParts { cx, rx, mailbox, callers, peers };
+            drop(guard);
+            traffic.push(start_traffic(runtime, parts, view.clone(), stopped.clone())?);
+        }
+
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let admin = {
+            let _guard = runtime.enter();
+            listen("admin_address", settings.admin_address)?
+        };
+        let admin_state =
+            AdminState { name: settings.name.as_str().into(), view, stopping: stopping.clone() };
+        let cx = ControlContext {
+            settings: settings.clone(),
+            mailboxes: mailboxes.clone(),
+            runtimes,
+            view: view_tx,
+            log: log.clone(),
+        };
+        let control = start_control(runtime, cx, admin, admin_state, stopped)?;
+        info!(log, "daemon: started"; "name" => &settings.name);
+        Ok(Self { settings, mailboxes, stopping, stop_accepting, control, traffic, log })
+    }
+
+    /// Returns the settings that the daemon runs with.
+    pub fn settings(&self) -> &DaemonSettings {
+        &self.settings
+    }
+
+    /// Stops gracefully: reports not ready, finishes what it has, then ends all threads.
+    ///
+    /// Blocks until that is done.
+    pub fn stop(self) {
+        info!(self.log, "daemon: stopping");
+        self.stopping.store(true, Ordering::Relaxed);
+        std::thread::sleep(self.settings.stop_notice);
+        self.stop_accepting.send_replace(true);
+        for mailbox in self.mailboxes.iter() {
+            mailbox.send(Mail::Stop);
+        }
+        for thread in self.traffic {
+            // A thread that panicked has already said so.
+            let _ = thread.join();
+        }
+        let _ = self.control.join();
+        info!(self.log, "daemon: stopped");
+    }
+}
+
+fn start_traffic(
+    runtime: Runtime,
+    parts: TrafficParts,
+    view: watch::Receiver<Arc<View>>,
+    stopped: watch::Receiver<bool>,
+) -> io::Result<JoinHandle<()>> {
+    let name = format!("traffic-{}", parts.cx.id.index());
+    std::thread::Builder::new().name(name).spawn(move || {
+        runtime.block_on(async move {
+            let TrafficParts { cx, rx, mailbox, callers, peers } = parts;
+            if let Some(listener) = peers {
+                let (view, boxes, log) = (view.clone(), cx.mailboxes.clone(), cx.log.clone());
+                Handle::current().spawn(serve_peers(listener, view, boxes, log));
+            }
+            let state =
+                CallerState { mailbox, view: view.clone(), tickets: Arc::new(AtomicU64::new(0)) };
+            let front = tokio::spawn(serve_http(callers, caller_routes(state), stopped));
+            let first_view = view.borrow().clone();
+            run_thread(cx, first_view, rx).await;
+            let _ = front.await;
+        });
+    })
+}
+
+fn start_control(
+    runtime: Runtime,
+    cx: ControlContext,
+    admin: TcpListener,
+    state: AdminState,
+    stopped: watch::Receiver<bool>,
+) -> io::Result<JoinHandle<()>> {
+    std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+        runtime.block_on(async move {
+            tokio::select! {
+                () = run_control(cx) => {}
+                () = serve_http(admin, admin_routes(state), stopped) => {}
+            }
+        });
+    })
+}
+
+/// Serves HTTP until told to stop and all requests in progress are answered.
+async fn serve_http<E>(listener: TcpListener, routes: E, mut stopped: watch::Receiver<bool>)
+where
+    E: poem::IntoEndpoint,
+    E::Endpoint: 'static,
+{
+    let Ok(acceptor) = listener.into_std().and_then(TcpAcceptor::from_std) else { return };
+    let stop = async move {
+        // An error means that the daemon is gone, which ends serving as well.
+        let _ = stopped.wait_for(|stopped| *stopped).await;
+    };
+    let _ = Server::new_with_acceptor(acceptor)
+        .run_with_graceful_shutdown(routes, stop, Some(STOP_LIMIT))
+        .await;
+}
+
+/// Listens on an address that several threads may share.
+fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let open = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.set_reuseport(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|source| StartError::Listen { key, address, source })
+}
--- /dev/null
+++ b/crates/berylpin_daemon/src/http/caller.rs
@@ -0,0 +1,154 @@
+//! The front end of callers.
+
+use super::reply::{json, refuse};
+use crate::traffic::{Mail, Mailbox};
+use berylpin_core::control::View;
+use berylpin_core::query::{Answer, Refusal, RefusalReason, Request, Ticket};
+use berylpin_core::verdict::Verdict;
+use berylpin_wire::caller::{AnswerBody, CoverageBody, MissingBody, QueryBody};
+use bytes::Bytes;
+use poem::http::StatusCode;
+use poem::web::Data;
+use poem::{Body, EndpointExt, IntoEndpoint, Response, Route, handler, post};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::sync::{oneshot, watch};
+
+/// The longest request body, in bytes.
+const BODY_LIMIT: usize = 64 * 1024;
+
+/// The longest deadline of a request.
+const DEADLINE_LIMIT: Duration = Duration::from_mins(1);
+
+/// Rows in an answer unless the request says otherwise.
+const DEFAULT_ROWS: u32 = 100;
+
+/// What the front end of one thread needs.
+#[derive(Clone)]
+pub(crate) struct CallerState {
+    pub(crate) mailbox: Mailbox,
+    pub(crate) view: watch::Receiver<Arc<View>>,
+    pub(crate) tickets: Arc<AtomicU64>,
+}
+
+/// Returns the routes of callers.
+pub(crate) fn caller_routes(state: CallerState) -> impl IntoEndpoint {
+    Route::new().at("/v1/query", post(run_query)).data(state)
+}
+
+/// Tells the thread that the caller went away, unless it was answered.
+struct CallerGuard {
+    mailbox: Mailbox,
+    ticket: Option<Ticket>,
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.mailbox.send(Mail::CallerGone(ticket));
+        }
+    }
+}
+
+#[handler]
+async fn run_query(state: Data<&CallerState>, body: Body) -> Response {
+    let request = match read_request(body, &state).await {
+        Ok(request) => request,
+        Err(response) => return response,
+    };
+    let target = request.target.clone();
+    let (reply, answer) = oneshot::channel();
+    let ticket = Ticket(state.tickets.fetch_add(1, Ordering::Relaxed));
+    if !state.mailbox.send(Mail::Request { ticket, request, reply }) {
+        let message = "the daemon has more work than it can hold".to_owned();
+        let (status, reason) = (StatusCode::SERVICE_UNAVAILABLE, RefusalReason::Overloaded);
+        return refuse(status, Verdict::NotRun, reason.name(), message);
+    }
+    let mut guard = CallerGuard { mailbox: state.mailbox.clone(), ticket: Some(ticket) };
+    let result = answer.await;
+    guard.ticket = None;
+    match result {
+        Ok(Ok(answer)) => json(StatusCode::OK, &answer_body(answer, &state.view.borrow())),
+        Ok(Err(refusal)) => refusal_response(refusal, &target),
+        Err(_) => {
+            let message = "the daemon stopped".to_owned();
+            let (status, reason) = (StatusCode::SERVICE_UNAVAILABLE, RefusalReason::NotReady);
+            refuse(status, Verdict::MayHaveRun, reason.name(), message)
+        }
+    }
+}
+
+async fn read_request(body: Body, state: &CallerState) -> Result<Request, Response> {
+    let bad = |message| refuse(StatusCode::BAD_REQUEST, Verdict::NotRun, "bad_request", message);
+    let bytes = body.into_bytes_limit(BODY_LIMIT).await.map_err(|e| bad(e.to_string()))?;
+    let body: QueryBody = serde_json::from_slice(&bytes).map_err(|e| bad(e.to_string()))?;
+    let view = state.view.borrow();
+    let Some((_, shards)) = view.topology.target(&body.target) else {
+        let message = format!("no service or group is named `{}`", body.target);
+        let reason = RefusalReason::UnknownTarget.name();
+        return Err(refuse(StatusCode::NOT_FOUND, Verdict::NotRun, reason, message));
+    };
+    let service = &view.topology.services[view.topology.shards[shards[0]].service];
+    let target = service.settings.targets[body.rank.index()];
+    let time_left = body.deadline_ms.map_or(target, Duration::from_millis);
+    if time_left.is_zero() || time_left > DEADLINE_LIMIT {
+        let limit = DEADLINE_LIMIT.as_millis();
+        return Err(bad(format!("deadline_ms: use a number from 1 to {limit}")));
+    }
+    Ok(Request {
+        target: body.target,
+        rank: body.rank,
+        time_left,
+        limit: body.limit.unwrap_or(DEFAULT_ROWS) as usize,
+        body: Bytes::from(body.lookup),
+    })
+}
+
+fn answer_body(answer: Answer, view: &View) -> AnswerBody {
+    let coverage = answer.coverage;
+    let missing = coverage.missing.iter().map(|missing| {
+        let shard = &view.topology.shards[missing.shard];
+        let service = view.topology.services[shard.service].settings.name.clone();
+        MissingBody { service, shard: shard.name.clone(), reason: missing.reason }
+    });
+    AnswerBody {
+        complete: coverage.missing.is_empty(),
+        snapshot: answer.snapshot,
+        rows: answer.rows,
+        coverage: CoverageBody {
+            asked: coverage.asked,
+            answered: coverage.answered,
+            missing: missing.collect(),
+        },
+    }
+}
+
+fn refusal_response(refusal: Refusal, target: &str) -> Response {
+    let (status, message) = match refusal.reason {
+        RefusalReason::UnknownTarget => {
+            (StatusCode::NOT_FOUND, format!("no service or group is named `{target}`"))
+        }
+        RefusalReason::Overloaded => {
+            (StatusCode::SERVICE_UNAVAILABLE, "the rank's work cannot be done in time".to_owned())
+        }
+        RefusalReason::Deadline => {
+            (StatusCode::GATEWAY_TIMEOUT, "no shard answered before the deadline".to_owned())
+        }
+        RefusalReason::NoSnapshot => {
+            (StatusCode::SERVICE_UNAVAILABLE, "no shard serves a known snapshot".to_owned())
+        }
+        RefusalReason::Coverage => {
+            (StatusCode::GATEWAY_TIMEOUT, "too few shards answered in time".to_owned())
+        }
+        RefusalReason::NotReady => {
+            (StatusCode::SERVICE_UNAVAILABLE, "the daemon is not ready".to_owned())
+        }
+    };
+    let mut response = refuse(status, refusal.verdict, refusal.reason.name(), message);
+    if let Some(wait) = refusal.retry_after {
+        let seconds = wait.as_secs_f64().ceil() as u64;
+        response.headers_mut().insert("retry-after", seconds.into());
+    }
+    response
+}
--- /dev/null
+++ b/crates/berylpin_daemon/src/http/mod.rs
@@ -0,0 +1,8 @@
+//! HTTP front ends: one for callers, one for operators and the balancer.
+
+mod admin;
+mod caller;
+mod reply;
+
+pub(crate) use admin::{AdminState, admin_routes};
+pub(crate) use caller::{CallerState, caller_routes};
--- /dev/null
+++ b/crates/berylpin_daemon/src/logging.rs
@@ -0,0 +1,69 @@
+//! Logs: short sentences with a fixed prefix for each part.
+
+use berylpin_core::decision::Decision;
+use slog::{Drain, Logger, debug, o};
+use slog_async::{Async, OverflowStrategy};
+use std::io::Write;
+
+/// Log records that wait for the writer; more are dropped and counted.
+const CHANNEL_SIZE: usize = 16 * 1024;
+
+/// How log records are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Opens a log that never blocks the caller; records that do not fit are dropped and counted.
+pub fn open_log<W>(format: LogFormat, writer: W) -> Logger
+where
+    W: Write + Send + 'static,
+{
+    let drain = match format {
+        LogFormat::Text => {
+            let decorator = slog_term::PlainDecorator::new(writer);
+            background(slog_term::FullFormat::new(decorator).build().fuse())
+        }
+        LogFormat::Json => background(slog_json::Json::default(writer).fuse()),
+    };
+    Logger::root(drain.fuse(), o!())
+}
+
+/// Returns a log that writes nothing.
+pub fn discard_log() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+fn background<D>(drain: D) -> Async
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    Async::new(drain)
+        .chan_size(CHANNEL_SIZE)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build()
+}
+
+/// Writes the line of a decision.
+pub(crate) fn log_decision(log: &Logger, decision: &Decision) {
+    match decision {
+        Decision::Pinned { query, rank, snapshot, shards, serving } => {
+            debug!(log, "query: pinned to snapshot"; "query" => %query, "rank" => rank.name(),
+                "snapshot" => snapshot.0, "shards" => shards, "serving" => serving);
+        }
+        Decision::Routed { query, replica, cause } => {
+            debug!(log, "route: attempt sent"; "query" => %query, "replica" => %replica,
+                "cause" => %cause);
+        }
+        Decision::Started { query, replica } => {
+            debug!(log, "owner: call started"; "query" => %query, "replica" => %replica);
+        }
+        Decision::Refused { query, replica, reason } => {
+            debug!(log, "owner: sub-query refused"; "query" => %query, "replica" => %replica,
+                "reason" => reason.name());
+        }
+    }
+}
--- /dev/null
+++ b/crates/berylpin_daemon/src/main.rs
@@ -0,0 +1,80 @@
+//! `berylpind`: the daemon of the berylpin query tier.
+
+use berylpin_daemon::{Daemon, DaemonSettings, LogFormat, SystemClock, open_log};
+use std::io::IsTerminal;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use tokio::signal::unix::{SignalKind, signal};
+
+const USAGE: &str = "\
+Runs one daemon of the berylpin query tier.
+
+Usage: berylpind --config FILE [--check]
+
+  --config FILE  settings in TOML
+  --check        check the settings and exit
+  --version      print the version
+  --help         print this help
+";
+
+/// Exit code for wrong arguments or settings.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let mut args = pico_args::Arguments::from_env();
+    if args.contains("--help") {
+        print!("{USAGE}");
+        return ExitCode::SUCCESS;
+    }
+    if args.contains("--version") {
+        println!("berylpind {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let check = args.contains("--check");
+    let config: PathBuf = match args.value_from_str("--config") {
+        Ok(path) => path,
+        Err(e) => return usage_error(&e.to_string()),
+    };
+    if let [arg, ..] = args.finish().as_slice() {
+        return usage_error(&format!("unknown argument {}", arg.to_string_lossy()));
+    }
+    let settings = match DaemonSettings::load(&config) {
+        Ok(settings) => settings,
+        Err(e) => return usage_error(&e.to_string()),
+    };
+    if check {
+        println!("{}: the settings are valid", config.display());
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("berylpind: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn usage_error(problem: &str) -> ExitCode {
+    eprintln!("berylpind: {problem}\nTry `berylpind --help`.");
+    ExitCode::from(EXIT_USAGE)
+}
+
+fn run(settings: DaemonSettings) -> Result<(), Box<dyn std::error::Error>> {
+    let format = if std::io::stderr().is_terminal() { LogFormat::Text } else { LogFormat::Json };
+    let log = open_log(format, std::io::stderr());
+    let daemon = Daemon::start(settings, Arc::new(SystemClock), log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        Ok::<_, std::io::Error>(())
+    })?;
+    daemon.stop();
+    Ok(())
+}
--- /dev/null
+++ b/crates/berylpin_daemon/src/traffic/mailbox.rs
@@ -0,0 +1,133 @@
+//! What threads send to a traffic thread.
+
+use super::link::LinkFrame;
+use berylpin_core::control::View;
+use berylpin_core::ids::{Key, MemberId, ReplicaId, ThreadId};
+use berylpin_core::message::{Batch, Part, QueryMessage};
+use berylpin_core::query::{Answer, Refusal, Request, Ticket};
+use berylpin_core::replica::{CallKey, CallResult, ProbeResult};
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot};
+
+/// Messages that may wait for a thread; one that does not fit counts as lost.
+const MAILBOX_SIZE: usize = 64 * 1024;
+
+/// A message to a traffic thread.
+pub(crate) enum Mail {
+    /// Control state changed; `links` is indexed by member.
+    View { view: Arc<View>, links: Vec<Option<mpsc::Sender<LinkFrame>>> },
+    /// A caller sent a request.
+    Request { ticket: Ticket, request: Request, reply: oneshot::Sender<Result<Answer, Refusal>> },
+    /// The caller does not wait any more.
+    CallerGone(Ticket),
+    /// A daemon, which may be this one, sent a message.
+    Message(MemberId, QueryMessage),
+    /// A call to an upstream ended.
+    Called(CallKey, CallResult),
+    /// A probe of an upstream ended.
+    Probed(ReplicaId, ProbeResult),
+    /// The link to a daemon broke.
+    LinkDown(MemberId),
+    /// The thread is to end once it has no work left.
+    Stop,
+}
+
+/// The sending end of a thread's mailbox.
+#[derive(Clone)]
+pub(crate) struct Mailbox {
+    tx: mpsc::Sender<Mail>,
+}
+
+impl Mailbox {
+    pub(crate) fn new() -> (Self, mpsc::Receiver<Mail>) {
+        let (tx, rx) = mpsc::channel(MAILBOX_SIZE);
+        (Self { tx }, rx)
+    }
+
+    /// Sends a message and returns whether it fitted.
+    pub(crate) fn send(&self, mail: Mail) -> bool {
+        let sent = self.tx.try_send(mail).is_ok();
+        if !sent {
+            metrics::counter!("berylpin_mailbox_overflows_total").increment(1);
+        }
+        sent
+    }
+}
+
+/// The mailboxes of all traffic threads, indexed by thread.
+#[derive(Clone)]
+pub(crate) struct Mailboxes {
+    boxes: Arc<[Mailbox]>,
+}
+
+impl Mailboxes {
+    pub(crate) fn new(boxes: Vec<Mailbox>) -> Self {
+        Self { boxes: boxes.into() }
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Mailbox> {
+        self.boxes.iter()
+    }
+
+    /// Returns the mailbox of a thread; the id may come from another daemon.
+    pub(crate) fn get(&self, thread: ThreadId) -> Option<&Mailbox> {
+        self.boxes.get(thread.index())
+    }
+
+    /// Hands a message from a daemon to the threads that it concerns.
+    pub(crate) fn deliver(&self, from: MemberId, message: QueryMessage) {
+        match message {
+            QueryMessage::Batch(batch) => self.deliver_batch(from, batch),
+            QueryMessage::Cancel(parts) => self.for_each_thread(
+                parts,
+                |part| part.replica,
+                |p| Mail::Message(from, QueryMessage::Cancel(p)),
+            ),
+            QueryMessage::Inquire { thread, replicas } => {
+                self.for_each_thread(
+                    replicas,
+                    |tag| *tag,
+                    |replicas| Mail::Message(from, QueryMessage::Inquire { thread, replicas }),
+                );
+            }
+            QueryMessage::Reply(reply) => {
+                if let Some(mailbox) = self.get(reply.attempt.thread) {
+                    mailbox.send(Mail::Message(from, QueryMessage::Reply(reply)));
+                }
+            }
+            QueryMessage::Hints { thread, hints } => {
+                if let Some(mailbox) = self.get(thread) {
+                    mailbox.send(Mail::Message(from, QueryMessage::Hints { thread, hints }));
+                }
+            }
+        }
+    }
+
+    fn deliver_batch(&self, from: MemberId, batch: Batch) {
+        let Batch { query, rank, time_left, snapshot, body, parts } = batch;
+        self.for_each_thread(
+            parts,
+            |part: &Part| part.replica,
+            |parts| {
+                let batch = Batch { query, rank, time_left, snapshot, body: body.clone(), parts };
+                Mail::Message(from, QueryMessage::Batch(batch))
+            },
+        );
+    }
+
+    fn for_each_thread<T, F, M>(&self, items: Vec<T>, replica_of: F, mail: M)
+    where
+        F: Fn(&T) -> berylpin_core::ids::ReplicaTag,
+        M: Fn(Vec<T>) -> Mail,
+    {
+        let mut by_thread: Vec<Vec<T>> = self.boxes.iter().map(|_| Vec::new()).collect();
+        for item in items {
+            by_thread[replica_of(&item).thread(self.boxes.len()).index()].push(item);
+        }
+        for (mailbox, items) in self.boxes.iter().zip(by_thread) {
+            if !items.is_empty() {
+                mailbox.send(mail(items));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/berylpin_daemon/src/traffic/thread.rs
@@ -0,0 +1,188 @@
+//! The loop of one traffic thread.
+
+use super::link::LinkFrame;
+use super::mailbox::{Mail, Mailbox, Mailboxes};
+use super::upstream::Upstreams;
+use crate::logging::log_decision;
+use berylpin_core::clock::Clock;
+use berylpin_core::control::View;
+use berylpin_core::ids::{Key, MemberId, ThreadId};
+use berylpin_core::message::QueryMessage;
+use berylpin_core::query::{self, Answer, Coordinator, Refusal, Ticket};
+use berylpin_core::replica::{self, Owner};
+use slog::Logger;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot};
+
+/// Messages handled before timers are looked at again.
+const MAIL_BURST: usize = 256;
+
+/// How long a thread without timers sleeps.
+const IDLE_SLEEP: Duration = Duration::from_hours(1);
+
+/// What a traffic thread is made of.
+pub(crate) struct ThreadContext {
+    pub(crate) id: ThreadId,
+    pub(crate) mailboxes: Mailboxes,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) log: Logger,
+    pub(crate) seed: u64,
+}
+
+struct TrafficThread {
+    cx: ThreadContext,
+    own: Mailbox,
+    view: Arc<View>,
+    links: Vec<Option<mpsc::Sender<LinkFrame>>>,
+    coordinator: Coordinator,
+    owner: Owner,
+    upstreams: Upstreams,
+    /// Sorted by ticket, which only grow.
+    callers: Vec<(Ticket, oneshot::Sender<Result<Answer, Refusal>>)>,
+    query_actions: Vec<query::Action>,
+    replica_actions: Vec<replica::Action>,
+    stopping: bool,
+}
+
+/// Runs a traffic thread until it is told to stop and has no work left.
+pub(crate) async fn run_thread(cx: ThreadContext, view: Arc<View>, mut rx: mpsc::Receiver<Mail>) {
+    let Some(own) = cx.mailboxes.get(cx.id).cloned() else { return };
+    let now = cx.clock.now();
+    let threads = cx.mailboxes.iter().count();
+    let mut thread = TrafficThread {
+        coordinator: Coordinator::new(cx.id, view.clone(), cx.seed),
+        owner: Owner::new(cx.id, threads, view.clone(), cx.seed ^ 1, now),
+        upstreams: Upstreams::new(own.clone()),
+        own,
+        view,
+        links: Vec::new(),
+        callers: Vec::new(),
+        query_actions: Vec::new(),
+        replica_actions: Vec::new(),
+        stopping: false,
+        cx,
+    };
+    while !thread.is_done() {
+        let sleep = tokio::time::sleep_until(thread.next_timer().into());
+        tokio::select! {
+            mail = rx.recv() => {
+                let Some(mail) = mail else { return };
+                thread.handle(mail);
+                for _ in 1..MAIL_BURST {
+                    let Ok(mail) = rx.try_recv() else { break };
+                    thread.handle(mail);
+                }
+            }
+            () = sleep => {}
+        }
+        thread.tick();
+    }
+}
+
+impl TrafficThread {
+    fn is_done(&self) -> bool {
+        self.stopping && self.coordinator.running() == 0 && self.owner.jobs() == 0
+    }
+
+    fn next_timer(&self) -> Instant {
+        let timers = [self.coordinator.next_timer(), self.owner.next_timer()];
+        let idle = self.cx.clock.now() + IDLE_SLEEP;
+        timers.into_iter().flatten().min().unwrap_or(idle)
+    }
+
+    fn handle(&mut self, mail: Mail) {
+        match mail {
+            Mail::View { view, links } => {
+                self.links = links;
+                self.upstreams.retain(&view);
+                self.view = view.clone();
+                self.query_event(query::Event::View(view.clone()));
+                self.replica_event(replica::Event::View(view));
+            }
+            Mail::Request { ticket, request, reply } => {
+                self.callers.push((ticket, reply));
+                self.query_event(query::Event::Request(ticket, request));
+            }
+            Mail::CallerGone(ticket) => {
+                self.take_caller(ticket);
+                self.query_event(query::Event::CallerGone(ticket));
+            }
+            Mail::Message(from, message) => self.message(from, message),
+            Mail::Called(key, result) => self.replica_event(replica::Event::Called(key, result)),
+            Mail::Probed(id, result) => self.replica_event(replica::Event::Probed(id, result)),
+            Mail::LinkDown(member) => self.query_event(query::Event::LinkDown(member)),
+            Mail::Stop => self.stopping = true,
+        }
+    }
+
+    fn message(&mut self, from: MemberId, message: QueryMessage) {
+        match message {
+            QueryMessage::Batch(batch) => self.replica_event(replica::Event::Batch(from, batch)),
+            QueryMessage::Cancel(parts) => self.replica_event(replica::Event::Cancel(parts)),
+            QueryMessage::Inquire { thread, replicas } => {
+                self.replica_event(replica::Event::Inquire(from, thread, replicas));
+            }
+            QueryMessage::Reply(reply) => self.query_event(query::Event::Reply(reply)),
+            QueryMessage::Hints { hints, .. } => self.query_event(query::Event::Hints(hints)),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.query_event(query::Event::Tick);
+        self.replica_event(replica::Event::Tick);
+    }
+
+    fn query_event(&mut self, event: query::Event) {
+        let mut actions = std::mem::take(&mut self.query_actions);
+        self.coordinator.handle(self.cx.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                query::Action::Send(to, message) => self.send(to, message),
+                query::Action::Answer(ticket, result) => {
+                    if let Some(reply) = self.take_caller(ticket) {
+                        // A caller that went away does not need the answer.
+                        let _ = reply.send(result);
+                    }
+                }
+                query::Action::Decided(decision) => log_decision(&self.cx.log, &decision),
+            }
+        }
+        self.query_actions = actions;
+    }
+
+    fn replica_event(&mut self, event: replica::Event) {
+        let mut actions = std::mem::take(&mut self.replica_actions);
+        self.owner.handle(self.cx.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                replica::Action::Send(to, message) => self.send(to, message),
+                replica::Action::Call(call) => self.upstreams.call(&self.view, call),
+                replica::Action::Abort { replica, request } => {
+                    self.upstreams.abort(&self.view, replica, request);
+                }
+                replica::Action::Probe(probe) => self.upstreams.probe(&self.view, probe),
+                replica::Action::Decided(decision) => log_decision(&self.cx.log, &decision),
+            }
+        }
+        self.replica_actions = actions;
+    }
+
+    /// Sends a message to a daemon; one to this daemon goes through the mailboxes as well.
+    fn send(&self, to: MemberId, message: QueryMessage) {
+        if to == self.view.own {
+            return self.cx.mailboxes.deliver(to, message);
+        }
+        let link = self.links.get(to.index()).and_then(Option::as_ref);
+        let sent = link.is_some_and(|link| link.try_send(LinkFrame::Query(message)).is_ok());
+        if !sent {
+            metrics::counter!("berylpin_link_overflows_total").increment(1);
+            self.own.send(Mail::LinkDown(to));
+        }
+    }
+
+    fn take_caller(&mut self, ticket: Ticket) -> Option<oneshot::Sender<Result<Answer, Refusal>>> {
+        let at = self.callers.binary_search_by_key(&ticket, |(t, _)| *t).ok()?;
+        Some(self.callers.remove(at).1)
+    }
+}
--- /dev/null
+++ b/crates/berylpin_standin/src/lib.rs
@@ -0,0 +1,7 @@
+//! Small stand-ins for what surrounds the system: the platform, upstreams and callers.
+
+pub mod load;
+pub mod platform;
+pub mod service;
+pub mod sites;
+pub mod upstream;
--- /dev/null
+++ b/crates/berylpin_standin/src/platform.rs
@@ -0,0 +1,258 @@
+//! The platform: objects with versions, conditional updates and watches, and the VM list.
+
+use crate::service::HttpService;
+use berylpin_wire::platform::{Object, ObjectList, Stored, Vm};
+use poem::http::{HeaderMap, StatusCode};
+use poem::web::{Data, Json, Path, Query};
+use poem::{EndpointExt, IntoResponse, Response, Route, get, handler};
+use serde::Deserialize;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// The largest value of an object, in bytes.
+const VALUE_LIMIT: usize = 1024 * 1024;
+
+/// What goes wrong at the platform.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PlatformFaults {
+    /// Every call fails.
+    pub down: bool,
+    /// Every call takes this much longer.
+    pub delay: Duration,
+    /// Every change takes effect, but its answer is lost.
+    pub lose_answers: bool,
+}
+
+/// The platform's stand-in.
+#[derive(Debug)]
+pub struct Platform {
+    service: HttpService,
+    state: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    store: Mutex<Store>,
+    revision: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    revision: u64,
+    /// Sorted by name.
+    objects: Vec<Object>,
+    vms: Vec<Vm>,
+    faults: PlatformFaults,
+    calls: u64,
+}
+
+impl Platform {
+    /// Starts a platform without objects.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot listen.
+    pub async fn start() -> io::Result<Self> {
+        let state = Arc::new(Shared { store: Mutex::default(), revision: watch::Sender::new(0) });
+        let routes = Route::new()
+            .at("/v1/objects", get(list_objects))
+            .at("/v1/objects/*name", get(get_object).put(put_object).delete(delete_object))
+            .at("/v1/watch", get(watch_objects))
+            .at("/v1/vms", get(list_vms))
+            .data(state.clone());
+        Ok(Self { service: HttpService::start(routes).await?, state })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.service.address()
+    }
+
+    /// Replaces the VM list.
+    pub fn set_vms(&self, vms: Vec<Vm>) {
+        self.state.store().vms = vms;
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.state.store().faults = faults;
+    }
+
+    /// Stores an object whatever its version.
+    pub fn store(&self, name: &str, value: &str) {
+        let mut store = self.state.store();
+        store.put(name, value);
+        self.state.revision.send_replace(store.revision);
+    }
+
+    /// Returns the objects under a prefix, as stored.
+    pub fn objects(&self, prefix: &str) -> ObjectList {
+        self.state.store().list(prefix)
+    }
+
+    /// Returns how many calls arrived; a watch counts as one.
+    pub fn calls(&self) -> u64 {
+        self.state.store().calls
+    }
+}
+
+impl Shared {
+    fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a call and lets the faults act on it.
+    async fn admit(&self) -> Result<PlatformFaults, Response> {
+        let faults = {
+            let mut store = self.store();
+            store.calls += 1;
+            store.faults
+        };
+        sleep(faults.delay).await;
+        if faults.down {
+            return Err(StatusCode::SERVICE_UNAVAILABLE.into_response());
+        }
+        Ok(faults)
+    }
+
+    /// Announces a change, then loses the answer if that fault is on.
+    fn changed(&self, faults: PlatformFaults, version: u64) -> Response {
+        self.revision.send_replace(version);
+        if faults.lose_answers {
+            return StatusCode::GATEWAY_TIMEOUT.into_response();
+        }
+        Json(Stored { version }).into_response()
+    }
+}
+
+impl Store {
+    fn find(&self, name: &str) -> Result<usize, usize> {
+        self.objects.binary_search_by(|object| object.name.as_str().cmp(name))
+    }
+
+    fn list(&self, prefix: &str) -> ObjectList {
+        let objects = self.objects.iter().filter(|object| object.name.starts_with(prefix));
+        ObjectList { revision: self.revision, objects: objects.cloned().collect() }
+    }
+
+    fn put(&mut self, name: &str, value: &str) {
+        self.revision += 1;
+        let (version, value) = (self.revision, value.to_owned());
+        let object = Object { name: name.to_owned(), version, value };
+        match self.find(name) {
+            Ok(at) => self.objects[at] = object,
+            Err(at) => self.objects.insert(at, object),
+        }
+    }
+
+    /// Returns whether the version that a change is based on is the stored one.
+    fn is_current(&self, name: &str, headers: &HeaderMap) -> bool {
+        let stored = self.find(name).ok().map(|at| self.objects[at].version);
+        let text = |header: &str| headers.get(header).and_then(|value| value.to_str().ok());
+        match (text("if-match"), text("if-none-match")) {
+            (Some(version), _) => stored.is_some_and(|stored| stored.to_string() == version),
+            (None, Some("*")) => stored.is_none(),
+            _ => false,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct ListQuery {
+    #[serde(default)]
+    prefix: String,
+}
+
+#[derive(Deserialize)]
+struct WatchQuery {
+    #[serde(default)]
+    prefix: String,
+    after: u64,
+    wait_ms: u64,
+}
+
+#[handler]
+async fn list_objects(state: Data<&Arc<Shared>>, query: Query<ListQuery>) -> Response {
+    if let Err(response) = state.admit().await {
+        return response;
+    }
+    Json(state.store().list(&query.prefix)).into_response()
+}
+
+#[handler]
+async fn get_object(state: Data<&Arc<Shared>>, Path(name): Path<String>) -> Response {
+    if let Err(response) = state.admit().await {
+        return response;
+    }
+    let store = state.store();
+    match store.find(&name) {
+        Ok(at) => Json(store.objects[at].clone()).into_response(),
+        Err(_) => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+#[handler]
+async fn put_object(
+    state: Data<&Arc<Shared>>,
+    Path(name): Path<String>,
+    headers: &HeaderMap,
+    value: String,
+) -> Response {
+    let faults = match state.admit().await {
+        Ok(faults) => faults,
+        Err(response) => return response,
+    };
+    if value.len() > VALUE_LIMIT {
+        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    }
+    let mut store = state.store();
+    if !store.is_current(&name, headers) {
+        return StatusCode::PRECONDITION_FAILED.into_response();
+    }
+    store.put(&name, &value);
+    state.changed(faults, store.revision)
+}
+
+#[handler]
+async fn delete_object(
+    state: Data<&Arc<Shared>>,
+    Path(name): Path<String>,
+    headers: &HeaderMap,
+) -> Response {
+    let faults = match state.admit().await {
+        Ok(faults) => faults,
+        Err(response) => return response,
+    };
+    let mut store = state.store();
+    let Ok(at) = store.find(&name) else { return StatusCode::NOT_FOUND.into_response() };
+    if !store.is_current(&name, headers) {
+        return StatusCode::PRECONDITION_FAILED.into_response();
+    }
+    store.objects.remove(at);
+    store.revision += 1;
+    state.changed(faults, store.revision)
+}
+
+#[handler]
+async fn watch_objects(state: Data<&Arc<Shared>>, query: Query<WatchQuery>) -> Response {
+    if let Err(response) = state.admit().await {
+        return response;
+    }
+    let mut revision = state.revision.subscribe();
+    let wait = Duration::from_millis(query.wait_ms);
+    // Without a change in time the answer is the present state.
+    let _ = timeout(wait, revision.wait_for(|revision| *revision > query.after)).await;
+    Json(state.store().list(&query.prefix)).into_response()
+}
+
+#[handler]
+async fn list_vms(state: Data<&Arc<Shared>>) -> Response {
+    if let Err(response) = state.admit().await {
+        return response;
+    }
+    Json(state.store().vms.clone()).into_response()
+}
--- /dev/null
+++ b/crates/berylpin_standin/src/sites.rs
@@ -0,0 +1,124 @@
+//! The sizes of today's two sites.
+
+use crate::upstream::UpstreamShape;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The median service time of a lookup.
+const SERVICE_TIME: Duration = Duration::from_millis(8);
+
+/// A customer and its services.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// The name on the command line.
+    pub name: &'static str,
+    /// Its data centres, one a region.
+    pub data_centres: [&'static str; 3],
+    /// Its services.
+    pub groups: Vec<GroupShape>,
+    /// One way between regions.
+    pub region_delay: Duration,
+    /// One way to clients.
+    pub client_delay: Duration,
+}
+
+/// Services of one shape.
+#[derive(Clone, Copy, Debug)]
+pub struct GroupShape {
+    /// The group, or the service if it has but one.
+    pub name: &'static str,
+    /// How many services it has.
+    pub services: usize,
+    /// Replicas of each.
+    pub replicas: usize,
+    /// Connections that each replica accepts.
+    pub connections: u16,
+    /// The shape of each replica.
+    pub upstream: UpstreamShape,
+}
+
+impl Site {
+    /// Finds a site by its name.
+    pub fn named(name: &str) -> Option<Self> {
+        match name {
+            "rizzo" => Some(rizzo()),
+            "kalipsan" => Some(kalipsan()),
+            _ => None,
+        }
+    }
+}
+
+impl GroupShape {
+    /// Returns the name of one of its services.
+    pub fn service_name(&self, index: usize) -> String {
+        if self.services == 1 {
+            return self.name.to_owned();
+        }
+        format!("{}-{:02}", self.name, index + 1)
+    }
+
+    /// Writes the document of one of its services.
+    pub fn document(&self, index: usize, replicas: &[(SocketAddr, &str)]) -> String {
+        let mut text = format!(
+            "service = \"{}\"\ngroup = \"{}\"\n\n[[shard]]\nname = \"main\"\n",
+            self.service_name(index),
+            self.name
+        );
+        for (address, data_centre) in replicas {
+            // Writing to a string cannot fail.
+            let _ = write!(
+                text,
+                "\n[[shard.replica]]\naddress = \"{address}\"\ndata_centre = \"{data_centre}\"\n\
+                 slots = {}\nconnections = {}\n",
+                self.upstream.slots, self.connections
+            );
+        }
+        text
+    }
+}
+
+fn group(name: &'static str, services: usize, replicas: usize, slots: u16) -> GroupShape {
+    let (connections, connect_cost) = match slots {
+        2 => (25, 6),
+        3 => (40, 1),
+        _ => (110, 1),
+    };
+    let upstream = UpstreamShape {
+        slots,
+        connect_cost: Duration::from_millis(connect_cost),
+        service_time: SERVICE_TIME,
+        network_delay: Duration::ZERO,
+    };
+    GroupShape { name, services, replicas, connections, upstream }
+}
+
+fn rizzo() -> Site {
+    Site {
+        name: "rizzo",
+        data_centres: ["palermo-1", "catania-1", "messina-1"],
+        groups: vec![
+            group("quota-desk", 20, 2, 2),
+            group("bursar-sync", 30, 2, 2),
+            group("receipt-vault", 1, 5, 6),
+            group("faculty-portal", 1, 3, 6),
+        ],
+        region_delay: Duration::from_millis(8),
+        client_delay: Duration::from_millis(3),
+    }
+}
+
+fn kalipsan() -> Site {
+    Site {
+        name: "kalipsan",
+        data_centres: ["marmara-1", "ic-anadolu-1", "ege-1"],
+        groups: vec![
+            group("dayanım", 20, 2, 2),
+            group("kürlama", 30, 2, 2),
+            group("belge", 1, 7, 3),
+            group("numune", 1, 3, 3),
+        ],
+        region_delay: Duration::from_millis(12),
+        client_delay: Duration::from_millis(1),
+    }
+}
--- /dev/null
+++ b/crates/berylpin_wire/src/frame.rs
@@ -0,0 +1,83 @@
+//! Frames on the links between daemons: a length of four bytes, then the frame in bincode.
+
+use berylpin_core::message::QueryMessage;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// The longest frame accepted, in bytes.
+pub const FRAME_LIMIT: usize = 16 * 1024 * 1024;
+
+const LENGTH_BYTES: usize = 4;
+
+/// What daemons send each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// A message about queries.
+    Query(QueryMessage),
+}
+
+/// Why bytes are not a frame.
+#[derive(Debug, Error)]
+pub enum FrameError {
+    /// The length is over the limit.
+    #[error("a frame of {0} bytes is over the limit of {FRAME_LIMIT} bytes")]
+    TooLong(usize),
+    /// The bytes do not decode.
+    #[error("malformed frame: {0}")]
+    Malformed(#[from] bincode::error::DecodeError),
+}
+
+/// Appends a frame to a buffer.
+pub fn encode(frame: &Frame, buf: &mut BytesMut) {
+    let start = buf.len();
+    buf.put_u32(0);
+    let result = bincode::serde::encode_into_std_write(frame, &mut buf.writer(), config());
+    debug_assert!(result.is_ok(), "a frame always encodes");
+    let length = (buf.len() - start - LENGTH_BYTES) as u32;
+    buf[start..start + LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
+}
+
+/// Cuts a stream of bytes into frames.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    buf: BytesMut,
+}
+
+impl Decoder {
+    /// Takes in bytes that arrived.
+    pub fn extend(&mut self, bytes: &Bytes) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Returns the next whole frame, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the bytes are not a frame; the stream is of no use from then on.
+    pub fn next_frame(&mut self) -> Result<Option<Frame>, FrameError> {
+        let Some(prefix) = self.buf.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        if length > FRAME_LIMIT {
+            return Err(FrameError::TooLong(length));
+        }
+        if self.buf.len() < LENGTH_BYTES + length {
+            return Ok(None);
+        }
+        self.buf.advance(LENGTH_BYTES);
+        let body = self.buf.split_to(length);
+        let (frame, _) = bincode::serde::decode_from_slice(&body, config())?;
+        Ok(Some(frame))
+    }
+}
+
+fn config() -> bincode::config::Configuration<
+    bincode::config::LittleEndian,
+    bincode::config::Varint,
+    bincode::config::Limit<FRAME_LIMIT>,
+> {
+    bincode::config::standard().with_limit::<FRAME_LIMIT>()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_wire/src/upstream.rs
@@ -0,0 +1,37 @@
+//! The HTTP protocol of upstreams.
+//!
+//! `POST /v1/{service}/{shard}/lookup` runs a sub-query: its body is what the caller asked, the
+//! headers below carry the rest. `GET /v1/{service}/{shard}/snapshots` tells what a replica
+//! serves. `DELETE /v1/requests/{id}` cancels a request.
+
+use berylpin_core::ids::Snapshot;
+use berylpin_core::message::{Row, SnapshotRange};
+use serde::{Deserialize, Serialize};
+
+/// Header: the request id, 16 hexadecimal digits.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Header: the snapshot to answer from.
+pub const SNAPSHOT: &str = "x-snapshot";
+/// Header: the rank by name.
+pub const RANK: &str = "x-rank";
+/// Header: time left until the deadline, in milliseconds.
+pub const DEADLINE_MS: &str = "x-deadline-ms";
+/// Header of a refusal: the request was not run.
+pub const NOT_RUN: &str = "x-not-run";
+/// Header of a refusal: the replica is leaving.
+pub const DRAINING: &str = "x-draining";
+
+/// Body of a status 200 to a lookup.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LookupReply {
+    /// The request id echoed.
+    pub request: String,
+    /// The shard echoed.
+    pub shard: String,
+    /// The snapshot of the rows.
+    pub snapshot: Snapshot,
+    /// The snapshots that the replica serves.
+    pub serves: SnapshotRange,
+    /// The rows.
+    pub rows: Vec<Row>,
+}
