--- a/crates/berylpin_wire/src/lib.rs
+++ b/crates/berylpin_wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Encodings: frames between daemons, and the HTTP bodies of callers, upstreams and the platform.
 
+pub mod admin;
 pub mod caller;
 pub mod frame;
 pub mod platform;
