--- a/crates/berylpin/src/args.rs
+++ b/crates/berylpin/src/args.rs
@@ -11,6 +11,8 @@
 Usage: berylpin COMMAND [OPTIONS]
 
   demo      run the system and a load against stand-ins of today's sizes
+  experiment FILE [--seed N] [--json] [--plot FILE]
+            run a scenario with faults against stand-ins; status 1 if a promise was broken
   version   print the version
   help      print this help
 ";
@@ -46,6 +48,7 @@
 pub(crate) fn run(mut args: Arguments) -> Result<(), CommandError> {
     let command = args.subcommand()?;
     match command.as_deref() {
+        Some("experiment") => commands::experiment::run_experiment(args),
         Some("demo") => commands::demo::run(args),
         Some("version") => {
             println!("berylpin {}", env!("CARGO_PKG_VERSION"));
--- a/crates/berylpin/src/bench.rs
+++ b/crates/berylpin/src/bench.rs
@@ -1,19 +1,25 @@
 //! Daemons and stand-ins of one site on loopback.
 
+use berylpin_core::config::ServiceOptions;
 use berylpin_core::ids::Snapshot;
 use berylpin_core::message::SnapshotRange;
+use berylpin_core::rank::Rank;
 use berylpin_daemon::{
     Daemon, DaemonOptions, DaemonSettings, SettingsError, StartError, SystemClock, discard_log,
 };
+use berylpin_standin::checker::Layout;
+use berylpin_standin::load::Balancer;
+use berylpin_standin::net::{Net, Proxy, Target, Zone};
 use berylpin_standin::platform::Platform;
-use berylpin_standin::sites::Site;
-use berylpin_standin::upstream::{Upstream, Work};
+use berylpin_standin::sites::{GroupShape, Site};
+use berylpin_standin::upstream::Upstream;
 use berylpin_wire::platform::{SERVICE_PREFIX, Vm};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
 /// How long daemons may take to become ready.
@@ -22,6 +28,15 @@
 /// The snapshots that upstreams serve at first.
 const FIRST_SNAPSHOTS: SnapshotRange = SnapshotRange { oldest: Snapshot(1), newest: Snapshot(3) };
 
+/// The service that shows how far a document has spread; its work is no load.
+pub(crate) const CANARY: &str = "canary";
+
+/// The deadline of queries to unknown targets.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(1);
+
+/// The last byte of the addresses of proxies.
+const PROXY_HOST: u8 = 200;
+
 /// Why a bench does not start.
 #[derive(Debug, Error)]
 pub(crate) enum BenchError {
@@ -29,64 +44,228 @@
     Standin(#[from] io::Error),
     #[error("settings: {0}")]
     Settings(#[from] SettingsError),
+    #[error("options: {0}")]
+    Options(#[from] toml::de::Error),
+    #[error("document: {0}")]
+    Document(#[from] toml::ser::Error),
     #[error("daemon: {0}")]
     Daemon(#[from] StartError),
     #[error("daemons are not ready after {READY_LIMIT:?}")]
     NotReady,
 }
 
+/// A replica and the proxy in front of it.
+pub(crate) struct Replica {
+    pub(crate) service: String,
+    pub(crate) group: &'static str,
+    /// The position within its service.
+    pub(crate) number: usize,
+    pub(crate) slots: u16,
+    pub(crate) upstream: Arc<Upstream>,
+    pub(crate) proxy: Proxy,
+}
+
+/// A daemon and the proxy in front of its links.
+pub(crate) struct Entry {
+    pub(crate) vm: Vm,
+    zone: Zone,
+    caller_address: SocketAddr,
+    peer_address: SocketAddr,
+    admin_address: SocketAddr,
+    /// `None` once it has ended.
+    pub(crate) daemon: Option<Daemon>,
+    _proxy: Proxy,
+}
+
 /// Daemons and stand-ins of one site on loopback.
 pub(crate) struct Bench {
-    platform: Platform,
-    upstreams: Vec<Upstream>,
-    daemons: Vec<Daemon>,
+    pub(crate) net: Arc<Net>,
+    pub(crate) platform: Platform,
+    pub(crate) replicas: Vec<Replica>,
+    /// The documents as the operators last wrote them.
+    pub(crate) documents: Vec<ServiceOptions>,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) balancer: Balancer,
+    platform_proxy: Proxy,
+    site: Site,
 }
 
 /// Work of all upstreams.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct TotalWork {
+    /// Sub-queries that ran, to their end or until they were cancelled.
     pub(crate) ran: u64,
-    pub(crate) cancelled: u64,
-}
-
-impl TotalWork {
-    pub(crate) fn since(self, earlier: Self) -> Self {
-        Self { ran: self.ran - earlier.ran, cancelled: self.cancelled - earlier.cancelled }
-    }
+    pub(crate) busy: Duration,
+    pub(crate) after_drain: u64,
+    /// When the last lookup reached a leaving upstream.
+    pub(crate) last_drained_arrival: Option<Instant>,
 }
 
 impl Bench {
     /// Starts the platform, all upstreams of a site and as many daemons.
-    pub(crate) async fn start(site: &Site, daemons: usize, seed: u64) -> Result<Self, BenchError> {
+    ///
+    /// `edit` changes each document before it is stored.
+    pub(crate) async fn start<F>(
+        site: &Site,
+        daemons: usize,
+        seed: u64,
+        edit: F,
+    ) -> Result<Self, BenchError>
+    where
+        F: Fn(&mut ServiceOptions),
+    {
+        let net = Net::new(site.region_delay);
         let platform = Platform::start().await?;
-        let mut upstreams = Vec::new();
+        let limit = usize::MAX;
+        let target =
+            Target { zone: Zone::PLATFORM, address: platform.address(), limit, counted: true };
+        let platform_proxy = Proxy::start(net.clone(), PROXY_HOST, target).await?;
+        let mut bench = Self {
+            net,
+            platform,
+            replicas: Vec::new(),
+            documents: Vec::new(),
+            entries: Vec::new(),
+            balancer: Balancer::default(),
+            platform_proxy,
+            site: site.clone(),
+        };
         for group in &site.groups {
             for index in 0..group.services {
-                let mut replicas = Vec::new();
-                for number in 0..group.replicas {
-                    let seed = seed.wrapping_add(upstreams.len() as u64);
-                    let upstream = Upstream::start(group.upstream, FIRST_SNAPSHOTS, seed).await?;
-                    let data_centre = site.data_centres[(index + number) % 3];
-                    replicas.push((upstream.address(), data_centre));
-                    upstreams.push(upstream);
-                }
-                let name = format!("{SERVICE_PREFIX}{}", group.service_name(index));
-                platform.store(&name, &group.document(index, &replicas));
+                let text = bench.start_service(group, index, seed).await?;
+                let mut options = toml::from_str(&text)?;
+                edit(&mut options);
+                bench.documents.push(options);
+                bench.store(bench.documents.len() - 1)?;
             }
         }
-        let settings = daemon_settings(site, daemons, platform.address())?;
-        platform.set_vms(settings.iter().map(vm_of).collect());
-        let start = |settings| Daemon::start(settings, Arc::new(SystemClock), discard_log());
-        let daemons = settings.into_iter().map(start).collect::<Result<Vec<_>, _>>()?;
-        Ok(Self { platform, upstreams, daemons })
+        for index in 0..daemons {
+            let daemon = bench.prepare_daemon(index % site.data_centres.len()).await?;
+            bench.entries.push(daemon);
+        }
+        bench.publish_vms();
+        for index in 0..daemons {
+            bench.run_daemon(index)?;
+        }
+        Ok(bench)
+    }
+
+    async fn start_service(
+        &mut self,
+        group: &GroupShape,
+        index: usize,
+        seed: u64,
+    ) -> Result<String, BenchError> {
+        let service = group.service_name(index);
+        let mut lines = Vec::new();
+        for number in 0..group.replicas {
+            let seed = seed.wrapping_add(self.replicas.len() as u64);
+            let upstream = Upstream::start(group.upstream, FIRST_SNAPSHOTS, seed).await?;
+            let upstream = Arc::new(upstream);
+            let data_centre = (index + number) % self.site.data_centres.len();
+            let target = Target {
+                zone: Zone(data_centre as u8),
+                address: upstream.address(),
+                limit: group.connections.into(),
+                counted: false,
+            };
+            let proxy = Proxy::start(self.net.clone(), PROXY_HOST, target).await?;
+            lines.push((proxy.address(), self.site.data_centres[data_centre]));
+            let (service, slots) = (service.clone(), group.upstream.slots);
+            self.replicas.push(Replica {
+                service,
+                group: group.name,
+                number,
+                slots,
+                upstream,
+                proxy,
+            });
+        }
+        Ok(group.document(index, &lines))
+    }
+
+    /// Stores a document whatever its version and returns the text.
+    pub(crate) fn store(&self, document: usize) -> Result<String, BenchError> {
+        let document = &self.documents[document];
+        let text = toml::to_string(document)?;
+        self.platform.store(&format!("{SERVICE_PREFIX}{}", document.service), &text);
+        Ok(text)
+    }
+
+    /// Names a VM and its addresses; its daemon does not run yet.
+    async fn prepare_daemon(&self, data_centre: usize) -> Result<Entry, BenchError> {
+        let index = self.entries.len();
+        let zone = Zone(data_centre as u8);
+        let host = zone.address(index as u8 + 1);
+        let address = free_address(host)?;
+        let target = Target { zone, address, limit: usize::MAX, counted: true };
+        let proxy = Proxy::start(self.net.clone(), PROXY_HOST, target).await?;
+        let vm = Vm {
+            name: format!("entry-{}", index + 1),
+            data_centre: self.site.data_centres[data_centre].to_owned(),
+            peer_address: proxy.address(),
+            leaving: false,
+        };
+        Ok(Entry {
+            vm,
+            zone,
+            caller_address: free_address(host)?,
+            admin_address: free_address(host)?,
+            daemon: None,
+            peer_address: address,
+            _proxy: proxy,
+        })
+    }
+
+    fn run_daemon(&mut self, index: usize) -> Result<(), BenchError> {
+        let platform = self.platform_proxy.address();
+        let entry = &mut self.entries[index];
+        let data_centre = &entry.vm.data_centre;
+        let text = format!(
+            "name = \"{}\"\ndata_centre = \"{data_centre}\"\nregion = \"{}\"\n\
+             caller_address = \"{}\"\npeer_address = \"{}\"\nadmin_address = \"{}\"\n\
+             platform = \"{platform}\"\nstop_notice_ms = 300\n",
+            entry.vm.name,
+            data_centre.trim_end_matches("-1"),
+            entry.caller_address,
+            entry.peer_address,
+            entry.admin_address,
+        );
+        let settings = DaemonSettings::check(toml::from_str::<DaemonOptions>(&text)?)?;
+        entry.daemon = Some(Daemon::start(settings, Arc::new(SystemClock), discard_log())?);
+        self.balancer.set(index, Some(entry.caller_address));
+        Ok(())
+    }
+
+    /// Starts one more daemon beside a running one.
+    pub(crate) async fn add_daemon(&mut self, beside: usize) -> Result<(), BenchError> {
+        let zone = self.entries[beside].zone;
+        let entry = self.prepare_daemon(zone.0.into()).await?;
+        self.entries.push(entry);
+        self.publish_vms();
+        self.run_daemon(self.entries.len() - 1)
+    }
+
+    /// Ends a daemon, gracefully or at once; the task returns when it has ended.
+    pub(crate) fn end_daemon(&mut self, index: usize, graceful: bool) -> Option<JoinHandle<()>> {
+        let daemon = self.entries[index].daemon.take()?;
+        self.entries[index].vm.leaving = graceful;
+        self.publish_vms();
+        let end = move || if graceful { daemon.stop() } else { daemon.kill() };
+        Some(tokio::task::spawn_blocking(end))
+    }
+
+    /// Hands the list of VMs to the platform.
+    pub(crate) fn publish_vms(&self) {
+        self.platform.set_vms(self.entries.iter().map(|entry| entry.vm.clone()).collect());
     }
 
     /// Waits until all daemons are ready.
     pub(crate) async fn wait_ready(&self) -> Result<(), BenchError> {
         let client = reqwest::Client::new();
         let limit = Instant::now() + READY_LIMIT;
-        for daemon in &self.daemons {
-            let url = format!("http://{}/ready", daemon.settings().admin_address);
+        for entry in &self.entries {
+            let url = format!("http://{}/ready", entry.admin_address);
             loop {
                 let response = client.get(&url).send().await;
                 if response.is_ok_and(|response| response.status().is_success()) {
@@ -101,66 +280,70 @@
         Ok(())
     }
 
-    /// Returns where callers connect.
-    pub(crate) fn entries(&self) -> Vec<SocketAddr> {
-        self.daemons.iter().map(|daemon| daemon.settings().caller_address).collect()
+    /// Returns where callers reach each daemon that runs.
+    pub(crate) fn callers(&self) -> impl Iterator<Item = (usize, SocketAddr)> {
+        let running = self.entries.iter().enumerate().filter(|(_, entry)| entry.daemon.is_some());
+        running.map(|(index, entry)| (index, entry.caller_address))
+    }
+
+    /// Returns how soon a target's document wants answers of a rank.
+    pub(crate) fn deadline(&self, target: &str, rank: Rank) -> Duration {
+        let find = |document: &&ServiceOptions| names(document, target);
+        let targets =
+            self.documents.iter().find(find).map(|d| d.targets.clone()).unwrap_or_default();
+        let target = match rank {
+            Rank::Urgent => targets.urgent,
+            Rank::Standard => targets.standard,
+            Rank::Background => targets.background,
+        };
+        target.unwrap_or(DEFAULT_DEADLINE)
+    }
+
+    /// Returns where stand-ins of operators reach the platform.
+    pub(crate) fn platform_address(&self) -> SocketAddr {
+        self.platform.address()
     }
 
     /// Returns the work of all upstreams, from their own record.
     pub(crate) fn work(&self) -> TotalWork {
         let mut total = TotalWork::default();
-        for Work { ran, cancelled, .. } in self.upstreams.iter().map(Upstream::work) {
-            total.ran += ran;
-            total.cancelled += cancelled;
+        for replica in self.replicas.iter().filter(|replica| replica.group != CANARY) {
+            let work = replica.upstream.work();
+            total.ran += work.ran + work.cancelled;
+            total.busy += work.busy;
+            total.after_drain += work.after_drain;
+            total.last_drained_arrival = total.last_drained_arrival.max(work.last_drained_arrival);
         }
         total
     }
 
     /// Stops all daemons gracefully, then the stand-ins.
-    pub(crate) async fn stop(self) {
-        let stops = self.daemons.into_iter().map(|d| tokio::task::spawn_blocking(|| d.stop()));
+    pub(crate) async fn stop(mut self) {
+        let indexes: Vec<usize> = self.callers().map(|(index, _)| index).collect();
+        let stops = indexes.into_iter().filter_map(|index| self.end_daemon(index, true));
         for stop in stops.collect::<Vec<_>>() {
             // A daemon that panicked has already said so.
             let _ = stop.await;
         }
-        drop(self.platform);
     }
 }
 
-fn daemon_settings(
-    site: &Site,
-    daemons: usize,
-    platform: SocketAddr,
-) -> Result<Vec<DaemonSettings>, BenchError> {
-    let mut all = Vec::new();
-    for index in 0..daemons {
-        let data_centre = site.data_centres[index % site.data_centres.len()];
-        let options = DaemonOptions {
-            name: format!("entry-{}", index + 1),
-            data_centre: data_centre.to_owned(),
-            region: data_centre.trim_end_matches("-1").to_owned(),
-            caller_address: free_address()?,
-            peer_address: free_address()?,
-            admin_address: free_address()?,
-            platform,
-            threads: None,
-            stop_notice_ms: Some(100),
-        };
-        all.push(DaemonSettings::check(options)?);
-    }
-    Ok(all)
+fn names(document: &ServiceOptions, target: &str) -> bool {
+    document.service == target || document.group.as_deref() == Some(target)
 }
 
-/// Returns an address whose port was free a moment ago.
-fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+/// Returns the shards of a service or group in documents.
+pub(crate) fn layout(documents: &[ServiceOptions], target: &str) -> Layout {
+    let mut layout = Layout::new();
+    for document in documents.iter().filter(|document| names(document, target)) {
+        let shards = document.shard.iter();
+        layout.extend(shards.map(|shard| (document.service.clone(), shard.name.clone())));
+    }
+    layout.sort_unstable();
+    layout
 }
 
-fn vm_of(settings: &DaemonSettings) -> Vm {
-    Vm {
-        name: settings.name.clone(),
-        data_centre: settings.data_centre.clone(),
-        peer_address: settings.peer_address,
-        leaving: false,
-    }
+/// Returns an address whose port was free a moment ago.
+fn free_address(host: Ipv4Addr) -> io::Result<SocketAddr> {
+    TcpListener::bind((host, 0))?.local_addr()
 }
--- a/crates/berylpin/src/commands/demo.rs
+++ b/crates/berylpin/src/commands/demo.rs
@@ -1,15 +1,15 @@
 //! `berylpin demo`: the whole system against stand-ins in one process.
 
 use crate::args::{CommandError, finish};
-use crate::bench::Bench;
+use crate::bench::{Bench, layout};
 use berylpin_core::rank::Rank;
-use berylpin_standin::load::{Stream, Tally, drive};
+use berylpin_standin::load::{Sample, Stream, Tally, caller_client, drive};
 use berylpin_standin::sites::Site;
 use comfy_table::Table;
 use pico_args::Arguments;
 use std::time::Duration;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Daemons of the demo, spread over the data centres.
 const DAEMONS: usize = 9;
@@ -51,51 +51,56 @@
 async fn demo(options: DemoOptions) -> Result<(), CommandError> {
     let fail = |e: &dyn std::fmt::Display| CommandError::Failed(e.to_string());
     eprintln!("starting stand-ins of {} and {DAEMONS} daemons", options.site.name);
-    let bench = Bench::start(&options.site, DAEMONS, options.seed).await.map_err(|e| fail(&e))?;
+    let bench =
+        Bench::start(&options.site, DAEMONS, options.seed, |_| ()).await.map_err(|e| fail(&e))?;
     bench.wait_ready().await.map_err(|e| fail(&e))?;
     eprintln!("running the load for {} s; Ctrl-C ends it early", options.run_time.as_secs());
-    let before = bench.work();
-    let tallies = tokio::select! {
-        tallies = run_load(&bench, &options) => Some(tallies),
+    let before = bench.work().ran;
+    let samples = tokio::select! {
+        samples = run_load(&bench, &options) => Some(samples),
         _ = tokio::signal::ctrl_c() => None,
     };
-    let work = bench.work().since(before);
+    let ran = bench.work().ran - before;
     bench.stop().await;
-    let Some(tallies) = tallies else {
+    let Some(samples) = samples else {
         eprintln!("ended early");
         return Ok(());
     };
-    print_report(&tallies);
-    let asked: u64 = tallies.iter().map(|tally| tally.asked).sum();
-    let extra = (work.ran + work.cancelled) as f64 / asked.max(1) as f64 - 1.0;
+    print_report(&samples);
+    let asked: u64 = samples.iter().map(|sample| sample.asked).sum();
+    let extra = ran as f64 / asked.max(1) as f64 - 1.0;
     println!("upstream work beyond one sub-query a shard: {:.1}%", extra * 100.0);
+    let broken: u64 = samples.iter().map(|sample| sample.violations.total()).sum();
+    println!("answers that break a promise: {broken}");
     Ok(())
 }
 
-async fn run_load(bench: &Bench, options: &DemoOptions) -> [Tally; Rank::COUNT] {
-    let client = reqwest::Client::new();
+/// Runs the load; streams are numbered by group, then by rank.
+async fn run_load(bench: &Bench, options: &DemoOptions) -> Vec<Sample> {
+    let client = caller_client();
+    let end = Instant::now() + options.run_time;
+    let groups = &options.site.groups;
     let mut drivers = JoinSet::new();
-    for (index, rank) in Rank::ALL.into_iter().enumerate() {
-        let groups = options.site.groups.len() as f64;
-        for (number, group) in options.site.groups.iter().enumerate() {
+    for (number, group) in groups.iter().enumerate() {
+        for rank in Rank::ALL {
+            let index = number * Rank::COUNT + rank.index();
             let stream = Stream {
                 rank,
                 target: group.name.to_owned(),
-                rate: RATES[index] / groups,
-                deadline: DEADLINES[index],
+                rate: RATES[rank.index()] / groups.len() as f64,
+                deadline: DEADLINES[rank.index()],
+                client_delay: options.site.client_delay,
+                layouts: [layout(&bench.documents, group.name)].into(),
             };
-            let seed = options.seed * 100 + (index * 10 + number) as u64;
-            let drive = drive(client.clone(), bench.entries(), stream, options.run_time, seed);
-            drivers.spawn(async move { (index, drive.await) });
+            let caller = (bench.balancer.clone(), client.clone());
+            let seed = options.seed * 100 + index as u64;
+            drivers.spawn(drive(caller, (index, stream), end, seed, |_| 1.0));
         }
     }
-    let mut tallies: [Tally; Rank::COUNT] = Default::default();
     let progress = tokio::spawn(show_progress(options.run_time));
-    while let Some(Ok((index, tally))) = drivers.join_next().await {
-        tallies[index].add(&tally);
-    }
+    let samples = drivers.join_all().await.concat();
     progress.abort();
-    tallies
+    samples
 }
 
 async fn show_progress(run_time: Duration) {
@@ -107,7 +112,11 @@
     }
 }
 
-fn print_report(tallies: &[Tally; Rank::COUNT]) {
+fn print_report(samples: &[Sample]) {
+    let mut tallies: [Tally; Rank::COUNT] = Default::default();
+    for sample in samples {
+        tallies[sample.stream % Rank::COUNT].record(sample);
+    }
     let mut table = Table::new();
     table.set_header([
         "rank", "sent", "complete", "partial", "refused", "failed", "p50 ms", "p99 ms", "coverage",
--- /dev/null
+++ b/crates/berylpin/src/commands/experiment.rs
@@ -0,0 +1,39 @@
+//! `berylpin experiment`: a scenario with faults against stand-ins in one process.
+
+use crate::args::{CommandError, finish};
+use crate::experiment::{Scenario, plot, run, table};
+use pico_args::Arguments;
+use std::path::PathBuf;
+
+/// Threads that carry stand-ins and callers; daemons have their own.
+const WORKERS: usize = 4;
+
+/// Runs the subcommand.
+pub(crate) fn run_experiment(mut args: Arguments) -> Result<(), CommandError> {
+    let seed = args.opt_value_from_str("--seed")?.unwrap_or(1);
+    let json = args.contains("--json");
+    let picture: Option<PathBuf> = args.opt_value_from_str("--plot")?;
+    let path: PathBuf = args.free_from_str()?;
+    finish(args)?;
+    let scenario = Scenario::load(&path).map_err(|e| CommandError::Usage(e.to_string()))?;
+    let fail = |e: &dyn std::fmt::Display| CommandError::Failed(e.to_string());
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKERS)
+        .enable_all()
+        .build()
+        .map_err(|e| fail(&e))?;
+    eprintln!("running {} with seed {seed}", scenario.name);
+    let report = runtime.block_on(run(scenario, seed)).map_err(|e| fail(&e))?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&report).map_err(|e| fail(&e))?);
+    } else {
+        println!("{}", table(&report));
+    }
+    if let Some(path) = picture {
+        plot(&report, &path).map_err(|e| fail(&e))?;
+    }
+    match report.violations.total() {
+        0 => Ok(()),
+        count => Err(CommandError::Failed(format!("{count} violations"))),
+    }
+}
--- a/crates/berylpin/src/commands/mod.rs
+++ b/crates/berylpin/src/commands/mod.rs
@@ -1,3 +1,4 @@
 //! One module a subcommand.
 
 pub(crate) mod demo;
+pub(crate) mod experiment;
--- /dev/null
+++ b/crates/berylpin/src/experiment/mod.rs
@@ -0,0 +1,14 @@
+//! Experiments: a scenario runs against real daemons and stand-ins, and its report is printed.
+
+mod canary;
+mod faults;
+mod plot;
+mod report;
+mod run;
+mod scenario;
+mod usage;
+
+pub(crate) use plot::plot;
+pub(crate) use report::table;
+pub(crate) use run::run;
+pub(crate) use scenario::Scenario;
--- a/crates/berylpin/src/main.rs
+++ b/crates/berylpin/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod bench;
 mod commands;
+mod experiment;
 
 use std::process::ExitCode;
 
--- a/crates/berylpin_core/src/config/mod.rs
+++ b/crates/berylpin_core/src/config/mod.rs
@@ -4,4 +4,6 @@
 mod service;
 
 pub use duration::{DurationText, parse_duration};
-pub use service::{DocumentError, ReplicaSettings, ServiceOptions, ServiceSettings, ShardSettings};
+pub use service::{
+    DocumentError, ReplicaSettings, ServiceOptions, ServiceSettings, ShardOptions, ShardSettings,
+};
--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -52,6 +52,10 @@
     mailboxes: Mailboxes,
     stopping: Arc<AtomicBool>,
     stop_accepting: watch::Sender<bool>,
+    /// Ends all threads at once.
+    kill: watch::Sender<bool>,
+    /// Of all threads.
+    runtimes: Vec<Handle>,
     control: JoinHandle<()>,
     traffic: Vec<JoinHandle<()>>,
     log: Logger,
@@ -79,6 +83,7 @@
         let first_view = initial_view(&settings);
         let (view_tx, view) = watch::channel(first_view);
         let (stop_accepting, stopped) = watch::channel(false);
+        let (kill, killed) = watch::channel(false);
         let stopping = Arc::new(AtomicBool::new(false));
         let (boxes, mut receivers): (Vec<_>, Vec<_>) =
             (0..settings.threads).map(|_| Mailbox::new()).unzip();
@@ -104,7 +109,12 @@
             let Some(mailbox) = mailboxes.get(id).cloned() else { continue };
             let parts = TrafficParts { cx, rx, mailbox, callers, peers };
             drop(guard);
-            traffic.push(start_traffic(runtime, parts, view.clone(), stopped.clone())?);
+            traffic.push(start_traffic(
+                runtime,
+                parts,
+                view.clone(),
+                (stopped.clone(), killed.clone()),
+            )?);
         }
 
         let runtime = Builder::new_current_thread().enable_all().build()?;
@@ -114,6 +124,8 @@
         };
         let admin_state =
             AdminState { name: settings.name.as_str().into(), view, stopping: stopping.clone() };
+        let mut all_runtimes = runtimes.clone();
+        all_runtimes.push(runtime.handle().clone());
         let cx = ControlContext {
             settings: settings.clone(),
             mailboxes: mailboxes.clone(),
@@ -121,9 +133,20 @@
             view: view_tx,
             log: log.clone(),
         };
-        let control = start_control(runtime, cx, admin, admin_state, stopped)?;
+        let control = start_control(runtime, cx, admin, admin_state, (stopped, killed))?;
         info!(log, "daemon: started"; "name" => &settings.name);
-        Ok(Self { settings, mailboxes, stopping, stop_accepting, control, traffic, log })
+        let runtimes = all_runtimes;
+        Ok(Self {
+            settings,
+            mailboxes,
+            stopping,
+            stop_accepting,
+            kill,
+            runtimes,
+            control,
+            traffic,
+            log,
+        })
     }
 
     /// Returns the settings that the daemon runs with.
@@ -131,6 +154,24 @@
         &self.settings
     }
 
+    /// Ends all threads at once and closes all sockets, as if the VM had gone.
+    ///
+    /// Blocks until that is done.
+    pub fn kill(self) {
+        self.kill.send_replace(true);
+        for thread in self.traffic.into_iter().chain([self.control]) {
+            // A thread that panicked has already said so.
+            let _ = thread.join();
+        }
+    }
+
+    /// Keeps all threads from doing anything for a while, as if the VM had been paused.
+    pub fn pause(&self, length: Duration) {
+        for runtime in &self.runtimes {
+            runtime.spawn(async move { std::thread::sleep(length) });
+        }
+    }
+
     /// Stops gracefully: reports not ready, finishes what it has, then ends all threads.
     ///
     /// Blocks until that is done.
@@ -155,11 +196,11 @@
     runtime: Runtime,
     parts: TrafficParts,
     view: watch::Receiver<Arc<View>>,
-    stopped: watch::Receiver<bool>,
+    (stopped, killed): (watch::Receiver<bool>, watch::Receiver<bool>),
 ) -> io::Result<JoinHandle<()>> {
     let name = format!("traffic-{}", parts.cx.id.index());
     std::thread::Builder::new().name(name).spawn(move || {
-        runtime.block_on(async move {
+        let work = async move {
             let TrafficParts { cx, rx, mailbox, callers, peers } = parts;
             if let Some(listener) = peers {
                 let (view, boxes, log) = (view.clone(), cx.mailboxes.clone(), cx.log.clone());
@@ -171,24 +212,39 @@
             let first_view = view.borrow().clone();
             run_thread(cx, first_view, rx).await;
             let _ = front.await;
-        });
+        };
+        run_unless(killed, &runtime, work);
     })
 }
 
+/// Runs the work of a thread to its end or until the daemon is killed.
+fn run_unless<F>(mut killed: watch::Receiver<bool>, runtime: &Runtime, work: F)
+where
+    F: Future<Output = ()>,
+{
+    runtime.block_on(async move {
+        tokio::select! {
+            Ok(_) = killed.wait_for(|killed| *killed) => {}
+            () = work => {}
+        }
+    });
+}
+
 fn start_control(
     runtime: Runtime,
     cx: ControlContext,
     admin: TcpListener,
     state: AdminState,
-    stopped: watch::Receiver<bool>,
+    (stopped, killed): (watch::Receiver<bool>, watch::Receiver<bool>),
 ) -> io::Result<JoinHandle<()>> {
     std::thread::Builder::new().name("control".to_owned()).spawn(move || {
-        runtime.block_on(async move {
+        let work = async move {
             tokio::select! {
                 () = run_control(cx) => {}
                 () = serve_http(admin, admin_routes(state), stopped) => {}
             }
-        });
+        };
+        run_unless(killed, &runtime, work);
     })
 }
 
--- /dev/null
+++ b/crates/berylpin_standin/src/checker/tests.rs
@@ -0,0 +1,123 @@
+use super::*;
+use berylpin_core::message::FailReason;
+use berylpin_wire::caller::{CoverageBody, MissingBody};
+
+const QUESTION: &str = "q1";
+
+fn layout() -> Layout {
+    ["a", "b", "c"].map(|shard| ("desk".to_owned(), shard.to_owned())).to_vec()
+}
+
+fn row(question: &str, shard: &str, snapshot: u64) -> Row {
+    let shard = ("desk".to_owned(), shard.to_owned());
+    Origin { question: question.to_owned(), shard, snapshot: Snapshot(snapshot) }.row()
+}
+
+/// An answer of shards `a` and `b` that truly says that `c` is missing.
+fn partial() -> AnswerBody {
+    let missing = MissingBody {
+        service: "desk".to_owned(),
+        shard: "c".to_owned(),
+        reason: FailReason::Deadline,
+    };
+    AnswerBody {
+        complete: false,
+        snapshot: Snapshot(3),
+        coverage: CoverageBody { asked: 3, answered: 2, missing: vec![missing] },
+        rows: vec![row(QUESTION, "a", 3), row(QUESTION, "b", 3)],
+    }
+}
+
+fn check(answer: &AnswerBody) -> Violations {
+    check_answer(QUESTION, &[layout()], answer)
+}
+
+#[test]
+fn a_true_partial_answer_breaks_nothing() {
+    assert_eq!(check(&partial()), Violations::default());
+}
+
+#[test]
+fn a_row_of_another_snapshot_is_caught() {
+    let mut answer = partial();
+    answer.rows[1] = row(QUESTION, "b", 2);
+    assert_eq!(check(&answer), Violations { mixed_snapshot: 1, ..Violations::default() });
+}
+
+#[test]
+fn a_row_of_another_request_is_caught() {
+    let mut answer = partial();
+    answer.rows[1] = row("q2", "b", 3);
+    assert_eq!(check(&answer), Violations { crossed_answer: 1, ..Violations::default() });
+}
+
+#[test]
+fn a_row_that_no_standin_made_is_caught() {
+    let mut answer = partial();
+    answer.rows[0] = Row { key: "made up".to_owned(), value: "3".to_owned() };
+    assert_eq!(check(&answer).crossed_answer, 1);
+}
+
+#[test]
+fn false_coverage_is_caught() {
+    let break_answer: [fn(&mut AnswerBody); 5] = [
+        |answer| answer.complete = true,
+        |answer| answer.coverage.missing.clear(),
+        |answer| answer.rows[1] = answer.rows[0].clone(),
+        |answer| answer.coverage.answered = 3,
+        |answer| drop(answer.rows.pop()),
+    ];
+    for change in break_answer {
+        let mut answer = partial();
+        change(&mut answer);
+        assert_eq!(check(&answer).false_coverage, 1, "{answer:?}");
+    }
+}
+
+#[test]
+fn an_answer_across_two_layouts_is_caught() {
+    let [a, b, c] = ["a", "b", "c"].map(|shard| ("desk".to_owned(), shard.to_owned()));
+    let answer = partial();
+    assert_eq!(check_answer(QUESTION, &[vec![a.clone(), b.clone()], vec![c]], &answer).total(), 1);
+}
+
+#[test]
+fn a_refusal_of_what_ran_is_caught() {
+    assert_eq!(false_not_run([1, 2, 3].into_iter(), &[2, 5]), 1);
+}
+
+#[test]
+fn a_key_that_ran_twice_is_caught() {
+    let keys = ["x", "y", "x", "x"].map(str::to_owned).to_vec();
+    assert_eq!(ran_twice(keys), 1);
+}
+
+#[test]
+fn a_step_back_is_caught() {
+    assert_eq!(reverted(&[1, 2, 2, 1, 2, 3]), 1);
+}
+
+#[test]
+fn a_lost_or_altered_change_is_caught() {
+    let change = |version: u64, text: &str| (version, text.to_owned());
+    let stored = [change(1, "a"), change(2, "b")];
+    assert_eq!(lost_changes(&[change(1, "a"), change(2, "x"), change(3, "c")], &stored), 2);
+}
+
+#[test]
+fn the_total_counts_every_kind() {
+    let ones = Violations {
+        mixed_snapshot: 1,
+        false_coverage: 1,
+        crossed_answer: 1,
+        ran_twice: 1,
+        false_not_run: 1,
+        work_after_drain: 1,
+        cut_by_stop: 1,
+        reverted_config: 1,
+        lost_accepted_change: 1,
+    };
+    let mut sum = ones;
+    sum += ones;
+    assert_eq!((ones.total(), sum.total()), (9, 18));
+}
--- a/crates/berylpin_standin/src/lib.rs
+++ b/crates/berylpin_standin/src/lib.rs
@@ -1,6 +1,8 @@
 //! Small stand-ins for what surrounds the system: the platform, upstreams and callers.
 
+pub mod checker;
 pub mod load;
+pub mod net;
 pub mod platform;
 pub mod service;
 pub mod sites;
--- a/crates/berylpin_standin/src/load.rs
+++ b/crates/berylpin_standin/src/load.rs
@@ -1,20 +1,56 @@
 //! An open-loop load: requests start on schedule, whatever became of earlier ones.
 
+use crate::checker::{Layout, Violations, check_answer};
+use crate::upstream::question;
 use berylpin_core::rank::Rank;
+use berylpin_core::verdict::Verdict;
 use berylpin_wire::caller::{AnswerBody, QueryBody, RefusalBody};
 use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use rand_distr::{Distribution, Exp};
+use rand_distr::{Distribution, Exp1};
 use reqwest::{Client, StatusCode};
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time that a caller gives an answer beyond the deadline that it states.
 const CALLER_GRACE: Duration = Duration::from_millis(500);
 
+/// The lowest rate of a stream, in queries a second.
+const LOWEST_RATE: f64 = 0.01;
+
+/// Connections that callers keep open to each entry.
+const IDLE_CONNECTIONS: usize = 64;
+
+/// The daemons that the platform's balancer sends callers to.
+#[derive(Clone, Debug, Default)]
+pub struct Balancer {
+    /// Where callers connect; `None` while the daemon gets no callers.
+    entries: Arc<Mutex<Vec<Option<SocketAddr>>>>,
+}
+
+impl Balancer {
+    /// Sends callers to a daemon, or to it no more.
+    pub fn set(&self, index: usize, address: Option<SocketAddr>) {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        if entries.len() <= index {
+            entries.resize(index + 1, None);
+        }
+        entries[index] = address;
+    }
+
+    /// Picks one of the daemons.
+    fn pick(&self, rng: &mut SmallRng) -> Option<(usize, SocketAddr)> {
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let ready = entries.iter().enumerate().filter_map(|(at, entry)| Some((at, (*entry)?)));
+        let ready: Vec<(usize, SocketAddr)> = ready.collect();
+        (!ready.is_empty()).then(|| ready[rng.random_range(0..ready.len())])
+    }
+}
+
 /// One stream of queries.
 #[derive(Clone, Debug)]
 pub struct Stream {
@@ -26,6 +62,48 @@
     pub rate: f64,
     /// The deadline of its queries.
     pub deadline: Duration,
+    /// One way between callers and daemons.
+    pub client_delay: Duration,
+    /// The shards that an answer may be about.
+    pub layouts: Arc<[Layout]>,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// An answer that says that it covers every shard.
+    Complete,
+    /// An answer that says that it does not.
+    Partial,
+    /// A refusal.
+    Refused(Verdict),
+    /// The caller gave up.
+    Late,
+    /// No well-formed answer.
+    Failed,
+}
+
+/// One request as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// The stream, by its position in the load.
+    pub stream: usize,
+    /// The daemon that was asked.
+    pub entry: usize,
+    /// The number of its question.
+    pub question: u64,
+    /// The intended start.
+    pub start: Instant,
+    /// From the intended start to the end.
+    pub latency: Duration,
+    /// How it ended.
+    pub seen: Seen,
+    /// Shards of the target; 0 without an answer.
+    pub asked: u64,
+    /// Shards that the answer covers.
+    pub answered: u64,
+    /// What is wrong with the answer.
+    pub violations: Violations,
 }
 
 /// What callers of one rank saw.
@@ -66,16 +144,21 @@
 }
 
 impl Tally {
-    /// Adds what other callers saw.
-    pub fn add(&mut self, other: &Self) {
-        self.sent += other.sent;
-        self.complete += other.complete;
-        self.partial += other.partial;
-        self.refused += other.refused;
-        self.failed += other.failed;
-        self.asked += other.asked;
-        self.answered += other.answered;
-        self.latency += &other.latency;
+    /// Adds one request.
+    pub fn record(&mut self, sample: &Sample) {
+        self.sent += 1;
+        let counter = match sample.seen {
+            Seen::Complete => &mut self.complete,
+            Seen::Partial => &mut self.partial,
+            Seen::Refused(_) => &mut self.refused,
+            Seen::Late | Seen::Failed => &mut self.failed,
+        };
+        *counter += 1;
+        if matches!(sample.seen, Seen::Complete | Seen::Partial) {
+            self.asked += sample.asked;
+            self.answered += sample.answered;
+            self.latency.saturating_record(sample.latency.as_micros() as u64);
+        }
     }
 
     /// Returns a quantile of the latency in milliseconds.
@@ -89,83 +172,94 @@
     }
 }
 
-enum Seen {
-    Answer(AnswerBody),
-    Refusal,
-    Nothing,
+/// Returns a client that keeps connections as callers do.
+pub fn caller_client() -> Client {
+    let client = Client::builder().http1_only().tcp_nodelay(true);
+    client.pool_max_idle_per_host(IDLE_CONNECTIONS).build().unwrap_or_default()
 }
 
-/// Sends a stream for a while and returns what its callers saw.
-pub async fn drive(
-    client: Client,
-    entries: Vec<SocketAddr>,
-    stream: Stream,
-    run_time: Duration,
+/// Sends a stream until the end and returns what its callers saw.
+///
+/// `factor` multiplies the rate at any time; questions are numbered from `seed` times 2^32.
+pub async fn drive<F>(
+    (balancer, client): (Balancer, Client),
+    (index, stream): (usize, Stream),
+    end: Instant,
     seed: u64,
-) -> Tally {
+    factor: F,
+) -> Vec<Sample>
+where
+    F: Fn(Instant) -> f64,
+{
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut tally = Tally::default();
-    let Ok(gaps) = Exp::new(stream.rate) else { return tally };
-    let start = Instant::now();
-    let mut at = Duration::from_secs_f64(gaps.sample(&mut rng));
+    let mut samples = Vec::new();
+    let mut number = seed << 32;
+    let mut at = Instant::now();
     let mut callers = JoinSet::new();
-    while at < run_time {
-        sleep_until(start + at).await;
-        let entry = entries[rng.random_range(0..entries.len())];
-        let body = QueryBody {
-            target: stream.target.clone(),
-            rank: stream.rank,
-            deadline_ms: Some(stream.deadline.as_millis() as u64),
-            limit: None,
-            lookup: format!("account-{}", rng.random_range(0..10_000)),
+    loop {
+        let gap: f64 = Exp1.sample(&mut rng);
+        at += Duration::from_secs_f64(gap / (stream.rate * factor(at)).max(LOWEST_RATE));
+        if at >= end {
+            break;
+        }
+        sleep_until(at).await;
+        number += 1;
+        let Some((entry, address)) = balancer.pick(&mut rng) else { continue };
+        let sample = Sample {
+            stream: index,
+            entry,
+            question: number,
+            start: at,
+            latency: Duration::ZERO,
+            seen: Seen::Failed,
+            asked: 0,
+            answered: 0,
+            violations: Violations::default(),
         };
-        callers.spawn(call(client.clone(), entry, body, stream.deadline, start + at));
-        tally.sent += 1;
-        at += Duration::from_secs_f64(gaps.sample(&mut rng));
-        while let Some(Ok((seen, latency))) = callers.try_join_next() {
-            record(&mut tally, &seen, latency);
+        callers.spawn(call(client.clone(), address, stream.clone(), sample));
+        while let Some(Ok(sample)) = callers.try_join_next() {
+            samples.push(sample);
         }
     }
-    while let Some(Ok((seen, latency))) = callers.join_next().await {
-        record(&mut tally, &seen, latency);
+    while let Some(Ok(sample)) = callers.join_next().await {
+        samples.push(sample);
     }
-    tally
+    samples
 }
 
-async fn call(
-    client: Client,
-    entry: SocketAddr,
-    body: QueryBody,
-    deadline: Duration,
-    intended: Instant,
-) -> (Seen, Duration) {
+async fn call(client: Client, entry: SocketAddr, stream: Stream, mut sample: Sample) -> Sample {
+    let lookup = question(sample.question);
+    let body = QueryBody {
+        target: stream.target.clone(),
+        rank: stream.rank,
+        deadline_ms: Some(stream.deadline.as_millis() as u64),
+        limit: None,
+        lookup: lookup.clone(),
+    };
+    sleep(stream.client_delay).await;
     let request = client
         .post(format!("http://{entry}/v1/query"))
-        .timeout(deadline + CALLER_GRACE)
+        .timeout(stream.deadline + CALLER_GRACE)
         .json(&body)
         .send();
-    let seen = match request.await {
+    match request.await {
         Ok(response) if response.status() == StatusCode::OK => {
-            response.json().await.map_or(Seen::Nothing, Seen::Answer)
+            if let Ok(answer) = response.json::<AnswerBody>().await {
+                sample.seen = if answer.complete { Seen::Complete } else { Seen::Partial };
+                sample.asked = answer.coverage.asked.into();
+                sample.answered = answer.rows.len() as u64;
+                sample.violations = check_answer(&lookup, &stream.layouts, &answer);
+            }
         }
         Ok(response) => {
-            response.json::<RefusalBody>().await.map_or(Seen::Nothing, |_| Seen::Refusal)
-        }
-        Err(_) => Seen::Nothing,
-    };
-    (seen, intended.elapsed())
-}
-
-fn record(tally: &mut Tally, seen: &Seen, latency: Duration) {
-    match seen {
-        Seen::Answer(answer) => {
-            let counter = if answer.complete { &mut tally.complete } else { &mut tally.partial };
-            *counter += 1;
-            tally.asked += u64::from(answer.coverage.asked);
-            tally.answered += u64::from(answer.coverage.answered);
-            tally.latency.saturating_record(latency.as_micros() as u64);
+            if let Ok(refusal) = response.json::<RefusalBody>().await {
+                sample.seen = Seen::Refused(refusal.verdict);
+            }
         }
-        Seen::Refusal => tally.refused += 1,
-        Seen::Nothing => tally.failed += 1,
+        Err(e) if e.is_timeout() => sample.seen = Seen::Late,
+        Err(_) => {}
     }
+    sleep(stream.client_delay).await;
+    sample.latency = sample.start.elapsed();
+    sample
 }
--- /dev/null
+++ b/crates/berylpin_standin/src/net.rs
@@ -0,0 +1,239 @@
+//! The network: proxies with delays, cuts, connection limits and connections that go silent.
+
+use bytes::{Bytes, BytesMut};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{Instant, sleep_until};
+
+/// Bytes read at once.
+const READ_SIZE: usize = 4 * 1024;
+
+/// Pieces under way on a connection before its reader waits.
+const PIECES: usize = 64;
+
+/// The third byte of the address of the first data centre.
+const FIRST_ZONE: u8 = 10;
+
+/// A data centre or the platform, as the network tells them apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Zone(pub u8);
+
+impl Zone {
+    /// Where the platform runs.
+    pub const PLATFORM: Self = Self(9);
+
+    /// Returns a loopback address of the zone.
+    pub fn address(self, host: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, 0, FIRST_ZONE + self.0, host)
+    }
+
+    /// Returns the zone of an address; `None` outside of all zones.
+    fn of(address: IpAddr) -> Option<Self> {
+        let IpAddr::V4(address) = address else { return None };
+        let [_, _, zone, _] = address.octets();
+        (FIRST_ZONE..=FIRST_ZONE + Self::PLATFORM.0)
+            .contains(&zone)
+            .then(|| Self(zone - FIRST_ZONE))
+    }
+}
+
+/// The state of all proxies.
+#[derive(Clone, Debug, Default)]
+struct NetState {
+    cuts: Vec<(Zone, Zone)>,
+    /// Connections with lower numbers carry nothing any more.
+    silent_below: u64,
+}
+
+/// The network between zones.
+#[derive(Debug)]
+pub struct Net {
+    /// One way between data centres.
+    delay: Duration,
+    state: watch::Sender<NetState>,
+    connections: AtomicU64,
+    bytes: AtomicU64,
+}
+
+impl Net {
+    /// Returns a network that delays bytes between data centres, one way.
+    pub fn new(delay: Duration) -> Arc<Self> {
+        let state = watch::Sender::new(NetState::default());
+        Arc::new(Self {
+            delay,
+            state,
+            connections: AtomicU64::default(),
+            bytes: AtomicU64::default(),
+        })
+    }
+
+    /// Cuts or heals the path between two zones, both ways.
+    pub fn set_cut(&self, a: Zone, b: Zone, cut: bool) {
+        let pair = (a.min(b), a.max(b));
+        self.state.send_modify(|state| {
+            state.cuts.retain(|other| *other != pair);
+            if cut {
+                state.cuts.push(pair);
+            }
+        });
+    }
+
+    /// Makes all connections of this moment silent for good; new ones work.
+    pub fn silence(&self) {
+        let next = self.connections.load(Ordering::Relaxed);
+        self.state.send_modify(|state| state.silent_below = next);
+    }
+
+    /// Returns how many bytes passed between daemons, and between daemons and the platform.
+    pub fn control_bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+}
+
+/// What a proxy stands in front of.
+#[derive(Clone, Copy, Debug)]
+pub struct Target {
+    /// Where it runs.
+    pub zone: Zone,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Connections that it accepts; more are closed at once.
+    pub limit: usize,
+    /// Whether its bytes count as traffic of the system's own.
+    pub counted: bool,
+}
+
+/// A proxy that forwards until it is dropped.
+#[derive(Debug)]
+pub struct Proxy {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Proxy {
+    /// Listens on a free port of an address and forwards to a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no port can be listened on.
+    pub async fn start(net: Arc<Net>, host: u8, target: Target) -> io::Result<Self> {
+        let listener = TcpListener::bind((target.zone.address(host), 0)).await?;
+        let address = listener.local_addr()?;
+        Ok(Self { address, task: tokio::spawn(accept(listener, net, target)) })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, net: Arc<Net>, target: Target) {
+    let open = Arc::new(AtomicUsize::new(0));
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok((tcp, peer)) = listener.accept().await else { continue };
+        while connections.try_join_next().is_some() {}
+        if open.load(Ordering::Relaxed) >= target.limit {
+            continue;
+        }
+        open.fetch_add(1, Ordering::Relaxed);
+        let number = net.connections.fetch_add(1, Ordering::Relaxed);
+        let path = Path { net: net.clone(), from: Zone::of(peer.ip()), target, number };
+        let open = open.clone();
+        connections.spawn(async move {
+            // Either end learns of a broken connection by its close.
+            let _ = path.forward(tcp).await;
+            open.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+/// One connection through a proxy.
+#[derive(Clone)]
+struct Path {
+    net: Arc<Net>,
+    from: Option<Zone>,
+    target: Target,
+    number: u64,
+}
+
+impl Path {
+    fn delay(&self) -> Duration {
+        let ends = [self.from, Some(self.target.zone)];
+        let local =
+            self.from.is_none() || ends.contains(&Some(Zone::PLATFORM)) || ends[0] == ends[1];
+        if local { Duration::ZERO } else { self.net.delay }
+    }
+
+    async fn forward(self, client: TcpStream) -> io::Result<()> {
+        self.wait_open().await;
+        let server = TcpStream::connect(self.target.address).await?;
+        client.set_nodelay(true)?;
+        server.set_nodelay(true)?;
+        let (client_rx, client_tx) = client.into_split();
+        let (server_rx, server_tx) = server.into_split();
+        tokio::select! {
+            () = self.carry(client_rx, server_tx) => {}
+            () = self.carry(server_rx, client_tx) => {}
+        }
+        Ok(())
+    }
+
+    /// Waits until the path carries bytes; for ever on a silent connection.
+    async fn wait_open(&self) {
+        let zones = self.from.map(|from| (from.min(self.target.zone), from.max(self.target.zone)));
+        let mut state = self.net.state.subscribe();
+        let open = |state: &NetState| {
+            self.number >= state.silent_below
+                && !zones.is_some_and(|pair| state.cuts.contains(&pair))
+        };
+        // The network outlives its connections.
+        let _ = state.wait_for(open).await;
+    }
+
+    async fn carry(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+        let delay = self.delay();
+        let (tx, mut rx) = mpsc::channel::<(Instant, Bytes)>(PIECES);
+        let read = async move {
+            let mut buf = BytesMut::new();
+            loop {
+                buf.reserve(READ_SIZE);
+                let Ok(1..) = from.read_buf(&mut buf).await else { return };
+                let due = Instant::now() + delay;
+                if tx.send((due, buf.split().freeze())).await.is_err() {
+                    return;
+                }
+            }
+        };
+        let write = async {
+            while let Some((due, bytes)) = rx.recv().await {
+                if !delay.is_zero() {
+                    sleep_until(due).await;
+                }
+                self.wait_open().await;
+                if self.target.counted {
+                    self.net.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+                }
+                if to.write_all(&bytes).await.is_err() {
+                    return;
+                }
+            }
+        };
+        tokio::join!(read, write);
+    }
+}
--- a/crates/berylpin_standin/src/platform.rs
+++ b/crates/berylpin_standin/src/platform.rs
@@ -25,6 +25,8 @@
     pub delay: Duration,
     /// Every change takes effect, but its answer is lost.
     pub lose_answers: bool,
+    /// Lists, reads and watches show the objects of the moment when the fault was set.
+    pub stale: bool,
 }
 
 /// The platform's stand-in.
@@ -45,6 +47,10 @@
     revision: u64,
     /// Sorted by name.
     objects: Vec<Object>,
+    /// Every version of every object that was ever stored.
+    history: Vec<Object>,
+    /// What stale reads show.
+    stale: ObjectList,
     vms: Vec<Vm>,
     faults: PlatformFaults,
     calls: u64,
@@ -79,7 +85,11 @@
 
     /// Replaces the faults.
     pub fn set_faults(&self, faults: PlatformFaults) {
-        self.state.store().faults = faults;
+        let mut store = self.state.store();
+        if !store.faults.stale {
+            store.stale = store.list("");
+        }
+        store.faults = faults;
     }
 
     /// Stores an object whatever its version.
@@ -94,6 +104,13 @@
         self.state.store().list(prefix)
     }
 
+    /// Returns every version of an object that was ever stored, the oldest first.
+    pub fn history(&self, name: &str) -> Vec<(u64, String)> {
+        let store = self.state.store();
+        let versions = store.history.iter().filter(|object| object.name == name);
+        versions.map(|object| (object.version, object.value.clone())).collect()
+    }
+
     /// Returns how many calls arrived; a watch counts as one.
     pub fn calls(&self) -> u64 {
         self.state.store().calls
@@ -139,10 +156,21 @@
         ObjectList { revision: self.revision, objects: objects.cloned().collect() }
     }
 
+    /// Returns what a reader sees.
+    fn read(&self, prefix: &str) -> ObjectList {
+        if !self.faults.stale {
+            return self.list(prefix);
+        }
+        let mut list = self.stale.clone();
+        list.objects.retain(|object| object.name.starts_with(prefix));
+        list
+    }
+
     fn put(&mut self, name: &str, value: &str) {
         self.revision += 1;
         let (version, value) = (self.revision, value.to_owned());
         let object = Object { name: name.to_owned(), version, value };
+        self.history.push(object.clone());
         match self.find(name) {
             Ok(at) => self.objects[at] = object,
             Err(at) => self.objects.insert(at, object),
@@ -180,7 +208,7 @@
     if let Err(response) = state.admit().await {
         return response;
     }
-    Json(state.store().list(&query.prefix)).into_response()
+    Json(state.store().read(&query.prefix)).into_response()
 }
 
 #[handler]
@@ -188,11 +216,8 @@
     if let Err(response) = state.admit().await {
         return response;
     }
-    let store = state.store();
-    match store.find(&name) {
-        Ok(at) => Json(store.objects[at].clone()).into_response(),
-        Err(_) => StatusCode::NOT_FOUND.into_response(),
-    }
+    let object = state.store().read(&name).objects.into_iter().find(|object| object.name == name);
+    object.map_or_else(|| StatusCode::NOT_FOUND.into_response(), |o| Json(o).into_response())
 }
 
 #[handler]
@@ -246,7 +271,7 @@
     let wait = Duration::from_millis(query.wait_ms);
     // Without a change in time the answer is the present state.
     let _ = timeout(wait, revision.wait_for(|revision| *revision > query.after)).await;
-    Json(state.store().list(&query.prefix)).into_response()
+    Json(state.store().read(&query.prefix)).into_response()
 }
 
 #[handler]
--- a/crates/berylpin_standin/src/sites.rs
+++ b/crates/berylpin_standin/src/sites.rs
@@ -8,6 +8,17 @@
 /// The median service time of a lookup.
 const SERVICE_TIME: Duration = Duration::from_millis(8);
 
+/// The shard of every service at first.
+pub const FIRST_SHARD: &str = "main";
+
+/// How soon answers should arrive.
+const TARGETS: &str = "\
+[targets]
+urgent = \"250ms\"
+standard = \"1s\"
+background = \"5s\"
+";
+
 /// A customer and its services.
 #[derive(Clone, Debug)]
 pub struct Site {
@@ -61,7 +72,7 @@
     /// Writes the document of one of its services.
     pub fn document(&self, index: usize, replicas: &[(SocketAddr, &str)]) -> String {
         let mut text = format!(
-            "service = \"{}\"\ngroup = \"{}\"\n\n[[shard]]\nname = \"main\"\n",
+            "service = \"{}\"\ngroup = \"{}\"\n\n{TARGETS}\n[[shard]]\nname = \"{FIRST_SHARD}\"\n",
             self.service_name(index),
             self.name
         );
@@ -78,7 +89,8 @@
     }
 }
 
-fn group(name: &'static str, services: usize, replicas: usize, slots: u16) -> GroupShape {
+/// Returns a group of services of one shape.
+pub fn group(name: &'static str, services: usize, replicas: usize, slots: u16) -> GroupShape {
     let (connections, connect_cost) = match slots {
         2 => (25, 6),
         3 => (40, 1),
--- a/crates/berylpin_standin/src/upstream.rs
+++ b/crates/berylpin_standin/src/upstream.rs
@@ -1,8 +1,9 @@
 //! One replica: slots, connection set-up cost, snapshots, shedding, drain and a record of its work.
 
+use crate::checker::Origin;
 use crate::service::HttpService;
-use berylpin_core::ids::Snapshot;
-use berylpin_core::message::{Row, SnapshotRange};
+use berylpin_core::ids::{QueryTag, Snapshot};
+use berylpin_core::message::SnapshotRange;
 use berylpin_wire::upstream::{DRAINING, LookupReply, NOT_RUN, REQUEST_ID, SNAPSHOT};
 use poem::http::{HeaderMap, StatusCode};
 use poem::web::{Data, Json, Path, RemoteAddr};
@@ -10,13 +11,14 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand_distr::{Distribution, LogNormal};
+use serde::Deserialize;
 use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Semaphore;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Spread of service times: the standard deviation of their logarithm.
 const SERVICE_SIGMA: f64 = 0.3;
@@ -24,6 +26,12 @@
 /// Requests that may wait at a replica, as a multiple of its slots.
 const QUEUE_PER_SLOT: usize = 4;
 
+/// How many times longer service times are during a cold start.
+const COLD_SLOWDOWN: f64 = 5.0;
+
+/// Work that arrives later than this after a drain began should not have been sent.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+
 /// The size and speed of a replica.
 #[derive(Clone, Copy, Debug)]
 pub struct UpstreamShape {
@@ -42,18 +50,48 @@
 pub struct UpstreamFaults {
     /// Service times are this many times longer.
     pub slowdown: f64,
-    /// Every request fails at once.
+    /// Every request fails at once, on all paths but for what `lying` keeps.
     pub dead: bool,
+    /// The health, load and snapshot paths report a healthy and idle replica.
+    pub lying: bool,
     /// New work is refused as documented.
     pub draining: bool,
+    /// How long service times are longer from the moment that the faults are set.
+    pub cold_start: Duration,
+    /// What is wrong with the bodies of successful lookups.
+    pub payload: Payload,
 }
 
 impl Default for UpstreamFaults {
     fn default() -> Self {
-        Self { slowdown: 1.0, dead: false, draining: false }
+        Self {
+            slowdown: 1.0,
+            dead: false,
+            lying: false,
+            draining: false,
+            cold_start: Duration::ZERO,
+            payload: Payload::Good,
+        }
     }
 }
 
+/// The body of a successful lookup.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Payload {
+    /// The rows that were asked for.
+    #[default]
+    Good,
+    /// Text that is not JSON.
+    Malformed,
+    /// The rows and the id of another request.
+    CrossedRequest,
+    /// The rows and the name of another shard.
+    CrossedShard,
+    /// The rows of another snapshot.
+    WrongSnapshot,
+}
+
 /// What a replica did.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Work {
@@ -63,6 +101,12 @@
     pub cancelled: u64,
     /// Requests refused before execution.
     pub refused: u64,
+    /// How long slots were held.
+    pub busy: Duration,
+    /// Lookups that arrived too late after a drain began.
+    pub after_drain: u64,
+    /// When the last lookup arrived during a drain.
+    pub last_drained_arrival: Option<Instant>,
 }
 
 /// A replica's stand-in.
@@ -83,7 +127,12 @@
 struct Inner {
     serves: SnapshotRange,
     faults: UpstreamFaults,
+    faults_since: Instant,
+    /// When a drain began, whoever ordered it.
+    drain_since: Option<Instant>,
     work: Work,
+    /// Numbers of the questions that took a slot; see [`question_number`].
+    questions: Vec<u64>,
     waiting: usize,
     /// Peers whose connection is set up.
     connections: HashSet<SocketAddr>,
@@ -102,7 +151,10 @@
         let inner = Inner {
             serves,
             faults: UpstreamFaults::default(),
+            faults_since: Instant::now(),
+            drain_since: None,
             work: Work::default(),
+            questions: Vec::new(),
             waiting: 0,
             connections: HashSet::new(),
             cancelled: HashSet::new(),
@@ -114,6 +166,8 @@
             .at("/v1/:service/:shard/lookup", post(lookup))
             .at("/v1/:service/:shard/snapshots", get(snapshots))
             .at("/v1/requests/:id", delete(cancel))
+            .at("/v1/health", get(health))
+            .at("/v1/load", get(load))
             .data(state.clone());
         Ok(Self { service: HttpService::start(routes).await?, state })
     }
@@ -125,7 +179,14 @@
 
     /// Replaces the faults.
     pub fn set_faults(&self, faults: UpstreamFaults) {
-        self.state.inner().faults = faults;
+        let mut inner = self.state.inner();
+        inner.faults = faults;
+        inner.faults_since = Instant::now();
+    }
+
+    /// Records that a drain begins now, or that there is none.
+    pub fn mark_drain(&self, draining: bool) {
+        self.state.inner().drain_since = draining.then(Instant::now);
     }
 
     /// Replaces the snapshots that it serves.
@@ -133,10 +194,22 @@
         self.state.inner().serves = serves;
     }
 
+    /// Publishes one more snapshot and drops the oldest.
+    pub fn advance(&self) {
+        let serves = &mut self.state.inner().serves;
+        serves.oldest.0 += 1;
+        serves.newest.0 += 1;
+    }
+
     /// Returns what it did.
     pub fn work(&self) -> Work {
         self.state.inner().work
     }
+
+    /// Returns the numbers of the questions that took a slot.
+    pub fn questions(&self) -> Vec<u64> {
+        self.state.inner().questions.clone()
+    }
 }
 
 impl Shared {
@@ -147,6 +220,10 @@
     /// Returns why a lookup is refused, if it is.
     fn refusal(&self, snapshot: Snapshot) -> Option<Response> {
         let mut inner = self.inner();
+        if let Some(since) = inner.drain_since {
+            inner.work.last_drained_arrival = Some(Instant::now());
+            inner.work.after_drain += u64::from(since.elapsed() > DRAIN_LIMIT);
+        }
         if inner.faults.dead {
             return Some(StatusCode::INTERNAL_SERVER_ERROR.into_response());
         }
@@ -171,16 +248,22 @@
 
     fn service_time(&self) -> Duration {
         let mut inner = self.inner();
-        let median = self.shape.service_time.as_secs_f64() * inner.faults.slowdown;
+        let cold = inner.faults_since.elapsed() < inner.faults.cold_start;
+        let slowdown = inner.faults.slowdown * if cold { COLD_SLOWDOWN } else { 1.0 };
+        let median = self.shape.service_time.as_secs_f64() * slowdown;
         let seconds = LogNormal::new(median.ln(), SERVICE_SIGMA)
             .map_or(median, |distribution| distribution.sample(&mut inner.rng));
         Duration::from_secs_f64(seconds)
     }
 
     /// Holds a slot for the service time and returns whether the request ran to its end.
-    async fn run(&self, request: &str) -> bool {
+    async fn run(&self, request: &str, question: &str) -> bool {
         self.inner().waiting += 1;
         let permit = self.slots.acquire().await;
+        let start = Instant::now();
+        if !self.inner().cancelled.contains(request) {
+            self.inner().questions.extend(question_number(question));
+        }
         let service_time = self.service_time();
         let mut left = service_time;
         // Cancellation takes effect between steps of the work.
@@ -192,6 +275,7 @@
         drop(permit);
         let mut inner = self.inner();
         inner.waiting -= 1;
+        inner.work.busy += start.elapsed();
         let cancelled = inner.cancelled.remove(request);
         if cancelled {
             inner.work.cancelled += 1;
@@ -206,10 +290,35 @@
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
 }
 
-/// Rows of a shard: the same for the same question and snapshot.
-fn rows(service: &str, shard: &str, snapshot: Snapshot, question: &str) -> Vec<Row> {
-    let key = format!("{question}/{service}/{shard}");
-    vec![Row { key, value: format!("balance at {snapshot}") }]
+/// Returns the text of a question with a number of its own.
+pub fn question(number: u64) -> String {
+    format!("account-{number}")
+}
+
+/// Returns the number of a question; `None` if [`question`] did not write it.
+pub fn question_number(text: &str) -> Option<u64> {
+    text.strip_prefix("account-")?.parse().ok()
+}
+
+/// Returns the reply to a lookup, with what is wrong with payloads applied.
+fn reply(
+    payload: Payload,
+    mut request: String,
+    serves: SnapshotRange,
+    mut origin: Origin,
+) -> Response {
+    match payload {
+        Payload::Good => {}
+        Payload::Malformed => return "{\"request\": \"".into_response(),
+        Payload::CrossedRequest => {
+            request = QueryTag(0).to_string();
+            origin.question = question(0);
+        }
+        Payload::CrossedShard => origin.shard.1.push_str("-other"),
+        Payload::WrongSnapshot => origin.snapshot.0 -= 1,
+    }
+    let (shard, snapshot) = (origin.shard.1.clone(), origin.snapshot);
+    Json(LookupReply { request, shard, snapshot, serves, rows: vec![origin.row()] }).into_response()
 }
 
 #[handler]
@@ -228,20 +337,41 @@
     if let Some(response) = state.refusal(snapshot) {
         return response;
     }
-    let ran = state.run(&request).await;
+    let ran = state.run(&request, &body).await;
     sleep(state.shape.network_delay).await;
     if !ran {
         return StatusCode::CONFLICT.into_response();
     }
-    let rows = rows(&service, &shard, snapshot, &body);
-    let serves = state.inner().serves;
-    Json(LookupReply { request, shard, snapshot, serves, rows }).into_response()
+    let origin = Origin { question: body, shard: (service, shard), snapshot };
+    let (payload, serves) = {
+        let inner = state.inner();
+        (inner.faults.payload, inner.serves)
+    };
+    reply(payload, request, serves, origin)
+}
+
+/// Returns the error of a dead replica that does not lie about it.
+fn honest_error(state: &Shared) -> Option<Response> {
+    let faults = state.inner().faults;
+    (faults.dead && !faults.lying).then(|| StatusCode::INTERNAL_SERVER_ERROR.into_response())
 }
 
 #[handler]
 async fn snapshots(state: Data<&Arc<Shared>>) -> Response {
     sleep(state.shape.network_delay * 2).await;
-    Json(state.inner().serves).into_response()
+    honest_error(&state).unwrap_or_else(|| Json(state.inner().serves).into_response())
+}
+
+#[handler]
+fn health(state: Data<&Arc<Shared>>) -> Response {
+    honest_error(&state).unwrap_or_else(|| StatusCode::OK.into_response())
+}
+
+#[handler]
+fn load(state: Data<&Arc<Shared>>) -> Response {
+    let inner = state.inner();
+    let waiting = if inner.faults.lying { 0 } else { inner.waiting };
+    Json(waiting).into_response()
 }
 
 #[handler]
