--- /dev/null
+++ b/crates/berylpin/src/commands/apply.rs
@@ -0,0 +1,99 @@
+//! `berylpin apply`: stores a service document.
+
+use crate::args::{Command, CommandError, finish};
+use crate::base_line::split_base_line;
+use crate::client::{AdminClient, Base, admin_options, block_on, print_json};
+use crate::document_file::{read_document, service_name};
+use berylpin_wire::admin::{Accepted, InForce};
+use pico_args::Arguments;
+use std::io::IsTerminal;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+pub(crate) const COMMAND: Command = Command {
+    name: "apply",
+    summary: "store a service document",
+    help: concat!(
+        "Usage: berylpin apply FILE [--base VERSION | --create] [--wait] [OPTIONS]\n\n",
+        "  --base VERSION   the version that the change is based on; from the file if absent\n",
+        "  --create         the document is new\n",
+        "  --wait           return when the change is in force at every live daemon\n",
+        admin_options!(),
+        "
+Examples: berylpin apply quota-desk-21.toml --create --wait
+          berylpin apply quota-desk-01.toml --base 17
+"
+    ),
+    run,
+};
+
+/// How long `--wait` waits.
+const WAIT_LIMIT: Duration = Duration::from_mins(1);
+
+/// How often `--wait` asks.
+const WAIT_INTERVAL: Duration = Duration::from_millis(250);
+
+fn run(mut args: Arguments) -> Result<(), CommandError> {
+    let json = args.contains("--json");
+    let wait = args.contains("--wait");
+    let create = args.contains("--create");
+    let base: Option<u64> = args.opt_value_from_str("--base")?;
+    let client = AdminClient::from_args(&mut args)?;
+    let path: PathBuf = args.free_from_str()?;
+    finish(args)?;
+    let text = read_document(&path)?;
+    let (recorded, document) = split_base_line(&text);
+    let base = match (create, base.or(recorded)) {
+        (true, _) => Base::New,
+        (false, Some(version)) => Base::Version(version),
+        (false, None) => {
+            let problem = "give `--base VERSION` of the document that you changed, or `--create`";
+            return Err(CommandError::Usage(problem.to_owned()));
+        }
+    };
+    let name = service_name(&path, document)?;
+    block_on(async {
+        let accepted = client.put(&name, document.to_owned(), base).await?;
+        if wait {
+            wait_in_force(&client, accepted.version).await?;
+        }
+        report(&accepted, wait, json);
+        Ok(())
+    })
+}
+
+fn report(accepted: &Accepted, wait: bool, json: bool) {
+    if json {
+        print_json(accepted);
+    } else if wait {
+        println!("{} is in force everywhere at version {}", accepted.name, accepted.version);
+    } else {
+        let Accepted { name, version } = accepted;
+        println!(
+            "{name} accepted at version {version}; see `berylpin status --revision {version}`"
+        );
+    }
+}
+
+/// Waits until every live daemon has the revision, with progress on a terminal.
+pub(crate) async fn wait_in_force(client: &AdminClient, revision: u64) -> Result<(), CommandError> {
+    let limit = Instant::now() + WAIT_LIMIT;
+    loop {
+        let state: InForce = client.get(&format!("/v1/revision/{revision}")).await?;
+        if state.behind.is_empty() && !state.in_force.is_empty() {
+            return Ok(());
+        }
+        if std::io::stderr().is_terminal() {
+            let done = state.in_force.len();
+            eprintln!("in force at {done} of {} daemons", done + state.behind.len());
+        }
+        if Instant::now() > limit {
+            let behind = state.behind.join(", ");
+            return Err(CommandError::Failed(format!(
+                "stored, but not yet in force at {behind}; it will be once they can be reached"
+            )));
+        }
+        sleep(WAIT_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/berylpin/src/commands/check.rs
@@ -0,0 +1,53 @@
+//! `berylpin check`: checks documents and settings without a daemon.
+
+use crate::args::{Command, CommandError, finish};
+use crate::base_line::split_base_line;
+use crate::document_file::read_document;
+use berylpin_core::config::ServiceSettings;
+use berylpin_daemon::DaemonSettings;
+use pico_args::Arguments;
+use std::path::{Path, PathBuf};
+
+pub(crate) const COMMAND: Command = Command {
+    name: "check",
+    summary: "check service documents or daemon settings, offline",
+    help: "\
+Usage: berylpin check [--settings] FILE...
+
+  --settings       the files are settings of `berylpind`, not service documents
+
+Example: berylpin check examples/rizzo/*.toml
+",
+    run,
+};
+
+fn run(mut args: Arguments) -> Result<(), CommandError> {
+    let settings = args.contains("--settings");
+    let mut paths: Vec<PathBuf> = Vec::new();
+    while let Some(path) = args.opt_free_from_str()? {
+        paths.push(path);
+    }
+    finish(args)?;
+    if paths.is_empty() {
+        return Err(CommandError::Usage("give at least one file".to_owned()));
+    }
+    let check = if settings { check_settings } else { check_document };
+    let mut invalid = Vec::new();
+    for path in &paths {
+        match check(path) {
+            Ok(()) => println!("{}: valid", path.display()),
+            Err(problem) => invalid.push(problem),
+        }
+    }
+    if invalid.is_empty() { Ok(()) } else { Err(CommandError::Invalid(invalid.join("\n"))) }
+}
+
+fn check_settings(path: &Path) -> Result<(), String> {
+    DaemonSettings::load(path).map(drop).map_err(|e| e.to_string())
+}
+
+fn check_document(path: &Path) -> Result<(), String> {
+    let text = read_document(path).map_err(|e| e.to_string())?;
+    let (_, document) = split_base_line(&text);
+    ServiceSettings::parse(document).map(drop).map_err(|e| format!("{}: {e}", path.display()))
+}
--- /dev/null
+++ b/crates/berylpin/src/commands/delete.rs
@@ -0,0 +1,34 @@
+//! `berylpin delete`: deletes a service document.
+
+use crate::args::{Command, CommandError, finish};
+use crate::client::{AdminClient, Base, admin_options, block_on, print_json};
+use pico_args::Arguments;
+
+pub(crate) const COMMAND: Command = Command {
+    name: "delete",
+    summary: "delete a service document",
+    help: concat!(
+        "Usage: berylpin delete SERVICE --base VERSION [OPTIONS]\n\n",
+        "  --base VERSION   the version that you mean to delete; see `berylpin list`\n",
+        admin_options!(),
+        "\nExample: berylpin delete quota-desk-21 --base 17\n"
+    ),
+    run,
+};
+
+fn run(mut args: Arguments) -> Result<(), CommandError> {
+    let json = args.contains("--json");
+    let base = args.value_from_str("--base")?;
+    let client = AdminClient::from_args(&mut args)?;
+    let name: String = args.free_from_str()?;
+    finish(args)?;
+    block_on(async {
+        let accepted = client.delete(&name, Base::Version(base)).await?;
+        if json {
+            print_json(&accepted);
+        } else {
+            println!("{name} deleted at revision {}", accepted.version);
+        }
+        Ok(())
+    })
+}
--- a/crates/berylpin/src/commands/demo.rs
+++ b/crates/berylpin/src/commands/demo.rs
@@ -1,6 +1,6 @@
 //! `berylpin demo`: the whole system against stand-ins in one process.
 
-use crate::args::{CommandError, finish};
+use crate::args::{Command, CommandError, finish};
 use crate::bench::Bench;
 use berylpin_core::rank::Rank;
 use berylpin_standin::load::{Stream, Tally, drive};
@@ -11,6 +11,21 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+pub(crate) const COMMAND: Command = Command {
+    name: "demo",
+    summary: "run the system and a load against stand-ins of today's sizes",
+    help: "\
+Usage: berylpin demo [--seconds N] [--users rizzo|kalipsan] [--seed N]
+
+  --seconds N      how long the load runs, 1 to 600; 10 if absent
+  --users NAME     whose sizes to take; rizzo if absent
+  --seed N         the seed of load and service times; 1 if absent
+
+Example: berylpin demo --seconds 20 --users kalipsan
+",
+    run,
+};
+
 /// Daemons of the demo, spread over the data centres.
 const DAEMONS: usize = 9;
 
@@ -27,8 +42,7 @@
     seed: u64,
 }
 
-/// Runs the subcommand.
-pub(crate) fn run(mut args: Arguments) -> Result<(), CommandError> {
+fn run(mut args: Arguments) -> Result<(), CommandError> {
     let seconds: u64 = args.opt_value_from_str("--seconds")?.unwrap_or(10);
     let users: String = args.opt_value_from_str("--users")?.unwrap_or_else(|| "rizzo".to_owned());
     let seed = args.opt_value_from_str("--seed")?.unwrap_or(1);
--- /dev/null
+++ b/crates/berylpin/src/commands/drain.rs
@@ -0,0 +1,44 @@
+//! `berylpin drain`: takes a replica out of service, or back into it.
+
+use crate::args::{Command, CommandError, finish};
+use crate::client::{AdminClient, admin_options, block_on, print_json};
+use crate::commands::apply::wait_in_force;
+use berylpin_wire::admin::DrainBody;
+use pico_args::Arguments;
+
+pub(crate) const COMMAND: Command = Command {
+    name: "drain",
+    summary: "give a replica no new work, or work again",
+    help: concat!(
+        "Usage: berylpin drain SERVICE ADDRESS [--undo] [--wait] [OPTIONS]\n\n",
+        "  --undo           give it work again\n",
+        "  --wait           return when the change is in force at every live daemon\n",
+        admin_options!(),
+        "\nExample: berylpin drain quota-desk-01 10.0.3.7:9000 --wait\n"
+    ),
+    run,
+};
+
+fn run(mut args: Arguments) -> Result<(), CommandError> {
+    let json = args.contains("--json");
+    let drain = !args.contains("--undo");
+    let wait = args.contains("--wait");
+    let client = AdminClient::from_args(&mut args)?;
+    let service: String = args.free_from_str()?;
+    let address = args.free_from_str()?;
+    finish(args)?;
+    block_on(async {
+        let body = DrainBody { service, address, drain };
+        let accepted = client.post_change("/v1/drain", &body).await?;
+        if wait {
+            wait_in_force(&client, accepted.version).await?;
+        }
+        if json {
+            print_json(&accepted);
+        } else {
+            let state = if drain { "gets no new work" } else { "gets work again" };
+            println!("{address} {state} from version {}", accepted.version);
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/berylpin/src/document_file.rs
@@ -0,0 +1,18 @@
+//! Service documents in files.
+
+use crate::args::CommandError;
+use std::path::Path;
+
+/// Reads a file.
+pub(crate) fn read_document(path: &Path) -> Result<String, CommandError> {
+    std::fs::read_to_string(path)
+        .map_err(|e| CommandError::Failed(format!("{}: {e}", path.display())))
+}
+
+/// Returns the service that a document describes; the daemon checks the rest.
+pub(crate) fn service_name(path: &Path, text: &str) -> Result<String, CommandError> {
+    let invalid = |problem: String| CommandError::Invalid(format!("{}: {problem}", path.display()));
+    let table: toml::Table = toml::from_str(text).map_err(|e| invalid(e.to_string()))?;
+    let name = table.get("service").and_then(toml::Value::as_str);
+    name.map(str::to_owned).ok_or_else(|| invalid("the key `service` names no service".to_owned()))
+}
--- a/crates/berylpin/src/main.rs
+++ b/crates/berylpin/src/main.rs
@@ -1,8 +1,11 @@
 //! `berylpin`: the operators' command line.
 
 mod args;
+mod base_line;
 mod bench;
+mod client;
 mod commands;
+mod document_file;
 
 use std::process::ExitCode;
 
