Make log levels changeable and add metrics

Each log line starts with its part, so a filter in front of the background writer reads the part from the message and needs no second label at each call. Decisions can be sampled by query: every daemon picks the same queries, so a kept query can be followed everywhere. Metrics go through the process's recorder to /metrics; labels are bounded by the documents.

--- a/crates/berylpin_core/src/decision.rs
+++ b/crates/berylpin_core/src/decision.rs
@@ -48,6 +48,18 @@
     },
 }
 
+impl Decision {
+    /// Returns the query that the decision belongs to, if there is one.
+    pub fn query(&self) -> Option<QueryTag> {
+        match self {
+            Self::Pinned { query, .. }
+            | Self::Routed { query, .. }
+            | Self::Started { query, .. }
+            | Self::Refused { query, .. } => Some(*query),
+        }
+    }
+}
+
 /// Why an attempt was made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptCause {
@@ -59,12 +71,19 @@
     Hedge,
 }
 
-impl fmt::Display for AttemptCause {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl AttemptCause {
+    /// Returns the name used in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
             Self::First => "first",
             Self::Retry => "retry",
             Self::Hedge => "hedge",
-        })
+        }
+    }
+}
+
+impl fmt::Display for AttemptCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
     }
 }
--- a/crates/berylpin_daemon/src/control/thread.rs
+++ b/crates/berylpin_daemon/src/control/thread.rs
@@ -1,6 +1,7 @@
 //! The loop of the control thread.
 
 use super::platform::Platform;
+use crate::metrics::record_view;
 use crate::settings::DaemonSettings;
 use crate::traffic::{LinkFrame, Mail, Mailboxes, run_link};
 use berylpin_core::arena::Arena;
@@ -145,6 +146,7 @@
     for mailbox in cx.mailboxes.iter() {
         mailbox.send(Mail::View { view: view.clone(), links: links.clone() });
     }
+    record_view(&view);
     cx.view.send_replace(view);
 }
 
--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use crate::control::{ControlContext, initial_view, run_control};
 use crate::http::{AdminState, CallerState, admin_routes, caller_routes};
+use crate::logging::Log;
 use crate::settings::DaemonSettings;
 use crate::traffic::{Mail, Mailbox, Mailboxes, ThreadContext, run_thread, serve_peers};
 use berylpin_core::clock::Clock;
@@ -10,7 +11,7 @@
 use poem::Server;
 use poem::listener::TcpAcceptor;
 use rand::Rng;
-use slog::{Logger, info};
+use slog::info;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -54,7 +55,7 @@
     stop_accepting: watch::Sender<bool>,
     control: JoinHandle<()>,
     traffic: Vec<JoinHandle<()>>,
-    log: Logger,
+    log: Log,
 }
 
 struct TrafficParts {
@@ -74,7 +75,7 @@
     pub fn start(
         settings: DaemonSettings,
         clock: Arc<dyn Clock>,
-        log: Logger,
+        log: Log,
     ) -> Result<Self, StartError> {
         let first_view = initial_view(&settings);
         let (view_tx, view) = watch::channel(first_view);
@@ -119,7 +120,7 @@
             mailboxes: mailboxes.clone(),
             runtimes,
             view: view_tx,
-            log: log.clone(),
+            log: log.logger(),
         };
         let control = start_control(runtime, cx, admin, admin_state, stopped)?;
         info!(log, "daemon: started"; "name" => &settings.name);
@@ -162,11 +163,15 @@
         runtime.block_on(async move {
             let TrafficParts { cx, rx, mailbox, callers, peers } = parts;
             if let Some(listener) = peers {
-                let (view, boxes, log) = (view.clone(), cx.mailboxes.clone(), cx.log.clone());
+                let (view, boxes, log) = (view.clone(), cx.mailboxes.clone(), cx.log.logger());
                 Handle::current().spawn(serve_peers(listener, view, boxes, log));
             }
-            let state =
-                CallerState { mailbox, view: view.clone(), tickets: Arc::new(AtomicU64::new(0)) };
+            let state = CallerState {
+                mailbox,
+                view: view.clone(),
+                tickets: Arc::new(AtomicU64::new(0)),
+                clock: cx.clock.clone(),
+            };
             let front = tokio::spawn(serve_http(callers, caller_routes(state), stopped));
             let first_view = view.borrow().clone();
             run_thread(cx, first_view, rx).await;
--- a/crates/berylpin_daemon/src/http/admin.rs
+++ b/crates/berylpin_daemon/src/http/admin.rs
@@ -1,6 +1,7 @@
 //! The front end of operators and the balancer.
 
 use super::reply::json;
+use crate::metrics::metrics_page;
 use berylpin_core::control::View;
 use poem::http::StatusCode;
 use poem::web::Data;
@@ -34,6 +35,7 @@
     Route::new()
         .at("/live", get(live))
         .at("/ready", get(ready))
+        .at("/metrics", get(metrics))
         .at("/v1/status", get(status))
         .data(state)
 }
@@ -59,6 +61,11 @@
     Response::builder().status(StatusCode::SERVICE_UNAVAILABLE).body("not ready\n")
 }
 
+#[handler]
+fn metrics() -> Response {
+    Response::builder().content_type("text/plain; version=0.0.4").body(metrics_page())
+}
+
 #[handler]
 fn status(state: Data<&AdminState>) -> Response {
     let view = state.view.borrow().clone();
--- a/crates/berylpin_daemon/src/http/caller.rs
+++ b/crates/berylpin_daemon/src/http/caller.rs
@@ -1,7 +1,9 @@
 //! The front end of callers.
 
 use super::reply::{json, refuse};
+use crate::metrics::record_answer;
 use crate::traffic::{Mail, Mailbox};
+use berylpin_core::clock::Clock;
 use berylpin_core::control::View;
 use berylpin_core::query::{Answer, Refusal, RefusalReason, Request, Ticket};
 use berylpin_core::verdict::Verdict;
@@ -30,6 +32,7 @@
     pub(crate) mailbox: Mailbox,
     pub(crate) view: watch::Receiver<Arc<View>>,
     pub(crate) tickets: Arc<AtomicU64>,
+    pub(crate) clock: Arc<dyn Clock>,
 }
 
 /// Returns the routes of callers.
@@ -57,7 +60,7 @@
         Ok(request) => request,
         Err(response) => return response,
     };
-    let target = request.target.clone();
+    let (target, rank, start) = (request.target.clone(), request.rank, state.clock.now());
     let (reply, answer) = oneshot::channel();
     let ticket = Ticket(state.tickets.fetch_add(1, Ordering::Relaxed));
     if !state.mailbox.send(Mail::Request { ticket, request, reply }) {
@@ -68,6 +71,9 @@
     let mut guard = CallerGuard { mailbox: state.mailbox.clone(), ticket: Some(ticket) };
     let result = answer.await;
     guard.ticket = None;
+    if let Ok(result) = &result {
+        record_answer(rank, &target, state.clock.now().duration_since(start), result);
+    }
     match result {
         Ok(Ok(answer)) => json(StatusCode::OK, &answer_body(answer, &state.view.borrow())),
         Ok(Err(refusal)) => refusal_response(refusal, &target),
--- a/crates/berylpin_daemon/src/lib.rs
+++ b/crates/berylpin_daemon/src/lib.rs
@@ -4,11 +4,15 @@
 mod control;
 mod daemon;
 mod http;
+mod log_levels;
 mod logging;
+mod metrics;
 mod settings;
 mod traffic;
 
 pub use clock::SystemClock;
 pub use daemon::{Daemon, StartError};
-pub use logging::{LogFormat, discard_log, open_log};
+pub use log_levels::{LevelError, LogLevels, PARTS};
+pub use logging::{Log, LogFormat, discard_log, open_log};
+pub use metrics::install_metrics;
 pub use settings::{DaemonOptions, DaemonSettings, SettingsError};
--- a/crates/berylpin_daemon/src/logging.rs
+++ b/crates/berylpin_daemon/src/logging.rs
@@ -1,9 +1,11 @@
 //! Logs: short sentences with a fixed prefix for each part.
 
+use crate::log_levels::LogLevels;
 use berylpin_core::decision::Decision;
 use slog::{Drain, Logger, debug, o};
 use slog_async::{Async, OverflowStrategy};
 use std::io::Write;
+use std::ops::Deref;
 
 /// Log records that wait for the writer; more are dropped and counted.
 const CHANNEL_SIZE: usize = 16 * 1024;
@@ -17,11 +19,39 @@
     Json,
 }
 
+/// A log whose levels can be changed.
+#[derive(Clone, Debug)]
+pub struct Log {
+    logger: Logger,
+    levels: LogLevels,
+}
+
+impl Log {
+    /// Returns the logger without the levels, for parts that write no decisions.
+    pub(crate) fn logger(&self) -> Logger {
+        self.logger.clone()
+    }
+
+    /// Returns the levels, to change them.
+    pub fn levels(&self) -> &LogLevels {
+        &self.levels
+    }
+}
+
+impl Deref for Log {
+    type Target = Logger;
+
+    fn deref(&self) -> &Logger {
+        &self.logger
+    }
+}
+
 /// Opens a log that never blocks the caller; records that do not fit are dropped and counted.
-pub fn open_log<W>(format: LogFormat, writer: W) -> Logger
+pub fn open_log<W>(format: LogFormat, writer: W) -> Log
 where
     W: Write + Send + 'static,
 {
+    let levels = LogLevels::default();
     let drain = match format {
         LogFormat::Text => {
             let decorator = slog_term::PlainDecorator::new(writer);
@@ -29,12 +59,14 @@
         }
         LogFormat::Json => background(slog_json::Json::default(writer).fuse()),
     };
-    Logger::root(drain.fuse(), o!())
+    let filter = levels.clone();
+    let drain = slog::Filter::new(drain, move |record| filter.allow(record));
+    Log { logger: Logger::root(drain.fuse(), o!()), levels }
 }
 
 /// Returns a log that writes nothing.
-pub fn discard_log() -> Logger {
-    Logger::root(slog::Discard, o!())
+pub fn discard_log() -> Log {
+    Log { logger: Logger::root(slog::Discard, o!()), levels: LogLevels::default() }
 }
 
 fn background<D>(drain: D) -> Async
@@ -47,8 +79,11 @@
         .build()
 }
 
-/// Writes the line of a decision.
-pub(crate) fn log_decision(log: &Logger, decision: &Decision) {
+/// Writes the line of a decision, if its query is among those sampled.
+pub(crate) fn log_decision(log: &Log, decision: &Decision) {
+    if decision.query().is_some_and(|query| !log.levels.samples(query)) {
+        return;
+    }
     match decision {
         Decision::Pinned { query, rank, snapshot, shards, serving } => {
             debug!(log, "query: pinned to snapshot"; "query" => %query, "rank" => rank.name(),
--- a/crates/berylpin_daemon/src/main.rs
+++ b/crates/berylpin_daemon/src/main.rs
@@ -1,6 +1,6 @@
 //! `berylpind`: the daemon of the berylpin query tier.
 
-use berylpin_daemon::{Daemon, DaemonSettings, LogFormat, SystemClock, open_log};
+use berylpin_daemon::{Daemon, DaemonSettings, LogFormat, SystemClock, install_metrics, open_log};
 use std::io::IsTerminal;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -64,6 +64,7 @@
 fn run(settings: DaemonSettings) -> Result<(), Box<dyn std::error::Error>> {
     let format = if std::io::stderr().is_terminal() { LogFormat::Text } else { LogFormat::Json };
     let log = open_log(format, std::io::stderr());
+    install_metrics()?;
     let daemon = Daemon::start(settings, Arc::new(SystemClock), log)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
--- /dev/null
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -0,0 +1,121 @@
+//! Metrics and their page for Prometheus.
+//!
+//! Labels are ranks, targets, causes and reasons, so the number of series is bounded by the
+//! number of documents.
+
+use berylpin_core::control::View;
+use berylpin_core::decision::Decision;
+use berylpin_core::query::{Answer, Refusal};
+use berylpin_core::rank::Rank;
+use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use std::sync::OnceLock;
+use std::time::Duration;
+
+const LATENCY: &str = "berylpin_query_duration_seconds";
+const ANSWERS: &str = "berylpin_queries_total";
+const COVERAGE: &str = "berylpin_query_coverage_ratio";
+const ATTEMPTS: &str = "berylpin_attempts_total";
+const STARTS: &str = "berylpin_upstream_calls_total";
+const REFUSALS: &str = "berylpin_sub_query_refusals_total";
+const EPOCH: &str = "berylpin_view_epoch";
+const MEMBERS: &str = "berylpin_members_live";
+const OWNED: &str = "berylpin_replicas_owned";
+
+/// Upper bounds of latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 12] =
+    [0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
+
+/// Upper bounds of coverage buckets.
+const COVERAGE_BUCKETS: [f64; 6] = [0.0, 0.5, 0.9, 0.95, 0.99, 1.0];
+
+/// The page of the process; the `metrics` library has one recorder a process as well.
+static PAGE: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Installs the recorder of the process; call it once, before a daemon starts.
+///
+/// # Errors
+///
+/// Returns why there is no recorder; one that is installed already is an error, too.
+pub fn install_metrics() -> Result<(), BuildError> {
+    let recorder = PrometheusBuilder::new()
+        .set_buckets_for_metric(full(LATENCY), &LATENCY_BUCKETS)?
+        .set_buckets_for_metric(full(COVERAGE), &COVERAGE_BUCKETS)?
+        .build_recorder();
+    let page = recorder.handle();
+    metrics::set_global_recorder(recorder).map_err(BuildError::FailedToSetGlobalRecorder)?;
+    describe();
+    // The recorder was set just now, so there was no page before.
+    let _ = PAGE.set(page);
+    Ok(())
+}
+
+/// Returns the page for Prometheus; empty without a recorder.
+pub(crate) fn metrics_page() -> String {
+    PAGE.get().map_or_else(String::new, |page| {
+        page.run_upkeep();
+        page.render()
+    })
+}
+
+/// Records what a caller got, and how long after the request arrived.
+pub(crate) fn record_answer(
+    rank: Rank,
+    target: &str,
+    elapsed: Duration,
+    result: &Result<Answer, Refusal>,
+) {
+    let rank = rank.name();
+    let outcome = match result {
+        Ok(answer) if answer.coverage.missing.is_empty() => "complete",
+        Ok(_) => "partial",
+        Err(refusal) => refusal.reason.name(),
+    };
+    counter!(ANSWERS, "rank" => rank, "target" => target.to_owned(), "outcome" => outcome)
+        .increment(1);
+    if let Ok(answer) = result {
+        let coverage = &answer.coverage;
+        let ratio = f64::from(coverage.answered) / f64::from(coverage.asked.max(1));
+        histogram!(LATENCY, "rank" => rank, "target" => target.to_owned()).record(elapsed);
+        histogram!(COVERAGE, "rank" => rank, "target" => target.to_owned()).record(ratio);
+    }
+}
+
+/// Counts a decision.
+pub(crate) fn count_decision(decision: &Decision) {
+    match decision {
+        Decision::Routed { cause, .. } => {
+            counter!(ATTEMPTS, "cause" => cause.name()).increment(1);
+        }
+        Decision::Started { .. } => counter!(STARTS).increment(1),
+        Decision::Refused { reason, .. } => {
+            counter!(REFUSALS, "reason" => reason.name()).increment(1);
+        }
+        Decision::Pinned { .. } => {}
+    }
+}
+
+/// Records the view in force.
+pub(crate) fn record_view(view: &View) {
+    let live = view.members.iter().filter(|(_, member)| member.live).count();
+    let owned = view.owners.iter().filter(|(_, owner)| **owner == Some(view.own)).count();
+    gauge!(EPOCH).set(view.epoch as f64);
+    gauge!(MEMBERS).set(live as f64);
+    gauge!(OWNED).set(owned as f64);
+}
+
+fn full(name: &str) -> metrics_exporter_prometheus::Matcher {
+    metrics_exporter_prometheus::Matcher::Full(name.to_owned())
+}
+
+fn describe() {
+    describe_histogram!(LATENCY, "Time from request to answer, by rank and target");
+    describe_counter!(ANSWERS, "Queries by rank, target and outcome");
+    describe_histogram!(COVERAGE, "Share of shards that answers cover, by rank and target");
+    describe_counter!(ATTEMPTS, "Attempts at shards by cause: first, retry or hedge");
+    describe_counter!(STARTS, "Calls to upstreams");
+    describe_counter!(REFUSALS, "Sub-queries refused by their owner, by reason");
+    describe_gauge!(EPOCH, "Epoch of the view in force");
+    describe_gauge!(MEMBERS, "Daemons that take part in placement");
+    describe_gauge!(OWNED, "Replicas that this daemon owns");
+}
--- a/crates/berylpin_daemon/src/traffic/thread.rs
+++ b/crates/berylpin_daemon/src/traffic/thread.rs
@@ -3,14 +3,15 @@
 use super::link::LinkFrame;
 use super::mailbox::{Mail, Mailbox, Mailboxes};
 use super::upstream::Upstreams;
-use crate::logging::log_decision;
+use crate::logging::{Log, log_decision};
+use crate::metrics::count_decision;
 use berylpin_core::clock::Clock;
 use berylpin_core::control::View;
+use berylpin_core::decision::Decision;
 use berylpin_core::ids::{Key, MemberId, ThreadId};
 use berylpin_core::message::QueryMessage;
 use berylpin_core::query::{self, Answer, Coordinator, Refusal, Ticket};
 use berylpin_core::replica::{self, Owner};
-use slog::Logger;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot};
@@ -26,7 +27,7 @@
     pub(crate) id: ThreadId,
     pub(crate) mailboxes: Mailboxes,
     pub(crate) clock: Arc<dyn Clock>,
-    pub(crate) log: Logger,
+    pub(crate) log: Log,
     pub(crate) seed: u64,
 }
 
@@ -145,7 +146,7 @@
                         let _ = reply.send(result);
                     }
                 }
-                query::Action::Decided(decision) => log_decision(&self.cx.log, &decision),
+                query::Action::Decided(decision) => self.decided(&decision),
             }
         }
         self.query_actions = actions;
@@ -162,7 +163,7 @@
                     self.upstreams.abort(&self.view, replica, request);
                 }
                 replica::Action::Probe(probe) => self.upstreams.probe(&self.view, probe),
-                replica::Action::Decided(decision) => log_decision(&self.cx.log, &decision),
+                replica::Action::Decided(decision) => self.decided(&decision),
             }
         }
         self.replica_actions = actions;
@@ -181,6 +182,11 @@
         }
     }
 
+    fn decided(&self, decision: &Decision) {
+        log_decision(&self.cx.log, decision);
+        count_decision(decision);
+    }
+
     fn take_caller(&mut self, ticket: Ticket) -> Option<oneshot::Sender<Result<Answer, Refusal>>> {
         let at = self.callers.binary_search_by_key(&ticket, |(t, _)| *t).ok()?;
         Some(self.callers.remove(at).1)
