Tell all problems of daemon settings at once; add seeds and secrets

Cause: the control plane needs peers to start from, a token for operators and a key between daemons; the first problem of a file hid the others.

Weighed: serde's derive stops at the first problem and knows no line for a value that parses but is not allowed. A table that is read key by key keeps serde for each value and finds all problems with their lines. Secrets in the file alone were ruled out: operators keep them in the environment.

--- a/crates/berylpin/src/bench.rs
+++ b/crates/berylpin/src/bench.rs
@@ -3,7 +3,7 @@
 use berylpin_core::ids::Snapshot;
 use berylpin_core::message::SnapshotRange;
 use berylpin_daemon::{
-    Daemon, DaemonOptions, DaemonSettings, SettingsError, StartError, SystemClock, discard_log,
+    Daemon, DaemonSettings, SettingsError, StartError, SystemClock, discard_log,
 };
 use berylpin_standin::platform::Platform;
 use berylpin_standin::sites::Site;
@@ -22,6 +22,15 @@
 /// The snapshots that upstreams serve at first.
 const FIRST_SNAPSHOTS: SnapshotRange = SnapshotRange { oldest: Snapshot(1), newest: Snapshot(3) };
 
+/// How long stopping daemons report not ready.
+const STOP_NOTICE: Duration = Duration::from_millis(100);
+
+/// What operators of a bench authenticate with.
+const ADMIN_TOKEN: &str = "bench-admin-token";
+
+/// What the daemons of a bench authenticate to each other with.
+const FLEET_KEY: &str = "bench-fleet-key-0";
+
 /// Why a bench does not start.
 #[derive(Debug, Error)]
 pub(crate) enum BenchError {
@@ -135,18 +144,19 @@
     let mut all = Vec::new();
     for index in 0..daemons {
         let data_centre = site.data_centres[index % site.data_centres.len()];
-        let options = DaemonOptions {
-            name: format!("entry-{}", index + 1),
-            data_centre: data_centre.to_owned(),
-            region: data_centre.trim_end_matches("-1").to_owned(),
-            caller_address: free_address()?,
-            peer_address: free_address()?,
-            admin_address: free_address()?,
-            platform,
-            threads: None,
-            stop_notice_ms: Some(100),
-        };
-        all.push(DaemonSettings::check(options)?);
+        let settings = DaemonSettings::builder()
+            .name(&format!("entry-{}", index + 1))
+            .data_centre(data_centre)
+            .region(data_centre.trim_end_matches("-1"))
+            .caller_address(free_address()?)
+            .peer_address(free_address()?)
+            .admin_address(free_address()?)
+            .platform(platform)
+            .admin_token(ADMIN_TOKEN)
+            .fleet_key(FLEET_KEY)
+            .stop_notice(STOP_NOTICE)
+            .build()?;
+        all.push(settings);
     }
     Ok(all)
 }
--- /dev/null
+++ b/crates/berylpin_core/src/config/section.rs
@@ -0,0 +1,242 @@
+//! A table of a TOML text, read key by key so that every problem is found at once.
+
+use serde::Deserialize;
+use serde_with::DeserializeAs;
+use serde_with::de::DeserializeAsWrap;
+use std::fmt;
+use toml::Spanned;
+use toml::de::{DeTable, DeValue, ValueDeserializer};
+
+/// The most problems that one text is told of.
+const PROBLEM_LIMIT: usize = 100;
+
+/// How alike an unknown key and a known one are, from 0 to 1, for the known one to be suggested.
+const SUGGESTION_LIKENESS: f64 = 0.7;
+
+/// What is wrong at one place of a text.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Problem {
+    /// Counts from 1; `None` if the problem has no single place.
+    pub line: Option<u32>,
+    /// The key, with its path; empty for a syntax error.
+    pub key: String,
+    /// What is wrong and what is allowed.
+    pub problem: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(f, "line {line}: ")?;
+        }
+        if !self.key.is_empty() {
+            write!(f, "{}: ", self.key)?;
+        }
+        f.write_str(&self.problem)
+    }
+}
+
+/// The problems of one text; those beyond a limit are dropped.
+#[derive(Debug, Default)]
+pub struct Problems {
+    list: Vec<Problem>,
+}
+
+impl Problems {
+    /// Adds a problem.
+    pub fn add<S>(&mut self, line: Option<u32>, key: &str, problem: S)
+    where
+        S: Into<String>,
+    {
+        if self.list.len() < PROBLEM_LIMIT {
+            self.list.push(Problem { line, key: key.to_owned(), problem: problem.into() });
+        }
+    }
+
+    /// Returns the problems in the order of their lines.
+    pub fn into_sorted(mut self) -> Vec<Problem> {
+        self.list.sort();
+        self.list
+    }
+
+    /// Returns whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+}
+
+/// A value with the place where it stands.
+#[derive(Clone, Debug)]
+pub struct Placed<T> {
+    /// The value.
+    pub value: T,
+    /// Counts from 1; `None` for a value that was not read from a text.
+    pub line: Option<u32>,
+}
+
+impl<T> Placed<T> {
+    /// Makes a value that stands in no text.
+    pub fn unplaced(value: T) -> Self {
+        Self { value, line: None }
+    }
+}
+
+/// A table of a TOML text; each key that is asked for counts as known.
+#[derive(Debug)]
+pub struct Section<'t> {
+    text: &'t str,
+    /// Ends with a dot unless it is empty.
+    path: String,
+    line: u32,
+    /// Keys that were not asked for yet.
+    table: DeTable<'t>,
+    known: Vec<&'static str>,
+}
+
+impl<'t> Section<'t> {
+    /// Reads a text; `None` if it is not TOML.
+    pub fn parse(text: &'t str, problems: &mut Problems) -> Option<Self> {
+        let (table, errors) = DeTable::parse_recoverable(text);
+        for e in &errors {
+            let line = e.span().map(|span| line_at(text, span.start));
+            problems.add(line, "", e.message());
+        }
+        errors.is_empty().then(|| Self::new(text, String::new(), 1, table.into_inner()))
+    }
+
+    fn new(text: &'t str, path: String, line: u32, table: DeTable<'t>) -> Self {
+        Self { text, path, line, table, known: Vec::new() }
+    }
+
+    /// Returns the line that the section starts at.
+    pub fn line(&self) -> Option<u32> {
+        Some(self.line)
+    }
+
+    /// Returns a key with the path of this section.
+    pub fn path_of(&self, key: &str) -> String {
+        format!("{}{key}", self.path)
+    }
+
+    /// Reads a key that may be absent.
+    pub fn optional<T>(&mut self, key: &'static str, problems: &mut Problems) -> Option<Placed<T>>
+    where
+        T: for<'de> Deserialize<'de>,
+    {
+        let (line, value) = self.take(key)?;
+        let result = T::deserialize(ValueDeserializer::from(value));
+        self.place(key, line, result, problems)
+    }
+
+    /// Reads a key that may be absent, by a `serde_with` adapter.
+    pub fn optional_as<T, A>(
+        &mut self,
+        key: &'static str,
+        problems: &mut Problems,
+    ) -> Option<Placed<T>>
+    where
+        A: for<'de> DeserializeAs<'de, T>,
+    {
+        let (line, value) = self.take(key)?;
+        let result = DeserializeAsWrap::<T, A>::deserialize(ValueDeserializer::from(value));
+        self.place(key, line, result.map(DeserializeAsWrap::into_inner), problems)
+    }
+
+    /// Reads a key that has to be there.
+    pub fn required<T>(&mut self, key: &'static str, problems: &mut Problems) -> Option<Placed<T>>
+    where
+        T: for<'de> Deserialize<'de>,
+    {
+        if !self.table.contains_key(key) {
+            self.known.push(key);
+            problems.add(Some(self.line), &self.path_of(key), "this key is missing");
+            return None;
+        }
+        self.optional(key, problems)
+    }
+
+    /// Reads a table that may be absent.
+    pub fn section(&mut self, key: &'static str, problems: &mut Problems) -> Option<Self> {
+        let (line, value) = self.take(key)?;
+        match value.into_inner() {
+            DeValue::Table(table) => Some(self.child(key, line, table)),
+            other => {
+                let problem = format!("a {} is no table; write `[{key}]`", other.type_str());
+                problems.add(Some(line), &self.path_of(key), problem);
+                None
+            }
+        }
+    }
+
+    /// Reads an array of tables; empty if it is absent.
+    pub fn sections(&mut self, key: &'static str, problems: &mut Problems) -> Vec<Self> {
+        let Some((line, value)) = self.take(key) else { return Vec::new() };
+        let path = self.path_of(key);
+        let DeValue::Array(values) = value.into_inner() else {
+            problems.add(Some(line), &path, format!("this is no list; write `[[{path}]]`"));
+            return Vec::new();
+        };
+        let mut sections = Vec::new();
+        for value in values {
+            let line = line_at(self.text, value.span().start);
+            match value.into_inner() {
+                DeValue::Table(table) => sections.push(self.child(key, line, table)),
+                _ => problems.add(Some(line), &path, format!("write `[[{path}]]` for each")),
+            }
+        }
+        sections
+    }
+
+    /// Adds a problem for each key that nobody asked for, with the known one that is most like it.
+    pub fn finish(self, problems: &mut Problems) {
+        for key in self.table.keys() {
+            let line = line_at(self.text, key.span().start);
+            let name: &str = key.get_ref();
+            let nearest = self
+                .known
+                .iter()
+                .map(|known| (strsim::jaro_winkler(known, name), *known))
+                .filter(|(likeness, _)| *likeness >= SUGGESTION_LIKENESS)
+                .max_by(|a, b| a.0.total_cmp(&b.0));
+            let problem = match nearest {
+                Some((_, known)) => format!("this key is unknown; did you mean `{known}`?"),
+                None => format!("this key is unknown; known are `{}`", self.known.join("`, `")),
+            };
+            problems.add(Some(line), &self.path_of(name), problem);
+        }
+    }
+
+    fn child(&self, key: &str, line: u32, table: DeTable<'t>) -> Self {
+        Self::new(self.text, format!("{}{key}.", self.path), line, table)
+    }
+
+    fn take(&mut self, key: &'static str) -> Option<(u32, Spanned<DeValue<'t>>)> {
+        self.known.push(key);
+        let (name, value) = self.table.remove_entry(key)?;
+        Some((line_at(self.text, name.span().start), value))
+    }
+
+    fn place<T>(
+        &self,
+        key: &str,
+        line: u32,
+        result: Result<T, toml::de::Error>,
+        problems: &mut Problems,
+    ) -> Option<Placed<T>> {
+        match result {
+            Ok(value) => Some(Placed { value, line: Some(line) }),
+            Err(e) => {
+                problems.add(Some(line), &self.path_of(key), e.message());
+                None
+            }
+        }
+    }
+}
+
+/// Counts lines from 1.
+fn line_at(text: &str, offset: usize) -> u32 {
+    text.get(..offset).unwrap_or(text).matches('\n').count() as u32 + 1
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_daemon/src/lib.rs
+++ b/crates/berylpin_daemon/src/lib.rs
@@ -11,4 +11,4 @@
 pub use clock::SystemClock;
 pub use daemon::{Daemon, StartError};
 pub use logging::{LogFormat, discard_log, open_log};
-pub use settings::{DaemonOptions, DaemonSettings, SettingsError};
+pub use settings::{DaemonSettings, DaemonSettingsBuilder, Secret, SettingsError};
--- a/crates/berylpin_daemon/src/settings.rs
+++ b/crates/berylpin_daemon/src/settings.rs
@@ -1,6 +1,14 @@
 //! Settings of a daemon: what the operator wrote, and what was checked.
 
+mod builder;
+mod secret;
+
+pub use builder::DaemonSettingsBuilder;
+pub use secret::Secret;
+
+use berylpin_core::config::{Placed, Problem, Problems, Section};
 use serde::Deserialize;
+use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -9,6 +17,27 @@
 /// Traffic threads that a daemon may have.
 const THREADS_LIMIT: usize = 64;
 
+/// Traffic threads unless the settings say otherwise.
+const DEFAULT_THREADS: usize = 2;
+
+/// How long a stopping daemon reports not ready unless the settings say otherwise.
+const DEFAULT_STOP_NOTICE: Duration = Duration::from_millis(500);
+
+/// The longest time that a stopping daemon reports not ready.
+const STOP_NOTICE_LIMIT: Duration = Duration::from_mins(1);
+
+/// The longest name, in bytes.
+const NAME_LIMIT: usize = 64;
+
+/// Seeds that settings may name.
+const SEEDS_LIMIT: usize = 64;
+
+/// The environment variable that goes before `admin_token`.
+const ADMIN_TOKEN_VARIABLE: &str = "BERYLPIN_ADMIN_TOKEN";
+
+/// The environment variable that goes before `fleet_key`.
+const FLEET_KEY_VARIABLE: &str = "BERYLPIN_FLEET_KEY";
+
 /// Why settings are rejected.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -20,59 +49,53 @@
         /// The cause.
         source: std::io::Error,
     },
-    /// The text is not of this schema.
-    #[error("{}:{line}: {problem}", path.display())]
-    Syntax {
-        /// The file.
+    /// Something in the settings is not allowed.
+    #[error("{}", ProblemLines(path, problems))]
+    Invalid {
+        /// The file, or what stands for it.
         path: PathBuf,
-        /// Counts from 1.
-        line: usize,
-        /// What is wrong.
-        problem: String,
-    },
-    /// A value is not allowed.
-    #[error("{key}: {problem}")]
-    Value {
-        /// The key.
-        key: &'static str,
-        /// What is wrong and what is allowed.
-        problem: String,
+        /// Never empty; sorted by line.
+        problems: Vec<Problem>,
     },
 }
 
-/// Settings as the operator wrote them.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct DaemonOptions {
-    /// The name of this VM in the VM list.
-    pub name: String,
-    /// The data centre that it runs in.
-    pub data_centre: String,
-    /// The region of the data centre.
-    pub region: String,
-    /// Where callers connect.
-    pub caller_address: SocketAddr,
-    /// Where other daemons connect.
-    pub peer_address: SocketAddr,
-    /// Where operators and the balancer connect.
-    pub admin_address: SocketAddr,
-    /// The address of the platform.
-    pub platform: SocketAddr,
-    /// Traffic threads; 2 if absent.
-    pub threads: Option<usize>,
-    /// How long a stopping daemon tells the balancer before it stops accepting, in milliseconds;
-    /// 500 if absent.
-    pub stop_notice_ms: Option<u64>,
+struct ProblemLines<'a>(&'a Path, &'a [Problem]);
+
+impl fmt::Display for ProblemLines<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, problem) in self.1.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "\n" };
+            write!(f, "{separator}{}: {problem}", self.0.display())?;
+        }
+        Ok(())
+    }
+}
+
+/// Settings as the operator wrote them; `None` for what is absent.
+#[derive(Debug, Default)]
+struct DaemonOptions {
+    name: Option<Placed<String>>,
+    data_centre: Option<Placed<String>>,
+    region: Option<Placed<String>>,
+    caller_address: Option<Placed<SocketAddr>>,
+    peer_address: Option<Placed<SocketAddr>>,
+    admin_address: Option<Placed<SocketAddr>>,
+    platform: Option<Placed<SocketAddr>>,
+    seeds: Option<Placed<Vec<SocketAddr>>>,
+    admin_token: Option<Placed<String>>,
+    fleet_key: Option<Placed<String>>,
+    threads: Option<Placed<usize>>,
+    stop_notice_ms: Option<Placed<u64>>,
 }
 
 /// Checked settings.
 #[derive(Clone, Debug)]
 pub struct DaemonSettings {
-    /// Never empty.
+    /// The name of this VM in the VM list; from 1 to 64 bytes.
     pub name: String,
-    /// Never empty.
+    /// The data centre that it runs in; from 1 to 64 bytes.
     pub data_centre: String,
-    /// Never empty.
+    /// The region of the data centre; from 1 to 64 bytes.
     pub region: String,
     /// Where callers connect.
     pub caller_address: SocketAddr,
@@ -82,62 +105,186 @@
     pub admin_address: SocketAddr,
     /// The address of the platform.
     pub platform: SocketAddr,
+    /// Peer addresses to start from while the platform is down; at most 64.
+    pub seeds: Vec<SocketAddr>,
+    /// What operators authenticate with.
+    pub admin_token: Secret,
+    /// What daemons authenticate to each other with.
+    pub fleet_key: Secret,
     /// From 1 to 64.
     pub threads: usize,
-    /// How long a stopping daemon tells the balancer before it stops accepting.
+    /// How long a stopping daemon reports not ready before it stops accepting; at most 60 s.
     pub stop_notice: Duration,
 }
 
 impl DaemonSettings {
-    /// Reads and checks a settings file.
+    /// Starts settings that are made in code.
+    pub fn builder() -> DaemonSettingsBuilder {
+        DaemonSettingsBuilder::default()
+    }
+
+    /// Reads and checks a settings file; secrets in the environment go before those in the file.
     ///
     /// # Errors
     ///
-    /// Returns the first problem, with the file and the line or key where it stands.
+    /// Returns all problems, each with the line and key where it stands and what is allowed.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let text = std::fs::read_to_string(path)
             .map_err(|source| SettingsError::Unreadable { path: path.to_owned(), source })?;
-        let options = toml::from_str(&text).map_err(|e| {
-            let start = e.span().map_or(0, |span| span.start);
-            let line = text[..start].matches('\n').count() + 1;
-            let problem = e.message().to_owned();
-            SettingsError::Syntax { path: path.to_owned(), line, problem }
-        })?;
-        Self::check(options)
+        Self::parse(path, &text, |variable| std::env::var(variable).ok())
     }
 
-    /// Checks options.
-    ///
-    /// # Errors
-    ///
-    /// Returns the first value that is not allowed.
-    pub fn check(options: DaemonOptions) -> Result<Self, SettingsError> {
-        check_name("name", &options.name)?;
-        check_name("data_centre", &options.data_centre)?;
-        check_name("region", &options.region)?;
-        let threads = options.threads.unwrap_or(2);
-        if !(1..=THREADS_LIMIT).contains(&threads) {
-            let problem = format!("{threads} is not from 1 to {THREADS_LIMIT}");
-            return Err(SettingsError::Value { key: "threads", problem });
-        }
-        Ok(Self {
-            name: options.name,
-            data_centre: options.data_centre,
-            region: options.region,
-            caller_address: options.caller_address,
-            peer_address: options.peer_address,
-            admin_address: options.admin_address,
-            platform: options.platform,
+    /// Checks the text of a file, with the environment given by `env`.
+    fn parse<F>(path: &Path, text: &str, env: F) -> Result<Self, SettingsError>
+    where
+        F: Fn(&str) -> Option<String>,
+    {
+        let mut problems = Problems::default();
+        let settings = Section::parse(text, &mut problems).and_then(|section| {
+            let mut options = DaemonOptions::read(section, &env, &mut problems);
+            let secret = |variable, option: &mut Option<Placed<String>>| {
+                if let Some(value) = env(variable) {
+                    *option = Some(Placed::unplaced(value));
+                }
+            };
+            secret(ADMIN_TOKEN_VARIABLE, &mut options.admin_token);
+            secret(FLEET_KEY_VARIABLE, &mut options.fleet_key);
+            options.check(&mut problems)
+        });
+        finish(path, settings, problems)
+    }
+}
+
+fn finish(
+    path: &Path,
+    settings: Option<DaemonSettings>,
+    problems: Problems,
+) -> Result<DaemonSettings, SettingsError> {
+    if let Some(settings) = settings.filter(|_| problems.is_empty()) {
+        return Ok(settings);
+    }
+    Err(SettingsError::Invalid { path: path.to_owned(), problems: problems.into_sorted() })
+}
+
+impl DaemonOptions {
+    fn read<F>(mut section: Section<'_>, env: F, problems: &mut Problems) -> Self
+    where
+        F: Fn(&str) -> Option<String>,
+    {
+        let mut secret = |section: &mut Section<'_>, key, variable| {
+            if env(variable).is_some() {
+                return section.optional(key, problems);
+            }
+            section.required(key, problems)
+        };
+        let admin_token = secret(&mut section, "admin_token", ADMIN_TOKEN_VARIABLE);
+        let fleet_key = secret(&mut section, "fleet_key", FLEET_KEY_VARIABLE);
+        let options = Self {
+            name: required(&mut section, "name", problems),
+            data_centre: required(&mut section, "data_centre", problems),
+            region: required(&mut section, "region", problems),
+            caller_address: required(&mut section, "caller_address", problems),
+            peer_address: required(&mut section, "peer_address", problems),
+            admin_address: required(&mut section, "admin_address", problems),
+            platform: required(&mut section, "platform", problems),
+            seeds: section.optional("seeds", problems),
+            admin_token,
+            fleet_key,
+            threads: section.optional("threads", problems),
+            stop_notice_ms: section.optional("stop_notice_ms", problems),
+        };
+        section.finish(problems);
+        options
+    }
+
+    /// Checks the values; `None` if one that is needed is absent or not allowed.
+    fn check(self, problems: &mut Problems) -> Option<DaemonSettings> {
+        let name = check_name("name", self.name, problems);
+        let data_centre = check_name("data_centre", self.data_centre, problems);
+        let region = check_name("region", self.region, problems);
+        let admin_token = check_secret("admin_token", self.admin_token, problems);
+        let fleet_key = check_secret("fleet_key", self.fleet_key, problems);
+        let seeds = check_seeds(self.seeds, problems);
+        let threads = check_threads(self.threads, problems);
+        let stop_notice = check_stop_notice(self.stop_notice_ms, problems);
+        Some(DaemonSettings {
+            name: name?,
+            data_centre: data_centre?,
+            region: region?,
+            caller_address: self.caller_address?.value,
+            peer_address: self.peer_address?.value,
+            admin_address: self.admin_address?.value,
+            platform: self.platform?.value,
+            seeds,
+            admin_token: admin_token?,
+            fleet_key: fleet_key?,
             threads,
-            stop_notice: Duration::from_millis(options.stop_notice_ms.unwrap_or(500)),
+            stop_notice,
         })
     }
 }
 
-fn check_name(key: &'static str, name: &str) -> Result<(), SettingsError> {
-    if !name.is_empty() && name.len() <= 64 {
-        return Ok(());
+fn required<T>(
+    section: &mut Section<'_>,
+    key: &'static str,
+    problems: &mut Problems,
+) -> Option<Placed<T>>
+where
+    T: for<'de> Deserialize<'de>,
+{
+    section.required(key, problems)
+}
+
+fn check_name(key: &str, name: Option<Placed<String>>, problems: &mut Problems) -> Option<String> {
+    let Placed { value, line } = name?;
+    if (1..=NAME_LIMIT).contains(&value.len()) {
+        return Some(value);
+    }
+    let problem = format!("`{value}` is not a name; use 1 to {NAME_LIMIT} bytes");
+    problems.add(line, key, problem);
+    None
+}
+
+fn check_secret(
+    key: &str,
+    secret: Option<Placed<String>>,
+    problems: &mut Problems,
+) -> Option<Secret> {
+    let Placed { value, line } = secret?;
+    let checked = Secret::new(&value);
+    if checked.is_none() {
+        let allowed = Secret::MINIMUM_LENGTH;
+        problems.add(line, key, format!("the secret is too short; use at least {allowed} bytes"));
+    }
+    checked
+}
+
+fn check_seeds(seeds: Option<Placed<Vec<SocketAddr>>>, problems: &mut Problems) -> Vec<SocketAddr> {
+    let Some(Placed { value, line }) = seeds else { return Vec::new() };
+    if value.len() > SEEDS_LIMIT {
+        let problem = format!("{} seeds are too many; use at most {SEEDS_LIMIT}", value.len());
+        problems.add(line, "seeds", problem);
     }
-    let problem = format!("`{name}` is not a name of 1 to 64 bytes");
-    Err(SettingsError::Value { key, problem })
+    value
 }
+
+fn check_threads(threads: Option<Placed<usize>>, problems: &mut Problems) -> usize {
+    let Some(Placed { value, line }) = threads else { return DEFAULT_THREADS };
+    if !(1..=THREADS_LIMIT).contains(&value) {
+        problems.add(line, "threads", format!("{value} is not from 1 to {THREADS_LIMIT}"));
+    }
+    value
+}
+
+fn check_stop_notice(millis: Option<Placed<u64>>, problems: &mut Problems) -> Duration {
+    let Some(Placed { value, line }) = millis else { return DEFAULT_STOP_NOTICE };
+    let notice = Duration::from_millis(value);
+    if notice > STOP_NOTICE_LIMIT {
+        let limit = STOP_NOTICE_LIMIT.as_millis();
+        problems.add(line, "stop_notice_ms", format!("{value} is not from 0 to {limit}"));
+    }
+    notice
+}
+
+#[cfg(test)]
+mod tests;
