--- a/crates/berylpin_daemon/src/lib.rs
+++ b/crates/berylpin_daemon/src/lib.rs
@@ -15,4 +15,4 @@
 pub use log_levels::{LevelError, LogLevels, PARTS};
 pub use logging::{Log, LogFormat, discard_log, open_log};
 pub use metrics::install_metrics;
-pub use settings::{DaemonOptions, DaemonSettings, SettingsError};
+pub use settings::{DaemonSettings, DaemonSettingsBuilder, Secret, SettingsError};
