--- /dev/null
+++ b/crates/berylpin_wire/benches/frames.rs
@@ -0,0 +1,100 @@
+//! What a sub-query costs on a link: time to encode and decode, by parts a frame.
+
+use berylpin_core::arena::Slab;
+use berylpin_core::ids::{Key, QueryTag, ReplicaTag, Snapshot, ThreadId};
+use berylpin_core::message::{AttemptId, Batch, Hint, Outcome, Part, PartReply, QueryMessage, Row};
+use berylpin_core::rank::Rank;
+use berylpin_wire::frame::{Decoder, Frame, encode};
+use bytes::{Bytes, BytesMut};
+use divan::Bencher;
+use divan::counter::ItemsCount;
+use std::time::Duration;
+
+/// Sub-queries of one query at one owner.
+const PARTS: [u32; 4] = [1, 4, 20, 100];
+
+fn main() {
+    for parts in PARTS {
+        let batch = encoded(&batch(parts)).len();
+        let replies = encoded(&reply(0)).len();
+        println!("{parts} parts: batch {batch} bytes, reply {replies} bytes each");
+    }
+    divan::main();
+}
+
+fn attempt(position: u32) -> AttemptId {
+    let query = Slab::default().insert(());
+    AttemptId { thread: ThreadId::from_index(1), query, position, ordinal: 0 }
+}
+
+fn tag(position: u32) -> ReplicaTag {
+    ReplicaTag::of(["quota-desk", &position.to_string()])
+}
+
+fn batch(parts: u32) -> Frame {
+    let parts = (0..parts).map(|p| Part { attempt: attempt(p), replica: tag(p) });
+    Frame::Query(QueryMessage::Batch(Batch {
+        query: QueryTag(0x1234_5678_9abc_def0),
+        rank: Rank::Urgent,
+        time_left: Duration::from_millis(250),
+        snapshot: Snapshot(1000),
+        body: Bytes::from_static(b"account-1234"),
+        parts: parts.collect(),
+    }))
+}
+
+fn reply(position: u32) -> Frame {
+    let row = Row { key: "account-1234/01".to_owned(), value: "balance at 1000".to_owned() };
+    Frame::Query(QueryMessage::Reply(PartReply {
+        attempt: attempt(position),
+        replica: tag(position),
+        outcome: Outcome::Rows { snapshot: Snapshot(1000), rows: vec![row] },
+        hint: Hint::default(),
+    }))
+}
+
+fn encoded(frame: &Frame) -> BytesMut {
+    let mut buf = BytesMut::new();
+    encode(frame, &mut buf);
+    buf
+}
+
+fn decode(bytes: &Bytes) -> usize {
+    let mut decoder = Decoder::default();
+    decoder.extend(bytes);
+    std::iter::from_fn(|| decoder.next_frame().ok().flatten()).count()
+}
+
+#[divan::bench(args = PARTS)]
+fn encode_batch(bencher: Bencher<'_, '_>, parts: u32) {
+    let frame = batch(parts);
+    bencher.counter(ItemsCount::new(parts)).bench(|| encoded(&frame));
+}
+
+#[divan::bench(args = PARTS)]
+fn decode_batch(bencher: Bencher<'_, '_>, parts: u32) {
+    let bytes = encoded(&batch(parts)).freeze();
+    bencher.counter(ItemsCount::new(parts)).bench(|| decode(&bytes));
+}
+
+#[divan::bench(args = PARTS)]
+fn encode_replies(bencher: Bencher<'_, '_>, parts: u32) {
+    let frames: Vec<Frame> = (0..parts).map(reply).collect();
+    bencher.counter(ItemsCount::new(parts)).bench(|| {
+        let mut buf = BytesMut::new();
+        for frame in &frames {
+            encode(frame, &mut buf);
+        }
+        buf
+    });
+}
+
+#[divan::bench(args = PARTS)]
+fn decode_replies(bencher: Bencher<'_, '_>, parts: u32) {
+    let mut buf = BytesMut::new();
+    for position in 0..parts {
+        encode(&reply(position), &mut buf);
+    }
+    let bytes = buf.freeze();
+    bencher.counter(ItemsCount::new(parts)).bench(|| decode(&bytes));
+}
