--- a/crates/berylpin/src/bench.rs
+++ b/crates/berylpin/src/bench.rs
@@ -1,17 +1,15 @@
 //! Daemons and stand-ins of one site on loopback.
 
-use berylpin_core::config::ServiceOptions;
 use berylpin_core::ids::Snapshot;
 use berylpin_core::message::SnapshotRange;
-use berylpin_core::rank::Rank;
 use berylpin_daemon::{
-    Daemon, DaemonOptions, DaemonSettings, SettingsError, StartError, SystemClock, discard_log,
+    Daemon, DaemonSettings, SettingsError, StartError, SystemClock, discard_log,
 };
 use berylpin_standin::checker::Layout;
 use berylpin_standin::load::Balancer;
 use berylpin_standin::net::{Net, Proxy, Target, Zone};
 use berylpin_standin::platform::Platform;
-use berylpin_standin::sites::{GroupShape, Site};
+use berylpin_standin::sites::{Document, GroupShape, ReplicaLine, Site};
 use berylpin_standin::upstream::Upstream;
 use berylpin_wire::platform::{SERVICE_PREFIX, Vm};
 use std::io;
@@ -31,11 +29,16 @@
 /// The service that shows how far a document has spread; its work is no load.
 pub(crate) const CANARY: &str = "canary";
 
-/// The deadline of queries to unknown targets.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(1);
-
 /// The last byte of the addresses of proxies.
 const PROXY_HOST: u8 = 200;
+/// How long stopping daemons report not ready.
+const STOP_NOTICE: Duration = Duration::from_millis(300);
+
+/// What operators of a bench authenticate with.
+pub(crate) const ADMIN_TOKEN: &str = "bench-admin-token";
+
+/// What the daemons of a bench authenticate to each other with.
+const FLEET_KEY: &str = "bench-fleet-key-0";
 
 /// Why a bench does not start.
 #[derive(Debug, Error)]
@@ -44,10 +47,6 @@
     Standin(#[from] io::Error),
     #[error("settings: {0}")]
     Settings(#[from] SettingsError),
-    #[error("options: {0}")]
-    Options(#[from] toml::de::Error),
-    #[error("document: {0}")]
-    Document(#[from] toml::ser::Error),
     #[error("daemon: {0}")]
     Daemon(#[from] StartError),
     #[error("daemons are not ready after {READY_LIMIT:?}")]
@@ -62,7 +61,7 @@
     pub(crate) number: usize,
     pub(crate) slots: u16,
     pub(crate) upstream: Arc<Upstream>,
-    pub(crate) proxy: Proxy,
+    _proxy: Proxy,
 }
 
 /// A daemon and the proxy in front of its links.
@@ -83,7 +82,7 @@
     pub(crate) platform: Platform,
     pub(crate) replicas: Vec<Replica>,
     /// The documents as the operators last wrote them.
-    pub(crate) documents: Vec<ServiceOptions>,
+    pub(crate) documents: Vec<Document>,
     pub(crate) entries: Vec<Entry>,
     pub(crate) balancer: Balancer,
     platform_proxy: Proxy,
@@ -112,7 +111,7 @@
         edit: F,
     ) -> Result<Self, BenchError>
     where
-        F: Fn(&mut ServiceOptions),
+        F: Fn(&mut Document),
     {
         let net = Net::new(site.region_delay);
         let platform = Platform::start().await?;
@@ -132,11 +131,10 @@
         };
         for group in &site.groups {
             for index in 0..group.services {
-                let text = bench.start_service(group, index, seed).await?;
-                let mut options = toml::from_str(&text)?;
-                edit(&mut options);
-                bench.documents.push(options);
-                bench.store(bench.documents.len() - 1)?;
+                let mut document = bench.start_service(group, index, seed).await?;
+                edit(&mut document);
+                bench.documents.push(document);
+                bench.store(bench.documents.len() - 1);
             }
         }
         for index in 0..daemons {
@@ -155,9 +153,9 @@
         group: &GroupShape,
         index: usize,
         seed: u64,
-    ) -> Result<String, BenchError> {
+    ) -> Result<Document, BenchError> {
         let service = group.service_name(index);
-        let mut lines = Vec::new();
+        let mut document = group.document(index);
         for number in 0..group.replicas {
             let seed = seed.wrapping_add(self.replicas.len() as u64);
             let upstream = Upstream::start(group.upstream, FIRST_SNAPSHOTS, seed).await?;
@@ -170,7 +168,11 @@
                 counted: false,
             };
             let proxy = Proxy::start(self.net.clone(), PROXY_HOST, target).await?;
-            lines.push((proxy.address(), self.site.data_centres[data_centre]));
+            document.replicas.push(ReplicaLine {
+                address: proxy.address(),
+                data_centre: self.site.data_centres[data_centre],
+                drain: false,
+            });
             let (service, slots) = (service.clone(), group.upstream.slots);
             self.replicas.push(Replica {
                 service,
@@ -178,18 +180,17 @@
                 number,
                 slots,
                 upstream,
-                proxy,
+                _proxy: proxy,
             });
         }
-        Ok(group.document(index, &lines))
+        Ok(document)
     }
 
-    /// Stores a document whatever its version and returns the text.
-    pub(crate) fn store(&self, document: usize) -> Result<String, BenchError> {
+    /// Stores a document whatever its version.
+    pub(crate) fn store(&self, document: usize) {
         let document = &self.documents[document];
-        let text = toml::to_string(document)?;
-        self.platform.store(&format!("{SERVICE_PREFIX}{}", document.service), &text);
-        Ok(text)
+        self.platform
+            .store(&format!("{SERVICE_PREFIX}{}", document.service), &document.to_string());
     }
 
     /// Names a VM and its addresses; its daemon does not run yet.
@@ -220,18 +221,18 @@
     fn run_daemon(&mut self, index: usize) -> Result<(), BenchError> {
         let platform = self.platform_proxy.address();
         let entry = &mut self.entries[index];
-        let data_centre = &entry.vm.data_centre;
-        let text = format!(
-            "name = \"{}\"\ndata_centre = \"{data_centre}\"\nregion = \"{}\"\n\
-             caller_address = \"{}\"\npeer_address = \"{}\"\nadmin_address = \"{}\"\n\
-             platform = \"{platform}\"\nstop_notice_ms = 300\n",
-            entry.vm.name,
-            data_centre.trim_end_matches("-1"),
-            entry.caller_address,
-            entry.peer_address,
-            entry.admin_address,
-        );
-        let settings = DaemonSettings::check(toml::from_str::<DaemonOptions>(&text)?)?;
+        let settings = DaemonSettings::builder()
+            .name(&entry.vm.name)
+            .data_centre(&entry.vm.data_centre)
+            .region(entry.vm.data_centre.trim_end_matches("-1"))
+            .caller_address(entry.caller_address)
+            .peer_address(entry.peer_address)
+            .admin_address(entry.admin_address)
+            .platform(platform)
+            .admin_token(ADMIN_TOKEN)
+            .fleet_key(FLEET_KEY)
+            .stop_notice(STOP_NOTICE)
+            .build()?;
         entry.daemon = Some(Daemon::start(settings, Arc::new(SystemClock), discard_log())?);
         self.balancer.set(index, Some(entry.caller_address));
         Ok(())
@@ -286,19 +287,6 @@
         running.map(|(index, entry)| (index, entry.caller_address))
     }
 
-    /// Returns how soon a target's document wants answers of a rank.
-    pub(crate) fn deadline(&self, target: &str, rank: Rank) -> Duration {
-        let find = |document: &&ServiceOptions| names(document, target);
-        let targets =
-            self.documents.iter().find(find).map(|d| d.targets.clone()).unwrap_or_default();
-        let target = match rank {
-            Rank::Urgent => targets.urgent,
-            Rank::Standard => targets.standard,
-            Rank::Background => targets.background,
-        };
-        target.unwrap_or(DEFAULT_DEADLINE)
-    }
-
     /// Returns where stand-ins of operators reach the platform.
     pub(crate) fn platform_address(&self) -> SocketAddr {
         self.platform.address()
@@ -328,16 +316,16 @@
     }
 }
 
-fn names(document: &ServiceOptions, target: &str) -> bool {
-    document.service == target || document.group.as_deref() == Some(target)
+fn names(document: &Document, target: &str) -> bool {
+    document.service == target || document.group == target
 }
 
 /// Returns the shards of a service or group in documents.
-pub(crate) fn layout(documents: &[ServiceOptions], target: &str) -> Layout {
+pub(crate) fn layout(documents: &[Document], target: &str) -> Layout {
     let mut layout = Layout::new();
     for document in documents.iter().filter(|document| names(document, target)) {
-        let shards = document.shard.iter();
-        layout.extend(shards.map(|shard| (document.service.clone(), shard.name.clone())));
+        let shards = document.shards.iter();
+        layout.extend(shards.map(|shard| (document.service.clone(), shard.clone())));
     }
     layout.sort_unstable();
     layout
--- a/crates/berylpin/src/commands/experiment.rs
+++ b/crates/berylpin/src/commands/experiment.rs
@@ -1,15 +1,32 @@
 //! `berylpin experiment`: a scenario with faults against stand-ins in one process.
 
-use crate::args::{CommandError, finish};
+use crate::args::{Command, CommandError, finish};
 use crate::experiment::{Scenario, plot, run, table};
 use pico_args::Arguments;
 use std::path::PathBuf;
 
+pub(crate) const COMMAND: Command = Command {
+    name: "experiment",
+    summary: "run a scenario with faults against stand-ins in one process",
+    help: "\
+Usage: berylpin experiment FILE [--seed N] [--json] [--plot FILE]
+
+  --seed N         the seed of load, service times and chosen faults; 1 if absent
+  --json           print the report as JSON
+  --plot FILE      write latency and coverage over time as SVG
+
+Exit code 1 if a promise was broken.
+
+Example: berylpin experiment experiments/straggler.toml --plot straggler.svg
+",
+    run: run_scenario,
+};
+
 /// Threads that carry stand-ins and callers; daemons have their own.
 const WORKERS: usize = 4;
 
 /// Runs the subcommand.
-pub(crate) fn run_experiment(mut args: Arguments) -> Result<(), CommandError> {
+fn run_scenario(mut args: Arguments) -> Result<(), CommandError> {
     let seed = args.opt_value_from_str("--seed")?.unwrap_or(1);
     let json = args.contains("--json");
     let picture: Option<PathBuf> = args.opt_value_from_str("--plot")?;
--- a/crates/berylpin/src/experiment/canary.rs
+++ b/crates/berylpin/src/experiment/canary.rs
@@ -107,11 +107,11 @@
 
 /// Returns the text of the next change and its number.
 fn next_text(text: &str) -> Option<(String, u64)> {
-    let mut document: berylpin_core::config::ServiceOptions = toml::from_str(text).ok()?;
-    let shard = document.shard.first_mut()?;
-    let change = change_of(&shard.name)? + 1;
-    shard.name = format!("r{change}");
-    Some((toml::to_string(&document).ok()?, change))
+    let (_, rest) = text.split_once("name = \"")?;
+    let (name, _) = rest.split_once('"')?;
+    let change = change_of(name)? + 1;
+    let line = |name: &str| format!("name = \"{name}\"");
+    Some((text.replacen(&line(name), &line(&format!("r{change}")), 1), change))
 }
 
 /// Returns the number of the change that the platform holds.
--- a/crates/berylpin/src/experiment/faults.rs
+++ b/crates/berylpin/src/experiment/faults.rs
@@ -3,9 +3,9 @@
 use super::canary::{self, Edit};
 use super::scenario::{Action, Fault, Pick, PlatformAction, UpstreamAction};
 use crate::bench::{Bench, BenchError};
-use berylpin_core::config::{ServiceOptions, ShardOptions};
 use berylpin_standin::net::Zone;
 use berylpin_standin::platform::PlatformFaults;
+use berylpin_standin::sites::Document;
 use berylpin_standin::upstream::UpstreamFaults;
 use std::sync::Arc;
 use std::time::Duration;
@@ -46,7 +46,7 @@
 ) -> Result<(), BenchError> {
     match &fault.what {
         Action::Upstream(action) => set_upstreams(bench, action, apply),
-        Action::DrainByDocument(pick) => drain_by_document(bench, pick, apply)?,
+        Action::DrainByDocument(pick) => drain_by_document(bench, pick, apply),
         Action::Platform(action) => bench.platform.set_faults(platform_faults(action, apply)),
         Action::Cut { between: [a, b] } => bench.net.set_cut(Zone(*a), Zone(*b), apply),
         // The driver reads the factor from the timeline.
@@ -55,7 +55,7 @@
         Action::Version { group } => publish(bench, group),
         Action::Repartition { service } => {
             if let Some(at) = split(&mut bench.documents, service) {
-                bench.store(at)?;
+                bench.store(at);
             }
         }
         Action::Stop { daemon } => end(bench, *daemon, true, log),
@@ -101,7 +101,7 @@
     }
 }
 
-fn drain_by_document(bench: &mut Bench, pick: &Pick, apply: bool) -> Result<(), BenchError> {
+fn drain_by_document(bench: &mut Bench, pick: &Pick, apply: bool) {
     for at in 0..bench.documents.len() {
         let service = bench.documents[at].service.clone();
         if !service.starts_with(&pick.service) {
@@ -110,16 +110,11 @@
         for replica in bench.replicas.iter().filter(|r| r.service == service) {
             if pick.names(&service, replica.number) {
                 replica.upstream.mark_drain(apply);
-                let shards = bench.documents[at].shard.iter_mut();
-                shards
-                    .flat_map(|shard| &mut shard.replica)
-                    .filter(|options| options.address == replica.proxy.address())
-                    .for_each(|options| options.drain = apply);
+                bench.documents[at].replicas[replica.number].drain = apply;
             }
         }
-        bench.store(at)?;
+        bench.store(at);
     }
-    Ok(())
 }
 
 fn platform_faults(action: &PlatformAction, apply: bool) -> PlatformFaults {
@@ -147,12 +142,9 @@
 }
 
 /// Splits the shard of a service in two and returns the position of its document.
-pub(super) fn split(documents: &mut [ServiceOptions], service: &str) -> Option<usize> {
+pub(super) fn split(documents: &mut [Document], service: &str) -> Option<usize> {
     let at = documents.iter().position(|document| document.service == service)?;
-    let shards = &mut documents[at].shard;
-    let whole = shards.pop()?;
-    let part = |name: &str| ShardOptions { name: name.to_owned(), ..whole.clone() };
-    shards.extend([part("low"), part("high")]);
+    documents[at].shards = ["low", "high"].map(str::to_owned).to_vec();
     Some(at)
 }
 
--- a/crates/berylpin/src/experiment/run.rs
+++ b/crates/berylpin/src/experiment/run.rs
@@ -8,7 +8,7 @@
 use crate::bench::{Bench, BenchError, TotalWork};
 use berylpin_standin::checker::Layout;
 use berylpin_standin::load::{Sample, Stream, caller_client, drive};
-use berylpin_standin::sites::Site;
+use berylpin_standin::sites::{Document, Site, TARGETS};
 use serde::Serialize;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
@@ -36,8 +36,8 @@
     scenario.choose_faults(seed);
     let site = site_of(&scenario);
     let extra_load = scenario.extra_load;
-    let edit = |options: &mut berylpin_core::config::ServiceOptions| {
-        options.extra_load = extra_load.or(options.extra_load);
+    let edit = |document: &mut Document| {
+        document.extra_load = extra_load;
     };
     let mut bench = Bench::start(&site, scenario.daemons, seed, edit).await?;
     bench.wait_ready().await?;
@@ -126,7 +126,7 @@
         rank: load.rank,
         target: load.target.clone(),
         rate: load.rate,
-        deadline: bench.deadline(&load.target, load.rank),
+        deadline: TARGETS[load.rank.index()],
         client_delay: site.client_delay,
         layouts: layouts(bench, scenario, &load.target),
     };
--- a/crates/berylpin_standin/src/sites.rs
+++ b/crates/berylpin_standin/src/sites.rs
@@ -1,7 +1,8 @@
 //! The sizes of today's two sites.
 
 use crate::upstream::UpstreamShape;
-use std::fmt::Write;
+use berylpin_core::rank::Rank;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,13 +12,9 @@
 /// The shard of every service at first.
 pub const FIRST_SHARD: &str = "main";
 
-/// How soon answers should arrive.
-const TARGETS: &str = "\
-[targets]
-urgent = \"250ms\"
-standard = \"1s\"
-background = \"5s\"
-";
+/// How soon answers should arrive, indexed by rank.
+pub const TARGETS: [Duration; Rank::COUNT] =
+    [Duration::from_millis(250), Duration::from_secs(1), Duration::from_secs(5)];
 
 /// A customer and its services.
 #[derive(Clone, Debug)]
@@ -69,23 +66,70 @@
         format!("{}-{:02}", self.name, index + 1)
     }
 
-    /// Writes the document of one of its services.
-    pub fn document(&self, index: usize, replicas: &[(SocketAddr, &str)]) -> String {
-        let mut text = format!(
-            "service = \"{}\"\ngroup = \"{}\"\n\n{TARGETS}\n[[shard]]\nname = \"{FIRST_SHARD}\"\n",
-            self.service_name(index),
-            self.name
-        );
-        for (address, data_centre) in replicas {
-            // Writing to a string cannot fail.
-            let _ = write!(
-                text,
-                "\n[[shard.replica]]\naddress = \"{address}\"\ndata_centre = \"{data_centre}\"\n\
-                 slots = {}\nconnections = {}\n",
-                self.upstream.slots, self.connections
-            );
+    /// Returns the document of one of its services, still without replicas.
+    pub fn document(&self, index: usize) -> Document {
+        Document {
+            service: self.service_name(index),
+            group: self.name,
+            extra_load: None,
+            shards: vec![FIRST_SHARD.to_owned()],
+            replicas: Vec::new(),
+            slots: self.upstream.slots,
+            connections: self.connections,
         }
-        text
+    }
+}
+
+/// What an operator writes about a service.
+#[derive(Clone, Debug)]
+pub struct Document {
+    /// The name of the service.
+    pub service: String,
+    /// Its group.
+    pub group: &'static str,
+    /// The share of hedges and retries allowed; the product's default if absent.
+    pub extra_load: Option<f64>,
+    /// The names of its shards.
+    pub shards: Vec<String>,
+    /// Its replicas; each holds all shards.
+    pub replicas: Vec<ReplicaLine>,
+    /// Slots of each replica.
+    pub slots: u16,
+    /// Connections that each replica accepts.
+    pub connections: u16,
+}
+
+/// A replica in a document.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplicaLine {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub data_centre: &'static str,
+    /// Whether it is to get no new work.
+    pub drain: bool,
+}
+
+/// The TOML text.
+impl fmt::Display for Document {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "service = \"{}\"\ngroup = \"{}\"", self.service, self.group)?;
+        if let Some(share) = self.extra_load {
+            writeln!(f, "extra_load = {share:?}")?;
+        }
+        writeln!(f, "\n[targets]")?;
+        for rank in Rank::ALL {
+            writeln!(f, "{rank} = \"{}ms\"", TARGETS[rank.index()].as_millis())?;
+        }
+        for shard in &self.shards {
+            writeln!(f, "\n[[shard]]\nname = \"{shard}\"")?;
+            for ReplicaLine { address, data_centre, drain } in &self.replicas {
+                writeln!(f, "\n[[shard.replica]]\naddress = \"{address}\"")?;
+                writeln!(f, "data_centre = \"{data_centre}\"\nslots = {}", self.slots)?;
+                writeln!(f, "connections = {}\ndrain = {drain}", self.connections)?;
+            }
+        }
+        Ok(())
     }
 }
 
