--- a/crates/berylpin_core/src/arena.rs
+++ b/crates/berylpin_core/src/arena.rs
@@ -33,6 +33,11 @@
         self.entries.get(key.index())
     }
 
+    /// Returns the entry to change it, or `None` for a key of a newer arena.
+    pub fn get_mut(&mut self, key: K) -> Option<&mut V> {
+        self.entries.get_mut(key.index())
+    }
+
     /// Returns how many entries there are.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -113,13 +118,22 @@
 impl<V> Slab<V> {
     /// Stores a value and returns its key.
     pub fn insert(&mut self, value: V) -> SlabKey {
+        self.insert_with(|_| value)
+    }
+
+    /// Stores a value that knows its key, and returns the key.
+    pub fn insert_with<F>(&mut self, make: F) -> SlabKey
+    where
+        F: FnOnce(SlabKey) -> V,
+    {
         let index = self.free.pop().unwrap_or_else(|| {
             self.places.push((0, None));
             self.places.len() as u32 - 1
         });
         let place = &mut self.places[index as usize];
-        place.1 = Some(value);
-        SlabKey { index, generation: place.0 }
+        let key = SlabKey { index, generation: place.0 };
+        place.1 = Some(make(key));
+        key
     }
 
     /// Returns the value of a key that was not removed yet.
--- a/crates/berylpin_core/src/decision.rs
+++ b/crates/berylpin_core/src/decision.rs
@@ -46,6 +46,37 @@
         /// Why.
         reason: FailReason,
     },
+    /// A call made no progress and its connection was replaced.
+    Stalled {
+        /// The query.
+        query: QueryTag,
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// An owner changed which queries a replica sheds.
+    ShedLevel {
+        /// The replica.
+        replica: ReplicaTag,
+        /// The rank.
+        rank: Rank,
+        /// Queries at or above this level are refused.
+        level: u16,
+    },
+    /// A replica was ejected because its calls failed.
+    Ejected {
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// A replica that was ejected or drained takes work again.
+    Returned {
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// A replica said that it is leaving and gets nothing new.
+    Drained {
+        /// The replica.
+        replica: ReplicaTag,
+    },
 }
 
 /// Why an attempt was made.
--- a/crates/berylpin_core/src/message.rs
+++ b/crates/berylpin_core/src/message.rs
@@ -151,7 +151,7 @@
 pub struct Hint {
     /// The snapshots that the replica serves; `None` until the owner knows.
     pub snapshots: Option<SnapshotRange>,
-    /// How long a new sub-query would wait for a slot, in microseconds on the wire.
+    /// How long a new urgent sub-query would wait for a slot, in microseconds on the wire.
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     pub queue_delay: Duration,
     /// Levels at or above this one are refused, for each rank; see [`QueryTag::level`].
--- /dev/null
+++ b/crates/berylpin_core/src/replica/calls.rs
@@ -0,0 +1,244 @@
+//! Calls to upstreams: their start, their results, and those without progress.
+
+use super::health::Change;
+use super::job::{Job, RunningCall};
+use super::owner::{Action, Owner, Timer};
+use crate::arena::SlabKey;
+use crate::decision::Decision;
+use crate::ids::{QueryTag, ReplicaId, Snapshot};
+use crate::message::{FailReason, Outcome, Row, SnapshotRange};
+use crate::rank::Rank;
+use crate::verdict::Verdict;
+use bytes::Bytes;
+use rand::Rng;
+use std::time::{Duration, Instant};
+
+/// Names a call to an upstream; an old key finds nothing.
+pub type CallKey = SlabKey;
+
+/// A call that the shell makes to an upstream.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Returned with the result.
+    pub key: CallKey,
+    /// The replica to call.
+    pub replica: ReplicaId,
+    /// Sent as the request id; the upstream echoes it.
+    pub request: QueryTag,
+    /// The snapshot to answer from.
+    pub snapshot: Snapshot,
+    /// How urgent it is.
+    pub rank: Rank,
+    /// Time left until the deadline; never zero.
+    pub time_left: Duration,
+    /// What is asked.
+    pub body: Bytes,
+}
+
+/// What an upstream said to a call.
+#[derive(Clone, Debug)]
+pub enum CallResult {
+    /// A success status with a well-formed body.
+    Rows {
+        /// The request id echoed.
+        request: QueryTag,
+        /// The shard echoed.
+        shard: String,
+        /// The snapshot of the rows.
+        snapshot: Snapshot,
+        /// The snapshots that the upstream serves.
+        serves: SnapshotRange,
+        /// The rows.
+        rows: Vec<Row>,
+    },
+    /// There is no result.
+    Failed {
+        /// Whether it may have run.
+        verdict: Verdict,
+        /// Why there is none.
+        reason: FailReason,
+    },
+}
+
+impl Owner {
+    /// Starts waiting jobs while slots are free.
+    pub(super) fn start_waiting(
+        &mut self,
+        now: Instant,
+        replica: ReplicaId,
+        out: &mut Vec<Action>,
+    ) {
+        loop {
+            let state = &mut self.replicas[replica];
+            let settings = &self.view.topology.replicas[replica].settings;
+            if state.free_slots(settings) == 0 {
+                return;
+            }
+            let means = state.latencies.means();
+            let Some((rank, waiting)) = state.queue.pop(means) else { return };
+            if waiting.deadline <= now + state.needed_time(now, rank) {
+                state.levels.dropped(rank);
+                self.refuse(waiting.key, FailReason::Deadline, out);
+            } else {
+                self.start(now, waiting.key, out);
+            }
+        }
+    }
+
+    fn start(&mut self, now: Instant, key: SlabKey, out: &mut Vec<Action>) {
+        let request = QueryTag(self.rng.random());
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        job.call = Some(RunningCall { started: now, request, wanted: true, stalled: false });
+        let state = &mut self.replicas[job.replica];
+        state.running += 1;
+        let time_left = job.waiting.deadline - now;
+        let give_up = now + state.latencies.give_up_after(job.rank, time_left);
+        self.timers.set(give_up, Timer::Overdue(key));
+        let replica = self.view.topology.replicas[job.replica].settings.tag;
+        out.push(Action::Decided(Decision::Started { query: job.query, replica }));
+        out.push(Action::Call(Call {
+            key,
+            replica: job.replica,
+            request,
+            snapshot: job.snapshot,
+            rank: job.rank,
+            time_left,
+            body: job.body.clone(),
+        }));
+    }
+
+    pub(super) fn called(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        result: CallResult,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(call) = self.jobs.get(key).and_then(|job| job.call) else { return };
+        let Some(job) = self.jobs.remove(key) else { return };
+        let replica = job.replica;
+        self.replicas[replica].running -= 1;
+        let outcome = self.judge(&job, call, result);
+        if call.wanted {
+            self.replicas[replica].remove_job(job.name);
+        }
+        let change = self.learn(now, &job, call, &outcome);
+        let drained = matches!(outcome, Outcome::Failed { reason: FailReason::Draining, .. });
+        if drained {
+            self.drain(now, replica, out);
+        }
+        if call.wanted {
+            self.reply(job.name, replica, outcome, out);
+        }
+        self.changed(replica, change, out);
+        self.start_waiting(now, replica, out);
+    }
+
+    /// Checks that a result answers the call.
+    fn judge(&mut self, job: &Job, call: RunningCall, result: CallResult) -> Outcome {
+        let shard = self.view.topology.replicas[job.replica].shard;
+        let known = &mut self.replicas[job.replica].snapshots;
+        match result {
+            CallResult::Rows { request, shard: name, snapshot, serves, rows } => {
+                let matches = request == call.request
+                    && name == self.view.topology.shards[shard].name
+                    && snapshot == job.snapshot;
+                if !matches || !known.report(serves) {
+                    let (verdict, reason) = (Verdict::MayHaveRun, FailReason::BadReply);
+                    return Outcome::Failed { verdict, reason };
+                }
+                known.answered(snapshot);
+                Outcome::Rows { snapshot, rows }
+            }
+            CallResult::Failed { verdict, reason } => {
+                if reason == FailReason::SnapshotGone {
+                    known.gone(job.snapshot);
+                }
+                Outcome::Failed { verdict, reason }
+            }
+        }
+    }
+
+    /// Notes what the end of a call says about its replica.
+    fn learn(&mut self, now: Instant, job: &Job, call: RunningCall, outcome: &Outcome) -> Change {
+        let state = &mut self.replicas[job.replica];
+        match outcome {
+            Outcome::Rows { .. } => {
+                state.latencies.record(job.rank, now.saturating_duration_since(call.started));
+                state.levels.completed(job.rank);
+                state.probes.last_result = Some(now);
+                state.health.succeeded()
+            }
+            // The failure of a call that was given up or cancelled is of our own making.
+            Outcome::Failed { .. } if call.stalled || !call.wanted => Change::None,
+            Outcome::Failed { reason: FailReason::Overloaded, .. } => {
+                state.levels.refused(job.rank);
+                Change::None
+            }
+            Outcome::Failed { reason, .. } if is_fault(*reason) => state.health.failed(now),
+            Outcome::Failed { .. } => Change::None,
+        }
+    }
+
+    /// Gives up a call that has no result in time.
+    pub(super) fn overdue(&mut self, now: Instant, key: CallKey, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let Some(call) = job.call.filter(|call| !call.stalled) else { return };
+        let bound = self.replicas[job.replica].latencies.stall_bound(job.rank);
+        if now < call.started + bound {
+            self.timers.set(call.started + bound, Timer::Overdue(key));
+            self.late(key, out);
+        } else {
+            self.stalled(now, key, out);
+        }
+    }
+
+    /// Gives up a call whose deadline is near; its connection is not suspect yet.
+    fn late(&mut self, key: CallKey, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let Some(call) = job.call.filter(|call| call.wanted) else { return };
+        let (replica, request) = (job.replica, call.request);
+        self.replicas[replica].levels.dropped(job.rank);
+        out.push(Action::Abort { replica, request });
+        self.disown(key, FailReason::Deadline, out);
+    }
+
+    /// Gives up a call that made no progress, and its connection.
+    fn stalled(&mut self, now: Instant, key: CallKey, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let Some(call) = &mut job.call else { return };
+        call.stalled = true;
+        let (replica, rank, query) = (job.replica, job.rank, job.query);
+        let RunningCall { started, request, .. } = *call;
+        let tag = self.tag(replica);
+        out.push(Action::Decided(Decision::Stalled { query, replica: tag }));
+        out.push(Action::Reconnect { replica, call: key });
+        out.push(Action::Abort { replica, request });
+        let state = &mut self.replicas[replica];
+        // A call that began before the last reconnect may have been on a connection of that time,
+        // and a replica that gave a result since is alive.
+        let excused = state.reconnected.is_some_and(|at| at >= started)
+            || state.probes.last_result.is_some_and(|at| at >= started);
+        state.reconnected = Some(now);
+        state.latencies.record(rank, now.saturating_duration_since(started));
+        let change = if excused { Change::None } else { state.health.failed(now) };
+        self.disown(key, FailReason::Connection, out);
+        self.changed(replica, change, out);
+    }
+
+    /// Replies for a call that is still in progress, if the reply is wanted.
+    fn disown(&mut self, key: CallKey, reason: FailReason, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let (name, replica) = (job.name, job.replica);
+        let Some(call) = job.call.as_mut().filter(|call| call.wanted) else { return };
+        call.wanted = false;
+        self.replicas[replica].remove_job(name);
+        let outcome = Outcome::Failed { verdict: Verdict::MayHaveRun, reason };
+        self.reply(name, replica, outcome, out);
+    }
+}
+
+/// Returns whether a failure speaks against the replica and not against the request or the load.
+fn is_fault(reason: FailReason) -> bool {
+    matches!(reason, FailReason::Connection | FailReason::BadReply | FailReason::UpstreamError)
+}
--- /dev/null
+++ b/crates/berylpin_core/src/replica/health/tests.rs
@@ -0,0 +1,70 @@
+use super::*;
+use proptest::prelude::*;
+
+/// A replica whose work always fails while every probe is answered.
+#[test]
+fn answered_probes_do_not_keep_a_failing_replica_in_use() {
+    let mut now = Instant::now();
+    let mut health = Health::default();
+    let mut calls = 0;
+    for _ in 0..300 {
+        now += Duration::from_secs(1);
+        health.probed(now);
+        while health.is_usable() {
+            health.failed(now);
+            calls += 1;
+        }
+    }
+    // Three calls until the first ejection, then one after each back-off of 2, 4, 8, 16, 30, 30 s.
+    assert!((EJECT_AFTER..EJECT_AFTER + 15).contains(&calls), "{calls} calls");
+}
+
+#[test]
+fn half_of_the_calls_failing_ejects() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    let mut calls = 0;
+    while health.is_usable() && calls < 200 {
+        health.failed(now);
+        if health.is_usable() {
+            health.failed(now);
+        }
+        health.succeeded();
+        calls += 3;
+    }
+    assert!(calls < 40, "{calls} calls");
+}
+
+#[test]
+fn drained_replica_returns_only_after_a_restart_or_the_hold() {
+    let now = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut health = Health::default();
+    health.drained(now);
+    assert_eq!(health.probed(now + second), Change::None);
+    assert_eq!(health.slots(6), 0);
+    health.probe_failed(now + second * 2);
+    assert_eq!(health.probed(now + second * 3), Change::Returned);
+    assert_eq!(health.slots(6), 1);
+    health.drained(now);
+    assert_eq!(health.probed(now + DRAIN_HOLD), Change::Returned);
+}
+
+proptest! {
+    /// Rare failures never eject, and two results in a row end an ejection.
+    #[test]
+    fn rare_failures_do_not_eject(good in 3_u32..40, rounds in 1_u32..100) {
+        let now = Instant::now();
+        let mut health = Health::default();
+        for _ in 0..rounds {
+            prop_assert_eq!(health.failed(now), Change::None);
+            (0..good).for_each(|_| { health.succeeded(); });
+        }
+        while health.is_usable() {
+            health.failed(now);
+        }
+        health.succeeded();
+        prop_assert_eq!(health.succeeded(), Change::Returned);
+        prop_assert_eq!(health.slots(6), 1);
+    }
+}
--- /dev/null
+++ b/crates/berylpin_core/src/replica/intake.rs
@@ -0,0 +1,162 @@
+//! What entries ask of an owner: sub-queries, cancellations and inquiries.
+
+use super::job::Job;
+use super::owner::{Action, Owner, Timer};
+use super::queue::Waiting;
+use super::shedding::ADJUST_INTERVAL;
+use crate::decision::Decision;
+use crate::ids::{MemberId, ReplicaId, ReplicaTag, ThreadId};
+use crate::message::{Batch, FailReason, Hint, Outcome, Part, PartReply, QueryMessage};
+use crate::rank::Rank;
+use crate::verdict::Verdict;
+use std::time::Instant;
+
+/// Sub-queries that may wait or run on one thread, for each rank; more are refused.
+///
+/// Lower ranks reach their limit first, so that they cannot keep urgent work out.
+const JOB_LIMITS: [usize; Rank::COUNT] = [32 * 1024, 24 * 1024, 16 * 1024];
+
+impl Owner {
+    pub(super) fn batch(
+        &mut self,
+        now: Instant,
+        from: MemberId,
+        batch: &Batch,
+        out: &mut Vec<Action>,
+    ) {
+        for part in &batch.parts {
+            let known = self.view.topology.replica(part.replica);
+            let admitted = known
+                .filter(|id| self.replicas[*id].owned)
+                .ok_or(FailReason::NotOwner)
+                .and_then(|replica| self.admit(replica, batch));
+            match admitted {
+                Ok(replica) => self.enqueue(now, replica, (from, part.attempt), batch, out),
+                Err(reason) => self.refuse_part(from, *part, batch, reason, out),
+            }
+        }
+    }
+
+    fn admit(&mut self, replica: ReplicaId, batch: &Batch) -> Result<ReplicaId, FailReason> {
+        let state = &mut self.replicas[replica];
+        if state.is_draining() {
+            return Err(FailReason::Draining);
+        }
+        if batch.time_left.is_zero() {
+            return Err(FailReason::Deadline);
+        }
+        let full = self.jobs.len() >= JOB_LIMITS[batch.rank.index()];
+        if full || !state.levels.admit(batch.rank, batch.query.level(), batch.time_left) {
+            return Err(FailReason::Overloaded);
+        }
+        Ok(replica)
+    }
+
+    fn enqueue(
+        &mut self,
+        now: Instant,
+        replica: ReplicaId,
+        name: super::job::JobName,
+        batch: &Batch,
+        out: &mut Vec<Action>,
+    ) {
+        let state = &mut self.replicas[replica];
+        if state.job(name).is_some() {
+            // The attempt is here already and gets one reply.
+            return;
+        }
+        let deadline = now + batch.time_left;
+        let jobs = &mut self.jobs;
+        let key = jobs.insert_with(|key| Job {
+            name,
+            query: batch.query,
+            replica,
+            rank: batch.rank,
+            snapshot: batch.snapshot,
+            body: batch.body.clone(),
+            waiting: Waiting { level: batch.query.level(), deadline, key, arrived: now },
+            call: None,
+        });
+        state.add_job(name, key);
+        let Some(waiting) = jobs.get(key).map(|job| job.waiting) else { return };
+        let evicted = state.queue.push(batch.rank, waiting);
+        if !state.adjusting {
+            state.adjusting = true;
+            self.timers.set(now + ADJUST_INTERVAL, Timer::Adjust(replica));
+        }
+        if let Some(evicted) = evicted {
+            state.levels.dropped(batch.rank);
+            self.refuse(evicted.key, FailReason::Overloaded, out);
+        }
+        self.start_waiting(now, replica, out);
+    }
+
+    /// Refuses a part that never became a job.
+    fn refuse_part(
+        &self,
+        from: MemberId,
+        part: Part,
+        batch: &Batch,
+        reason: FailReason,
+        out: &mut Vec<Action>,
+    ) {
+        let Part { attempt, replica } = part;
+        let owned = self.view.topology.replica(replica).filter(|id| self.replicas[*id].owned);
+        let hint = owned.map_or_else(Hint::default, |id| self.hint(id));
+        out.push(Action::Decided(Decision::Refused { query: batch.query, replica, reason }));
+        let outcome = Outcome::Failed { verdict: Verdict::NotRun, reason };
+        let reply = PartReply { attempt, replica, outcome, hint };
+        out.push(Action::Send(from, QueryMessage::Reply(reply)));
+    }
+
+    pub(super) fn cancel(&mut self, from: MemberId, parts: &[Part], out: &mut Vec<Action>) {
+        for part in parts {
+            let Some(replica) = self.view.topology.replica(part.replica) else { continue };
+            let name = (from, part.attempt);
+            let state = &mut self.replicas[replica];
+            let Some(key) = state.job(name) else { continue };
+            state.remove_job(name);
+            let Some(job) = self.jobs.get_mut(key) else { continue };
+            if let Some(call) = &mut job.call {
+                // The slot stays taken until the call ends.
+                call.wanted = false;
+                out.push(Action::Abort { replica, request: call.request });
+            } else {
+                state.queue.remove(job.rank, &job.waiting);
+                self.jobs.remove(key);
+            }
+        }
+    }
+
+    pub(super) fn inquired(
+        &self,
+        from: MemberId,
+        thread: ThreadId,
+        tags: &[ReplicaTag],
+        out: &mut Vec<Action>,
+    ) {
+        let known = tags.iter().filter_map(|tag| Some((*tag, self.view.topology.replica(*tag)?)));
+        let owned = known.filter(|(_, id)| self.replicas[*id].owned);
+        let hints: Vec<_> = owned.map(|(tag, id)| (tag, self.hint(id))).collect();
+        if !hints.is_empty() {
+            out.push(Action::Send(from, QueryMessage::Hints { thread, hints }));
+        }
+    }
+
+    /// Refuses waiting sub-queries that cannot meet their deadline even if they started now.
+    pub(super) fn drop_late(&mut self, now: Instant, replica: ReplicaId, out: &mut Vec<Action>) {
+        let state = &mut self.replicas[replica];
+        let mut late = Vec::new();
+        for rank in Rank::ALL {
+            let needed = state.needed_time(now, rank);
+            let keys = state.queue.extract(rank, |waiting| waiting.deadline <= now + needed);
+            for _ in &keys {
+                state.levels.dropped(rank);
+            }
+            late.extend(keys);
+        }
+        for key in late {
+            self.refuse(key, FailReason::Deadline, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/berylpin_core/src/replica/latency.rs
@@ -0,0 +1,75 @@
+//! How long the calls to one replica take.
+
+use crate::rank::Rank;
+use std::time::Duration;
+
+/// Weight of a new sample in the mean, as a divisor.
+const MEAN_SMOOTHING: u32 = 8;
+/// Weight of a new sample in the deviation, as a divisor.
+const DEVIATION_SMOOTHING: u32 = 4;
+/// Deviations above the mean from which on a call counts as stalled.
+const STALL_DEVIATIONS: u32 = 8;
+/// The least multiple of the mean from which on a call counts as stalled.
+const STALL_MEANS: u32 = 4;
+/// The least time after which a call counts as stalled.
+const STALL_FLOOR: Duration = Duration::from_millis(40);
+/// After what time a call counts as stalled while no call has ended yet.
+const FIRST_STALL: Duration = Duration::from_millis(500);
+
+/// The part of the time left after which a call is given up, so that the entry still can act.
+const GIVE_UP_SHARE: f64 = 0.95;
+
+/// Mean and mean deviation of the service times of each rank.
+#[derive(Debug, Default)]
+pub(super) struct Latencies {
+    /// Indexed by rank; `None` until a call ended.
+    ranks: [Option<Estimate>; Rank::COUNT],
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    mean: Duration,
+    deviation: Duration,
+}
+
+impl Latencies {
+    /// Counts a call that ended with a result or stalled.
+    ///
+    /// A stall counts with the time it was given, so that the bound of a replica that has become
+    /// slow for good grows until its calls fit.
+    pub(super) fn record(&mut self, rank: Rank, elapsed: Duration) {
+        let estimate = &mut self.ranks[rank.index()];
+        *estimate = Some(match *estimate {
+            None => Estimate { mean: elapsed, deviation: elapsed / 2 },
+            Some(Estimate { mean, deviation }) => Estimate {
+                mean: smooth(mean, elapsed, MEAN_SMOOTHING),
+                deviation: smooth(deviation, elapsed.abs_diff(mean), DEVIATION_SMOOTHING),
+            },
+        });
+    }
+
+    /// Returns the mean service time of each rank; an unknown one is taken from its neighbours.
+    pub(super) fn means(&self) -> [Duration; Rank::COUNT] {
+        let known = self.ranks.iter().flatten().map(|estimate| estimate.mean).min();
+        self.ranks.map(|estimate| estimate.map_or(known.unwrap_or_default(), |e| e.mean))
+    }
+
+    /// Returns after what time a call without a result is stalled.
+    pub(super) fn stall_bound(&self, rank: Rank) -> Duration {
+        self.ranks[rank.index()].map_or(FIRST_STALL, |Estimate { mean, deviation }| {
+            (mean + deviation * STALL_DEVIATIONS).max(mean * STALL_MEANS).max(STALL_FLOOR)
+        })
+    }
+
+    /// Returns after what time a call is given up: the stall bound, and always before its deadline.
+    pub(super) fn give_up_after(&self, rank: Rank, time_left: Duration) -> Duration {
+        self.stall_bound(rank).min(time_left.mul_f64(GIVE_UP_SHARE))
+    }
+}
+
+fn smooth(mean: Duration, sample: Duration, smoothing: u32) -> Duration {
+    (mean * (smoothing - 1) + sample) / smoothing
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/replica/latency/tests.rs
@@ -0,0 +1,36 @@
+use super::*;
+use proptest::prelude::*;
+
+proptest! {
+    /// Ordinary spread does not count as a stall, and the bound comes before the deadline.
+    #[test]
+    fn bound_lies_above_ordinary_latency_and_below_the_deadline(
+        elapsed_ms in prop::collection::vec(5_u64..20, 20..100),
+        time_left_ms in 1_u64..10_000,
+    ) {
+        let mut latencies = Latencies::default();
+        for ms in elapsed_ms {
+            latencies.record(Rank::Urgent, Duration::from_millis(ms));
+        }
+        prop_assert!(latencies.stall_bound(Rank::Urgent) >= STALL_FLOOR);
+        prop_assert!(latencies.stall_bound(Rank::Urgent) < FIRST_STALL);
+        let time_left = Duration::from_millis(time_left_ms);
+        prop_assert!(latencies.give_up_after(Rank::Urgent, time_left) < time_left);
+    }
+
+    /// A replica that has become slow for good stops to look stalled after a few calls.
+    #[test]
+    fn bound_grows_to_fit_a_replica_that_slowed_down(slowdown in 2_u32..30) {
+        let mut latencies = Latencies::default();
+        let usual = Duration::from_millis(8);
+        for _ in 0..50 {
+            latencies.record(Rank::Urgent, usual);
+        }
+        let mut stalls = 0;
+        while latencies.stall_bound(Rank::Urgent) < usual * slowdown {
+            latencies.record(Rank::Urgent, latencies.stall_bound(Rank::Urgent));
+            stalls += 1;
+        }
+        prop_assert!(stalls <= 5, "{stalls} stalls");
+    }
+}
--- a/crates/berylpin_core/src/replica/mod.rs
+++ b/crates/berylpin_core/src/replica/mod.rs
@@ -1,5 +1,19 @@
-//! The owner side of a replica: slots, queue, probes and what upstreams say.
+//! The owner side of a replica: slots, ranked queue, shedding, ejection, probes and drain.
 
+mod calls;
+mod health;
+mod intake;
+mod job;
+mod latency;
 mod owner;
+mod probes;
+mod queue;
+mod shares;
+mod shedding;
+mod slots;
+mod snapshots;
+mod state;
 
-pub use owner::{Action, Call, CallKey, CallResult, Event, Owner, Probe, ProbeResult};
+pub use calls::{Call, CallKey, CallResult};
+pub use owner::{Action, Event, Owner};
+pub use probes::{Probe, ProbeResult};
--- a/crates/berylpin_core/src/replica/owner.rs
+++ b/crates/berylpin_core/src/replica/owner.rs
@@ -1,83 +1,23 @@
 //! The replicas that one traffic thread owns.
 
+use super::calls::{Call, CallKey, CallResult};
+use super::health::Change;
+use super::job::{Job, JobName};
+use super::probes::{PROBE_INTERVAL, Probe, ProbeResult};
+use super::shedding::ADJUST_INTERVAL;
+use super::state::ReplicaState;
 use crate::arena::{Arena, Slab, SlabKey};
 use crate::control::View;
 use crate::decision::Decision;
-use crate::ids::{MemberId, QueryTag, ReplicaId, ReplicaTag, Snapshot, ThreadId};
-use crate::message::{
-    AttemptId, Batch, FailReason, Hint, Outcome, Part, PartReply, QueryMessage, Row, SnapshotRange,
-};
+use crate::ids::{MemberId, QueryTag, ReplicaId, ReplicaTag, ThreadId};
+use crate::message::{Batch, FailReason, Hint, Outcome, Part, PartReply, QueryMessage};
 use crate::rank::Rank;
 use crate::timers::Timers;
 use crate::verdict::Verdict;
-use bytes::Bytes;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
-
-/// How often an idle replica is asked for its snapshots.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Weight of a new sample in the mean service time, as a divisor.
-const SMOOTHING: u32 = 8;
-
-/// Names a call to an upstream; an old key finds nothing.
-pub type CallKey = SlabKey;
-
-/// A call that the shell makes to an upstream.
-#[derive(Clone, Debug)]
-pub struct Call {
-    /// Returned with the result.
-    pub key: CallKey,
-    /// The replica to call.
-    pub replica: ReplicaId,
-    /// Sent as the request id; the upstream echoes it.
-    pub request: QueryTag,
-    /// The snapshot to answer from.
-    pub snapshot: Snapshot,
-    /// How urgent it is.
-    pub rank: Rank,
-    /// Time left until the deadline.
-    pub time_left: Duration,
-    /// What is asked.
-    pub body: Bytes,
-}
-
-/// A probe that the shell makes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Probe {
-    /// The replica to probe.
-    pub replica: ReplicaId,
-}
-
-/// What an upstream said to a call.
-#[derive(Clone, Debug)]
-pub enum CallResult {
-    /// A success status with a well-formed body.
-    Rows {
-        /// The request id echoed.
-        request: QueryTag,
-        /// The shard echoed.
-        shard: String,
-        /// The snapshot of the rows.
-        snapshot: Snapshot,
-        /// The snapshots that the upstream serves.
-        serves: SnapshotRange,
-        /// The rows.
-        rows: Vec<Row>,
-    },
-    /// There is no result.
-    Failed {
-        /// Whether it may have run.
-        verdict: Verdict,
-        /// Why there is none.
-        reason: FailReason,
-    },
-}
-
-/// What an upstream said to a probe; `None` if nothing useful.
-pub type ProbeResult = Option<SnapshotRange>;
+use std::time::Instant;
 
 /// What happens to the replicas of a thread.
 #[derive(Debug)]
@@ -87,7 +27,7 @@
     /// An entry wants sub-queries run.
     Batch(MemberId, Batch),
     /// An entry does not need sub-queries any more.
-    Cancel(Vec<Part>),
+    Cancel(MemberId, Vec<Part>),
     /// An entry asks for the state of replicas.
     Inquire(MemberId, ThreadId, Vec<ReplicaTag>),
     /// A call ended.
@@ -103,7 +43,7 @@
 pub enum Action {
     /// Send a message to a daemon, which may be this one.
     Send(MemberId, QueryMessage),
-    /// Call an upstream.
+    /// Call an upstream; exactly one `Called` event follows.
     Call(Call),
     /// Tell an upstream that the result of a call is not needed; its `Called` still follows.
     Abort {
@@ -112,50 +52,42 @@
         /// The request id of the call.
         request: QueryTag,
     },
-    /// Probe an upstream.
+    /// Close the connection of a call and the idle connections of its replica; later calls use
+    /// fresh ones. The `Called` of the call follows.
+    Reconnect {
+        /// The replica that was called.
+        replica: ReplicaId,
+        /// The call without progress.
+        call: CallKey,
+    },
+    /// Probe an upstream; one `Probed` event follows.
     Probe(Probe),
     /// Log a decision.
     Decided(Decision),
 }
 
+/// A timer of one job or replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Timer {
+    /// A call may be late or stalled.
+    Overdue(SlabKey),
+    /// The replica may need a probe.
+    Probe(ReplicaId),
+    /// The shed levels of the replica are due for adjustment.
+    Adjust(ReplicaId),
+}
+
 /// The replicas that one traffic thread owns.
 #[derive(Debug)]
 pub struct Owner {
-    thread: ThreadId,
-    threads: usize,
-    view: Arc<View>,
+    pub(super) thread: ThreadId,
+    pub(super) threads: usize,
+    pub(super) view: Arc<View>,
     /// Indexed by replica; holds state for those of this thread only.
-    replicas: Arena<ReplicaId, ReplicaState>,
-    jobs: Slab<Job>,
-    timers: Timers<ReplicaId>,
-    rng: SmallRng,
-}
-
-#[derive(Debug, Default)]
-struct ReplicaState {
-    /// Whether this thread owns it in the current view.
-    owned: bool,
-    /// Jobs with a call in progress; never more than the slots of the replica.
-    running: u16,
-    /// Jobs that wait for a slot, in order of rank and deadline.
-    queue: Vec<(Rank, Instant, SlabKey)>,
-    snapshots: Option<SnapshotRange>,
-    mean_service: Duration,
-}
-
-#[derive(Debug)]
-struct Job {
-    from: MemberId,
-    attempt: AttemptId,
-    query: QueryTag,
-    replica: ReplicaId,
-    rank: Rank,
-    snapshot: Snapshot,
-    body: Bytes,
-    /// When the call started and with what request id; `None` while it waits.
-    started: Option<(Instant, QueryTag)>,
-    /// Whether the entry cancelled it; its slot is taken until the call ends.
-    cancelled: bool,
+    pub(super) replicas: Arena<ReplicaId, ReplicaState>,
+    pub(super) jobs: Slab<Job>,
+    pub(super) timers: Timers<Timer>,
+    pub(super) rng: SmallRng,
 }
 
 impl Owner {
@@ -170,7 +102,8 @@
             timers: Timers::default(),
             rng: SmallRng::seed_from_u64(seed),
         };
-        owner.install(now, view);
+        // Without jobs there is nothing to say about them.
+        owner.install(now, view, &mut Vec::new());
         owner
     }
 
@@ -187,182 +120,169 @@
     /// Handles one event and appends what the shell is to do.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::View(view) => self.install(now, view),
+            Event::View(view) => self.install(now, view, out),
             Event::Batch(from, batch) => self.batch(now, from, &batch, out),
-            Event::Cancel(parts) => self.cancel(&parts, out),
+            Event::Cancel(from, parts) => self.cancel(from, &parts, out),
             Event::Inquire(from, thread, tags) => self.inquired(from, thread, &tags, out),
             Event::Called(key, result) => self.called(now, key, result, out),
-            Event::Probed(replica, result) => self.replicas[replica].snapshots = result,
+            Event::Probed(replica, result) => self.probed(now, replica, result, out),
             Event::Tick => self.tick(now, out),
         }
     }
 
-    fn install(&mut self, now: Instant, view: Arc<View>) {
-        self.view = view;
-        self.replicas.grow(self.view.topology.replicas.len(), ReplicaState::default);
-        for (id, state) in self.replicas.iter_mut() {
-            let replica = &self.view.topology.replicas[id];
-            let owned = replica.listed
-                && self.view.owner(id) == Some(self.view.own)
-                && replica.settings.tag.thread(self.threads) == self.thread;
-            if owned && !state.owned {
-                self.timers.set(now, id);
+    fn install(&mut self, now: Instant, view: Arc<View>, out: &mut Vec<Action>) {
+        self.view = view.clone();
+        self.replicas.grow(view.topology.replicas.len(), ReplicaState::default);
+        for (id, replica) in view.topology.replicas.iter() {
+            let settings = &replica.settings;
+            let state = &mut self.replicas[id];
+            let withdrawn = settings.drain || !replica.listed;
+            if state.withdrawn && !withdrawn {
+                state.health.reset();
+            }
+            state.withdrawn = withdrawn;
+            state.owned = replica.listed
+                && view.owner(id) == Some(view.own)
+                && settings.tag.thread(self.threads) == self.thread;
+            if state.owned && !state.probes.armed {
+                state.probes.armed = true;
+                self.timers.set(now, Timer::Probe(id));
+            }
+            if withdrawn {
+                self.refuse_queue(id, FailReason::Draining, out);
+            } else if !self.replicas[id].owned {
+                self.refuse_queue(id, FailReason::NotOwner, out);
+            } else {
+                // Its slots may have grown.
+                self.start_waiting(now, id, out);
             }
-            state.owned = owned;
         }
     }
 
-    fn batch(&mut self, now: Instant, from: MemberId, batch: &Batch, out: &mut Vec<Action>) {
-        for part in &batch.parts {
-            let owned = self.view.topology.replica(part.replica);
-            let Some(replica) = owned.filter(|id| self.replicas[*id].owned) else {
-                let hint = Hint::default();
-                let (verdict, reason) = (Verdict::NotRun, FailReason::NotOwner);
-                let outcome = Outcome::Failed { verdict, reason };
-                let reply =
-                    PartReply { attempt: part.attempt, replica: part.replica, outcome, hint };
-                out.push(Action::Send(from, QueryMessage::Reply(reply)));
-                continue;
-            };
-            let deadline = now + batch.time_left;
-            let key = self.jobs.insert(Job {
-                from,
-                attempt: part.attempt,
-                query: batch.query,
-                replica,
-                rank: batch.rank,
-                snapshot: batch.snapshot,
-                body: batch.body.clone(),
-                started: None,
-                cancelled: false,
-            });
-            let queue = &mut self.replicas[replica].queue;
-            let entry = (batch.rank, deadline, key);
-            let at = queue.binary_search(&entry).unwrap_or_else(|at| at);
-            queue.insert(at, entry);
-            self.start_waiting(now, replica, out);
+    fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        while let Some(timer) = self.timers.pop_due(now) {
+            match timer {
+                Timer::Overdue(key) => self.overdue(now, key, out),
+                Timer::Probe(replica) => self.probe(now, replica, out),
+                Timer::Adjust(replica) => self.adjust(now, replica, out),
+            }
         }
     }
 
-    /// Starts waiting jobs while slots are free.
-    fn start_waiting(&mut self, now: Instant, replica: ReplicaId, out: &mut Vec<Action>) {
-        let slots = self.view.topology.replicas[replica].settings.slots;
-        while self.replicas[replica].running < slots && !self.replicas[replica].queue.is_empty() {
-            let (_, deadline, key) = self.replicas[replica].queue.remove(0);
-            if deadline <= now {
-                self.fail(key, Verdict::NotRun, FailReason::Deadline, out);
-                continue;
-            }
-            let request = QueryTag(self.rng.random());
-            let Some(job) = self.jobs.get_mut(key) else { continue };
-            job.started = Some((now, request));
-            self.replicas[replica].running += 1;
-            let tag = self.view.topology.replicas[replica].settings.tag;
-            out.push(Action::Decided(Decision::Started { query: job.query, replica: tag }));
-            out.push(Action::Call(Call {
-                key,
-                replica,
-                request,
-                snapshot: job.snapshot,
-                rank: job.rank,
-                time_left: deadline - now,
-                body: job.body.clone(),
-            }));
+    fn probe(&mut self, now: Instant, replica: ReplicaId, out: &mut Vec<Action>) {
+        let state = &mut self.replicas[replica];
+        if !state.owned {
+            state.probes.armed = false;
+            return;
+        }
+        if state.probes.is_due(now, state.health.is_usable()) {
+            state.probes.running = true;
+            out.push(Action::Probe(Probe { replica }));
         }
+        // The spread keeps replicas that became owned together from being probed together.
+        let interval = PROBE_INTERVAL.mul_f64(self.rng.random_range(0.75..1.0));
+        self.timers.set(now + interval, Timer::Probe(replica));
     }
 
-    fn called(&mut self, now: Instant, key: CallKey, result: CallResult, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get(key) else { return };
-        let Some((started, request)) = job.started else { return };
-        let replica = job.replica;
+    fn probed(
+        &mut self,
+        now: Instant,
+        replica: ReplicaId,
+        result: ProbeResult,
+        out: &mut Vec<Action>,
+    ) {
+        self.replicas[replica].probes.running = false;
         let state = &mut self.replicas[replica];
-        state.running -= 1;
-        let elapsed = now.saturating_duration_since(started);
-        state.mean_service = (state.mean_service * (SMOOTHING - 1) + elapsed) / SMOOTHING;
-        let shard = &self.view.topology.shards[self.view.topology.replicas[replica].shard];
-        let outcome = match result {
-            CallResult::Rows { request: echoed, shard: name, snapshot, serves, rows } => {
-                let matches = echoed == request && name == shard.name && snapshot == job.snapshot;
-                if matches {
-                    state.snapshots = Some(serves);
-                    Outcome::Rows { snapshot, rows }
-                } else {
-                    Outcome::Failed { verdict: Verdict::MayHaveRun, reason: FailReason::BadReply }
-                }
-            }
-            CallResult::Failed { verdict, reason } => Outcome::Failed { verdict, reason },
+        let change = match result {
+            ProbeResult::Serves(range) if state.snapshots.report(range) => state.health.probed(now),
+            ProbeResult::Serves(_) | ProbeResult::Failed => state.health.probe_failed(now),
+            ProbeResult::Draining => return self.drain(now, replica, out),
         };
-        self.respond(key, outcome, out);
+        self.changed(replica, change, out);
         self.start_waiting(now, replica, out);
     }
 
-    fn cancel(&mut self, parts: &[Part], out: &mut Vec<Action>) {
-        for part in parts {
-            let job = self.jobs.iter().find(|(_, job)| job.attempt == part.attempt);
-            let Some((key, job)) = job else { continue };
-            let replica = job.replica;
-            if let Some((_, request)) = job.started {
-                out.push(Action::Abort { replica, request });
-                if let Some(job) = self.jobs.get_mut(key) {
-                    job.cancelled = true;
-                }
-            } else {
-                self.jobs.remove(key);
-                self.replicas[replica].queue.retain(|(_, _, waiting)| *waiting != key);
-            }
+    /// Ends an interval of the shed levels and refuses what lies above them now.
+    fn adjust(&mut self, now: Instant, replica: ReplicaId, out: &mut Vec<Action>) {
+        self.drop_late(now, replica, out);
+        let tag = self.tag(replica);
+        let state = &mut self.replicas[replica];
+        let changes = state.levels.adjust(state.queue.ages(now), state.queue.shares().shares());
+        let mut shed = Vec::new();
+        for (rank, level) in Rank::ALL.into_iter().zip(changes) {
+            let Some(level) = level else { continue };
+            out.push(Action::Decided(Decision::ShedLevel { replica: tag, rank, level }));
+            shed.extend(state.queue.extract(rank, |waiting| waiting.level >= level));
+        }
+        state.adjusting = !(state.queue.is_empty() && state.running == 0 && state.levels.is_open());
+        if state.adjusting {
+            self.timers.set(now + ADJUST_INTERVAL, Timer::Adjust(replica));
+        }
+        for key in shed {
+            self.refuse(key, FailReason::Overloaded, out);
         }
     }
 
-    fn inquired(
-        &self,
-        from: MemberId,
-        thread: ThreadId,
-        tags: &[ReplicaTag],
-        out: &mut Vec<Action>,
-    ) {
-        let known = tags.iter().filter_map(|tag| Some((*tag, self.view.topology.replica(*tag)?)));
-        let owned = known.filter(|(_, id)| self.replicas[*id].owned);
-        let hints: Vec<_> = owned.map(|(tag, id)| (tag, self.hint(id))).collect();
-        if !hints.is_empty() {
-            out.push(Action::Send(from, QueryMessage::Hints { thread, hints }));
+    /// Logs a change of health; the queue of an ejected replica goes back to the entries.
+    pub(super) fn changed(&mut self, replica: ReplicaId, change: Change, out: &mut Vec<Action>) {
+        let tag = self.tag(replica);
+        match change {
+            Change::None => {}
+            Change::Ejected => {
+                out.push(Action::Decided(Decision::Ejected { replica: tag }));
+                self.refuse_queue(replica, FailReason::Unreachable, out);
+            }
+            Change::Returned => {
+                out.push(Action::Decided(Decision::Returned { replica: tag }));
+            }
         }
     }
 
-    fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
-        while let Some(replica) = self.timers.pop_due(now) {
-            if self.replicas[replica].owned {
-                out.push(Action::Probe(Probe { replica }));
-                self.timers.set(now + PROBE_INTERVAL, replica);
-            }
+    /// Takes a replica that is leaving out of use.
+    pub(super) fn drain(&mut self, now: Instant, replica: ReplicaId, out: &mut Vec<Action>) {
+        let state = &mut self.replicas[replica];
+        if !state.health.is_draining() {
+            let tag = self.tag(replica);
+            out.push(Action::Decided(Decision::Drained { replica: tag }));
         }
+        self.replicas[replica].health.drained(now);
+        self.refuse_queue(replica, FailReason::Draining, out);
     }
 
-    fn fail(&mut self, key: SlabKey, verdict: Verdict, reason: FailReason, out: &mut Vec<Action>) {
-        if let Some(job) = self.jobs.get(key) {
-            let replica = self.view.topology.replicas[job.replica].settings.tag;
-            out.push(Action::Decided(Decision::Refused { query: job.query, replica, reason }));
+    fn refuse_queue(&mut self, replica: ReplicaId, reason: FailReason, out: &mut Vec<Action>) {
+        for key in self.replicas[replica].queue.drain() {
+            self.refuse(key, reason, out);
         }
-        self.respond(key, Outcome::Failed { verdict, reason }, out);
     }
 
-    fn respond(&mut self, key: SlabKey, outcome: Outcome, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.remove(key).filter(|job| !job.cancelled) else { return };
-        let replica = self.view.topology.replicas[job.replica].settings.tag;
-        let hint = self.hint(job.replica);
-        let reply = PartReply { attempt: job.attempt, replica, outcome, hint };
-        out.push(Action::Send(job.from, QueryMessage::Reply(reply)));
+    /// Refuses a job that has left the queue and was never started.
+    pub(super) fn refuse(&mut self, key: SlabKey, reason: FailReason, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.remove(key) else { return };
+        self.replicas[job.replica].remove_job(job.name);
+        let replica = self.tag(job.replica);
+        out.push(Action::Decided(Decision::Refused { query: job.query, replica, reason }));
+        let outcome = Outcome::Failed { verdict: Verdict::NotRun, reason };
+        self.reply(job.name, job.replica, outcome, out);
     }
 
-    fn hint(&self, replica: ReplicaId) -> Hint {
-        let state = &self.replicas[replica];
-        let settings = &self.view.topology.replicas[replica].settings;
-        let waiting = state.queue.len() as u32 + u32::from(state.running);
-        Hint {
-            snapshots: state.snapshots,
-            queue_delay: state.mean_service * waiting / u32::from(settings.slots),
-            shed_above: [QueryTag::LEVELS; Rank::COUNT],
-            usable: !settings.drain,
-        }
+    pub(super) fn reply(
+        &self,
+        (from, attempt): JobName,
+        replica: ReplicaId,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let reply =
+            PartReply { attempt, replica: self.tag(replica), outcome, hint: self.hint(replica) };
+        out.push(Action::Send(from, QueryMessage::Reply(reply)));
+    }
+
+    pub(super) fn hint(&self, replica: ReplicaId) -> Hint {
+        self.replicas[replica].hint(&self.view.topology.replicas[replica].settings)
+    }
+
+    pub(super) fn tag(&self, replica: ReplicaId) -> ReplicaTag {
+        self.view.topology.replicas[replica].settings.tag
     }
 }
 
@@ -373,3 +293,6 @@
         ThreadId::from_index((self.0 % threads as u64) as usize)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/replica/owner/tests/harness.rs
@@ -0,0 +1,254 @@
+//! An owner of a few replicas, driven in virtual time.
+
+use super::super::*;
+use crate::config::ServiceSettings;
+use crate::control::{Member, Topology};
+use crate::ids::{Key, MemberTag, Snapshot};
+use crate::message::{AttemptId, SnapshotRange};
+use bytes::Bytes;
+use std::time::Duration;
+
+const SERVES: SnapshotRange = SnapshotRange { oldest: Snapshot(4), newest: Snapshot(5) };
+
+#[derive(Debug)]
+pub(super) struct Attempt {
+    part: Part,
+    pub(super) cancelled: bool,
+    pub(super) called: bool,
+    /// Whether the upstream refused the call before execution.
+    pub(super) refused: bool,
+    pub(super) replies: Vec<Outcome>,
+}
+
+#[derive(Debug)]
+pub(super) struct World {
+    pub(super) owner: Owner,
+    pub(super) view: Arc<View>,
+    pub(super) now: Instant,
+    pub(super) attempts: Vec<Attempt>,
+    /// Calls in progress; the body of each is the index of its attempt.
+    pub(super) calls: Vec<Call>,
+    pub(super) started: usize,
+    pub(super) reconnects: usize,
+    probes: Vec<ReplicaId>,
+    slots: u16,
+    drain: bool,
+}
+
+fn topology(slots: u16, drain: bool) -> Topology {
+    let shards = (0..3).map(|shard| {
+        format!(
+            "[[shard]]\nname = \"{shard}\"\n[[shard.replica]]\naddress = \"127.0.0.1:{}\"\n\
+             data_centre = \"d\"\nslots = {slots}\nconnections = 25\ndrain = {drain}\n",
+            9000 + shard
+        )
+    });
+    let text = format!("service = \"s\"\n{}", shards.collect::<String>());
+    let settings = ServiceSettings::parse(&text).expect("the document is valid");
+    Topology::default().with_documents(&[Arc::new(settings)])
+}
+
+fn view(epoch: u64, topology: Topology, owned: bool) -> Arc<View> {
+    let mut members = Arena::default();
+    for (name, live) in [("own", owned), ("other", !owned)] {
+        members.push(Member {
+            tag: MemberTag::of([name]),
+            name: name.to_owned(),
+            data_centre: "d".to_owned(),
+            peer_address: "127.0.0.1:1".parse().expect("an address"),
+            live,
+        });
+    }
+    Arc::new(View::new(epoch, MemberId::from_index(0), members, Arc::new(topology)))
+}
+
+/// Returns a query tag that draws the given shed level.
+pub(super) fn tag_with_level(level: u16) -> QueryTag {
+    QueryTag(u64::from(level) + 7 * u64::from(QueryTag::LEVELS))
+}
+
+pub(super) fn batch(
+    query: QueryTag,
+    rank: Rank,
+    time_left: Duration,
+    attempt: usize,
+    part: Part,
+) -> Batch {
+    let body = Bytes::from(attempt.to_string());
+    Batch { query, rank, time_left, snapshot: Snapshot(5), body, parts: vec![part] }
+}
+
+impl World {
+    pub(super) fn new(slots: u16) -> Self {
+        let now = Instant::now();
+        let view = view(1, topology(slots, false), true);
+        let owner = Owner::new(ThreadId::from_index(0), 1, view.clone(), 7, now);
+        Self {
+            owner,
+            view,
+            now,
+            attempts: Vec::new(),
+            calls: Vec::new(),
+            started: 0,
+            reconnects: 0,
+            probes: Vec::new(),
+            slots,
+            drain: false,
+        }
+    }
+
+    pub(super) fn handle(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.owner.handle(self.now, event, &mut out);
+        let mut broken = Vec::new();
+        for action in out {
+            match action {
+                Action::Send(_, QueryMessage::Reply(reply)) => {
+                    let at = reply.attempt.position as usize;
+                    self.attempts[at].replies.push(reply.outcome);
+                }
+                Action::Call(call) => {
+                    self.started += 1;
+                    if let Some(attempt) = self.attempts.get_mut(index(&call)) {
+                        attempt.called = true;
+                    }
+                    self.calls.push(call);
+                }
+                Action::Reconnect { call, .. } => {
+                    self.reconnects += 1;
+                    broken.push(call);
+                }
+                Action::Probe(probe) => self.probes.push(probe.replica),
+                Action::Send(..) | Action::Abort { .. } | Action::Decided(_) => {}
+            }
+        }
+        for key in broken {
+            if let Some(at) = self.calls.iter().position(|call| call.key == key) {
+                self.fail(at, Verdict::MayHaveRun, FailReason::Connection);
+            }
+        }
+    }
+
+    pub(super) fn replicas(&self) -> Vec<ReplicaId> {
+        self.view.topology.replicas.keys().collect()
+    }
+
+    pub(super) fn part(&self, replica: usize, attempt: usize) -> Part {
+        let replica = self.view.topology.replicas[ReplicaId::from_index(replica)].settings.tag;
+        let query = Slab::default().insert(());
+        let thread = ThreadId::from_index(0);
+        let position = attempt as u32;
+        Part { attempt: AttemptId { thread, query, position, ordinal: 0 }, replica }
+    }
+
+    pub(super) fn arrive(&mut self, replica: usize, rank: Rank, level: u16, time_left: Duration) {
+        let at = self.attempts.len();
+        let part = self.part(replica, at);
+        self.attempts.push(Attempt {
+            part,
+            cancelled: false,
+            called: false,
+            refused: false,
+            replies: Vec::new(),
+        });
+        let batch = batch(tag_with_level(level), rank, time_left, at, part);
+        self.handle(Event::Batch(MemberId::from_index(0), batch));
+    }
+
+    pub(super) fn cancel(&mut self, attempt: usize) {
+        self.attempts[attempt].cancelled = true;
+        let part = self.attempts[attempt].part;
+        self.handle(Event::Cancel(MemberId::from_index(0), vec![part]));
+    }
+
+    pub(super) fn end_with_rows(&mut self, at: usize, snapshot: Snapshot) {
+        let call = self.calls.remove(at);
+        let shard = self.view.topology.replicas[call.replica].shard;
+        let shard = self.view.topology.shards[shard].name.clone();
+        let (request, serves, rows) = (call.request, SERVES, Vec::new());
+        let result = CallResult::Rows { request, shard, snapshot, serves, rows };
+        self.handle(Event::Called(call.key, result));
+    }
+
+    pub(super) fn fail(&mut self, at: usize, verdict: Verdict, reason: FailReason) {
+        let call = self.calls.remove(at);
+        if let Some(attempt) = self.attempts.get_mut(index(&call)) {
+            attempt.refused = verdict == Verdict::NotRun;
+        }
+        self.handle(Event::Called(call.key, CallResult::Failed { verdict, reason }));
+    }
+
+    /// Lets time pass and fires each timer when it is due.
+    pub(super) fn wait(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(at) = self.owner.next_timer().filter(|at| *at <= end) {
+            self.now = at.max(self.now);
+            self.handle(Event::Tick);
+        }
+        self.now = end;
+    }
+
+    pub(super) fn answer_probes(&mut self, answered: bool) {
+        let result = if answered { ProbeResult::Serves(SERVES) } else { ProbeResult::Failed };
+        self.answer_probes_with(result);
+    }
+
+    pub(super) fn answer_probes_with(&mut self, result: ProbeResult) {
+        for replica in std::mem::take(&mut self.probes) {
+            self.handle(Event::Probed(replica, result));
+        }
+    }
+
+    /// Runs calls of a given length on the first replica, one after the other.
+    pub(super) fn warm(&mut self, calls: usize, length: Duration) {
+        for _ in 0..calls {
+            self.arrive(0, Rank::Urgent, 0, Duration::from_secs(1));
+            self.wait(length);
+            self.end_with_rows(0, Snapshot(5));
+        }
+    }
+
+    pub(super) fn set_drain(&mut self, drain: bool) {
+        self.drain = drain;
+        let topology = topology(self.slots, drain);
+        let owned = self.view.members[self.view.own].live;
+        self.install(topology, owned);
+    }
+
+    pub(super) fn set_owned(&mut self, owned: bool) {
+        let topology = topology(self.slots, self.drain);
+        self.install(topology, owned);
+    }
+
+    fn install(&mut self, topology: Topology, owned: bool) {
+        self.view = view(self.view.epoch + 1, topology, owned);
+        self.handle(Event::View(self.view.clone()));
+    }
+
+    pub(super) fn drained(&self) -> bool {
+        self.drain
+    }
+
+    pub(super) fn running(&self, replica: ReplicaId) -> usize {
+        self.calls.iter().filter(|call| call.replica == replica).count()
+    }
+
+    pub(super) fn hint(&self, replica: usize) -> Hint {
+        self.owner.hint(ReplicaId::from_index(replica))
+    }
+
+    /// Ends all calls until nothing is left to start.
+    pub(super) fn finish(&mut self) {
+        while !self.calls.is_empty() {
+            self.end_with_rows(0, Snapshot(5));
+        }
+        self.wait(Duration::from_secs(1));
+        while !self.calls.is_empty() {
+            self.end_with_rows(0, Snapshot(5));
+        }
+    }
+}
+
+fn index(call: &Call) -> usize {
+    std::str::from_utf8(&call.body).expect("a number").parse().expect("a number")
+}
--- /dev/null
+++ b/crates/berylpin_core/src/replica/shares.rs
@@ -0,0 +1,71 @@
+//! Minimum shares of the ranks in the work of a replica.
+
+use crate::rank::Rank;
+use std::time::Duration;
+
+/// What a rank keeps of a replica's slots while others want them too.
+///
+/// What a rank does not use goes to the others, the most urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct MinimumShares {
+    /// In thousandths, indexed by rank; together at most 1000.
+    thousandths: [u16; Rank::COUNT],
+}
+
+impl Default for MinimumShares {
+    fn default() -> Self {
+        Self { thousandths: [700, 200, 100] }
+    }
+}
+
+impl MinimumShares {
+    /// Returns the part of an amount of work that a rank keeps.
+    pub(super) fn of(self, rank: Rank, work: f64) -> f64 {
+        work * f64::from(self.thousandths[rank.index()]) / 1000.0
+    }
+}
+
+/// Chooses which rank starts next, so that each keeps its minimum share.
+///
+/// A rank that waits earns its share of all work that starts meanwhile. It goes before more urgent
+/// ranks once it has earned the cost of one call.
+#[derive(Debug, Default)]
+pub(super) struct ShareAccount {
+    shares: MinimumShares,
+    /// Slot time earned, in seconds, indexed by rank; never negative, zero while nothing waits.
+    earned: [f64; Rank::COUNT],
+}
+
+impl ShareAccount {
+    /// Returns the rank whose work starts next; `waiting` and `cost` are indexed by rank.
+    pub(super) fn next(
+        &self,
+        waiting: [bool; Rank::COUNT],
+        cost: [Duration; Rank::COUNT],
+    ) -> Option<Rank> {
+        let mut ranks = Rank::ALL.into_iter().filter(|rank| waiting[rank.index()]);
+        let first = ranks.next()?;
+        let is_due = |rank: &Rank| self.earned[rank.index()] >= cost[rank.index()].as_secs_f64();
+        Some(ranks.find(is_due).unwrap_or(first))
+    }
+
+    /// Counts work that starts; `waiting` says which ranks waited, the started one included.
+    pub(super) fn started(&mut self, rank: Rank, cost: Duration, waiting: [bool; Rank::COUNT]) {
+        let work = cost.as_secs_f64();
+        for other in Rank::ALL {
+            let earned = &mut self.earned[other.index()];
+            *earned =
+                if waiting[other.index()] { *earned + self.shares.of(other, work) } else { 0.0 };
+        }
+        let earned = &mut self.earned[rank.index()];
+        *earned = (*earned - work).max(0.0);
+    }
+
+    /// Returns the shares kept.
+    pub(super) fn shares(&self) -> MinimumShares {
+        self.shares
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/replica/shedding.rs
@@ -0,0 +1,154 @@
+//! Which queries one replica sheds while it cannot run all of them.
+
+use super::shares::MinimumShares;
+use crate::ids::QueryTag;
+use crate::rank::Rank;
+use std::time::Duration;
+
+/// How often the levels are adjusted.
+pub(super) const ADJUST_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Waiting longer than this part of the time that the work had on arrival is overload.
+const DELAY_DIVISOR: u32 = 4;
+/// Weight of a new interval in the means, as a divisor.
+const SMOOTHING: f64 = 4.0;
+/// Bounds of the change of a level in one interval of overload.
+const CUT: (f64, f64) = (0.7, 0.97);
+/// How much a level rises in an interval without overload.
+const RISE: u16 = 20;
+/// The least level; some work has to come through to measure how much more could.
+const LEAST_LEVEL: u16 = 10;
+/// The upstream's refusals are overload from this part of the calls on.
+const REFUSED_DIVISOR: f64 = 10.0;
+
+/// The shed levels of one replica.
+///
+/// A level is the measured share of the offered work that the replica completes. Owners of equally
+/// loaded replicas measure the same share, so they refuse the same queries without agreement.
+#[derive(Debug)]
+pub(super) struct ShedLevels {
+    ranks: [RankLoad; Rank::COUNT],
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RankLoad {
+    /// Queries at or above it are refused; from `LEAST_LEVEL` to `QueryTag::LEVELS`.
+    level: u16,
+    /// Counts of the interval in progress.
+    counts: Counts,
+    /// Means of counts over earlier intervals.
+    admitted: f64,
+    completed: f64,
+    /// Mean time that the work had left on arrival.
+    time_left: Duration,
+}
+
+/// What happened within one interval.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    admitted: u32,
+    completed: u32,
+    /// Given up because the deadline could not be met, or because the queue was full.
+    dropped: u32,
+    /// Refused by the upstream because of its load.
+    refused: u32,
+}
+
+impl Default for ShedLevels {
+    fn default() -> Self {
+        let load = RankLoad {
+            level: QueryTag::LEVELS,
+            counts: Counts::default(),
+            admitted: 0.0,
+            completed: 0.0,
+            time_left: Duration::ZERO,
+        };
+        Self { ranks: [load; Rank::COUNT] }
+    }
+}
+
+impl ShedLevels {
+    /// Returns whether a query may enter the queue, and counts it if so.
+    pub(super) fn admit(&mut self, rank: Rank, level: u16, time_left: Duration) -> bool {
+        let load = &mut self.ranks[rank.index()];
+        if level >= load.level {
+            return false;
+        }
+        load.counts.admitted += 1;
+        let known = if load.time_left.is_zero() { time_left } else { load.time_left };
+        load.time_left = (known * 7 + time_left) / 8;
+        true
+    }
+
+    /// Counts a call that ended with a result.
+    pub(super) fn completed(&mut self, rank: Rank) {
+        self.ranks[rank.index()].counts.completed += 1;
+    }
+
+    /// Counts a sub-query that was given up for lack of time or room.
+    pub(super) fn dropped(&mut self, rank: Rank) {
+        self.ranks[rank.index()].counts.dropped += 1;
+    }
+
+    /// Counts a call that the upstream refused because of its load.
+    pub(super) fn refused(&mut self, rank: Rank) {
+        self.ranks[rank.index()].counts.refused += 1;
+    }
+
+    /// Returns the levels, indexed by rank.
+    pub(super) fn levels(&self) -> [u16; Rank::COUNT] {
+        self.ranks.map(|load| load.level)
+    }
+
+    /// Returns whether every level is open, so that no adjustment is due without work.
+    pub(super) fn is_open(&self) -> bool {
+        self.ranks.iter().all(|load| load.level == QueryTag::LEVELS)
+    }
+
+    /// Ends an interval; `ages` says how long the oldest sub-query of each rank has waited.
+    ///
+    /// Returns the levels that changed.
+    pub(super) fn adjust(
+        &mut self,
+        ages: [Duration; Rank::COUNT],
+        shares: MinimumShares,
+    ) -> [Option<u16>; Rank::COUNT] {
+        let refused: u32 = self.ranks.iter().map(|load| load.counts.refused).sum();
+        let completed: u32 = self.ranks.iter().map(|load| load.counts.completed).sum();
+        let upstream_sheds = f64::from(refused) * REFUSED_DIVISOR > f64::from(completed + refused);
+        for load in &mut self.ranks {
+            load.admitted += (f64::from(load.counts.admitted) - load.admitted) / SMOOTHING;
+            load.completed += (f64::from(load.counts.completed) - load.completed) / SMOOTHING;
+        }
+        let capacity: f64 = self.ranks.iter().map(|load| load.completed).sum();
+        Rank::ALL.map(|rank| {
+            let load = &mut self.ranks[rank.index()];
+            let counts = std::mem::take(&mut load.counts);
+            let level = load.level;
+            let limit = load.time_left / DELAY_DIVISOR;
+            let age = ages[rank.index()];
+            if age > limit || counts.dropped > 0 || (upstream_sheds && counts.refused > 0) {
+                load.cut(shares.of(rank, capacity));
+            } else if age <= limit / 2 {
+                load.level = (load.level + RISE).min(QueryTag::LEVELS);
+            }
+            (load.level != level).then_some(load.level)
+        })
+    }
+}
+
+impl RankLoad {
+    /// Lowers the level to what was completed, but not below what the minimum share can serve.
+    fn cut(&mut self, kept: f64) {
+        // Half a query absorbs rounding.
+        if self.admitted < kept + 0.5 {
+            return;
+        }
+        let served = self.completed.max(kept) / self.admitted;
+        let level = f64::from(self.level) * served.clamp(CUT.0, CUT.1);
+        self.level = (level as u16).max(LEAST_LEVEL);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/replica/slots.rs
@@ -0,0 +1,46 @@
+//! How many of a replica's slots may be used.
+
+/// Results in a row that open one more slot at a replica that came back after failures.
+const CAUTIOUS_STEP: u16 = 4;
+
+/// A limit on calls in progress that grows from one to all slots as results arrive.
+///
+/// A cold replica is not flooded, and one that still fails costs one call at a time.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SlotRamp {
+    /// At least 1; may exceed the slots of the replica.
+    open: u16,
+    /// Results since the last slot opened; below `step`.
+    results: u16,
+    /// Results that open one more slot.
+    step: u16,
+}
+
+impl SlotRamp {
+    /// Starts with one slot; each result opens one more.
+    pub(super) fn cold() -> Self {
+        Self { open: 1, results: 0, step: 1 }
+    }
+
+    /// Starts with one slot; several results open one more.
+    pub(super) fn cautious() -> Self {
+        Self { open: 1, results: 0, step: CAUTIOUS_STEP }
+    }
+
+    /// Counts a result.
+    pub(super) fn succeeded(&mut self) {
+        self.results += 1;
+        if self.results == self.step {
+            self.results = 0;
+            self.open = self.open.saturating_add(1);
+        }
+    }
+
+    /// Returns how many of `slots` may be used; at least 1.
+    pub(super) fn limit(self, slots: u16) -> u16 {
+        self.open.min(slots)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_daemon/src/logging.rs
+++ b/crates/berylpin_daemon/src/logging.rs
@@ -1,7 +1,7 @@
 //! Logs: short sentences with a fixed prefix for each part.
 
 use berylpin_core::decision::Decision;
-use slog::{Drain, Logger, debug, o};
+use slog::{Drain, Logger, debug, info, o};
 use slog_async::{Async, OverflowStrategy};
 use std::io::Write;
 
@@ -65,5 +65,22 @@
             debug!(log, "owner: sub-query refused"; "query" => %query, "replica" => %replica,
                 "reason" => reason.name());
         }
+        Decision::Stalled { query, replica } => {
+            info!(log, "owner: call made no progress, connection replaced";
+                "query" => %query, "replica" => %replica);
+        }
+        Decision::ShedLevel { replica, rank, level } => {
+            info!(log, "owner: shed level changed"; "replica" => %replica, "rank" => rank.name(),
+                "level" => level);
+        }
+        Decision::Ejected { replica } => {
+            info!(log, "owner: replica ejected"; "replica" => %replica);
+        }
+        Decision::Returned { replica } => {
+            info!(log, "owner: replica takes work again"; "replica" => %replica);
+        }
+        Decision::Drained { replica } => {
+            info!(log, "owner: replica is leaving and gets no new work"; "replica" => %replica);
+        }
     }
 }
--- a/crates/berylpin_daemon/src/traffic/mailbox.rs
+++ b/crates/berylpin_daemon/src/traffic/mailbox.rs
@@ -52,6 +52,12 @@
         }
         sent
     }
+
+    /// Sends a message that must not be lost; waits until it fits.
+    pub(crate) async fn send_surely(&self, mail: Mail) {
+        // An error means that the thread has ended and needs no mail.
+        let _ = self.tx.send(mail).await;
+    }
 }
 
 /// The mailboxes of all traffic threads, indexed by thread.
--- a/crates/berylpin_daemon/src/traffic/mod.rs
+++ b/crates/berylpin_daemon/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! Traffic threads: queries, replicas and links.
 
+mod connections;
 mod link;
 mod mailbox;
 mod peers;
--- a/crates/berylpin_daemon/src/traffic/thread.rs
+++ b/crates/berylpin_daemon/src/traffic/thread.rs
@@ -119,7 +119,9 @@
     fn message(&mut self, from: MemberId, message: QueryMessage) {
         match message {
             QueryMessage::Batch(batch) => self.replica_event(replica::Event::Batch(from, batch)),
-            QueryMessage::Cancel(parts) => self.replica_event(replica::Event::Cancel(parts)),
+            QueryMessage::Cancel(parts) => {
+                self.replica_event(replica::Event::Cancel(from, parts));
+            }
             QueryMessage::Inquire { thread, replicas } => {
                 self.replica_event(replica::Event::Inquire(from, thread, replicas));
             }
@@ -161,6 +163,9 @@
                 replica::Action::Abort { replica, request } => {
                     self.upstreams.abort(&self.view, replica, request);
                 }
+                replica::Action::Reconnect { replica, call } => {
+                    self.upstreams.reconnect(replica, call);
+                }
                 replica::Action::Probe(probe) => self.upstreams.probe(&self.view, probe),
                 replica::Action::Decided(decision) => log_decision(&self.cx.log, &decision),
             }
--- a/crates/berylpin_daemon/src/traffic/upstream.rs
+++ b/crates/berylpin_daemon/src/traffic/upstream.rs
@@ -1,101 +1,121 @@
 //! Calls to upstreams over HTTP.
 
+use super::connections::{Checkout, Connections, Purpose};
 use super::mailbox::{Mail, Mailbox};
-use berylpin_core::arena::Arena;
 use berylpin_core::control::View;
 use berylpin_core::ids::{QueryTag, ReplicaId};
-use berylpin_core::message::{FailReason, SnapshotRange};
-use berylpin_core::replica::{Call, CallResult, Probe};
+use berylpin_core::message::FailReason;
+use berylpin_core::replica::{Call, CallKey, CallResult, Probe, ProbeResult};
 use berylpin_core::verdict::Verdict;
 use berylpin_wire::upstream::{
     DEADLINE_MS, DRAINING, LookupReply, NOT_RUN, RANK, REQUEST_ID, SNAPSHOT,
 };
 use reqwest::{Client, RequestBuilder, Response, StatusCode};
 use std::time::Duration;
+use tokio::sync::oneshot;
 
-/// How long a probe may take.
+/// How long a probe or a cancellation may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How long a call may go on past its deadline before its connection is given up.
-const DEADLINE_GRACE: Duration = Duration::from_millis(50);
+/// How long a call may go on past its deadline; the core gives it up long before.
+const CALL_GRACE: Duration = Duration::from_secs(5);
 
-/// The HTTP clients of the replicas that one thread owns.
+/// The largest reply that is read, in bytes.
+const REPLY_LIMIT: usize = 16 * 1024 * 1024;
+
+/// The upstreams of the replicas that one thread owns.
 pub(super) struct Upstreams {
     own: Mailbox,
-    /// Indexed by replica; `None` for those that were never called.
-    clients: Arena<ReplicaId, Option<Client>>,
+    connections: Connections,
+    /// Sorted by key; holds the calls in progress.
+    calls: Vec<(CallKey, oneshot::Sender<()>)>,
 }
 
 impl Upstreams {
     pub(super) fn new(own: Mailbox) -> Self {
-        Self { own, clients: Arena::default() }
+        Self { own, connections: Connections::new(), calls: Vec::new() }
     }
 
-    /// Closes the connections to replicas that no document names.
+    /// Closes the connections to replicas that are not owned here any more.
     pub(super) fn retain(&mut self, view: &View) {
-        self.clients.grow(view.topology.replicas.len(), || None);
-        for (id, client) in self.clients.iter_mut() {
-            if !view.topology.replicas[id].listed {
-                *client = None;
-            }
-        }
+        self.collect();
+        self.connections.retain(view);
     }
 
     /// Starts a call; its result comes as mail.
     pub(super) fn call(&mut self, view: &View, call: Call) {
+        self.collect();
         let key = call.key;
-        let request = self
-            .client(view, call.replica)
-            .post(url(view, call.replica, "lookup"))
-            .timeout(call.time_left + DEADLINE_GRACE)
-            .header(REQUEST_ID, call.request.to_string())
-            .header(SNAPSHOT, call.snapshot.0)
-            .header(RANK, call.rank.name())
-            .header(DEADLINE_MS, call.time_left.as_millis() as u64)
-            .body(call.body);
+        let checkout = self.connections.take(view, call.replica, Purpose::Call(key));
+        let (stop, stopped) = oneshot::channel();
+        if checkout.is_some() {
+            let at = self.calls.partition_point(|(other, _)| *other < key);
+            self.calls.insert(at, (key, stop));
+        }
+        let url = url(view, call.replica, "lookup");
         let own = self.own.clone();
         tokio::spawn(async move {
-            let result = run_call(request).await;
-            own.send(Mail::Called(key, result));
+            let result = match checkout {
+                Some(checkout) => run_call(checkout, url, call, stopped).await,
+                None => failed(Verdict::NotRun, FailReason::Overloaded),
+            };
+            own.send_surely(Mail::Called(key, result)).await;
         });
     }
 
+    /// Ends a call and closes its connection and the idle ones of its replica.
+    pub(super) fn reconnect(&mut self, replica: ReplicaId, call: CallKey) {
+        self.collect();
+        self.connections.renew(replica);
+        if let Ok(at) = self.calls.binary_search_by_key(&call, |(key, _)| *key) {
+            // An error means that the call has just ended by itself.
+            let _ = self.calls.remove(at).1.send(());
+        }
+    }
+
     /// Tells an upstream that the result of a request is not needed.
     pub(super) fn abort(&mut self, view: &View, replica: ReplicaId, request: QueryTag) {
+        self.collect();
+        let Some(checkout) = self.connections.take(view, replica, Purpose::Other) else {
+            metrics::counter!("berylpin_aborts_skipped_total").increment(1);
+            return;
+        };
         let address = view.topology.replicas[replica].settings.address;
-        let request = self
-            .client(view, replica)
-            .delete(format!("http://{address}/v1/requests/{request}"))
-            .timeout(PROBE_TIMEOUT);
+        let url = format!("http://{address}/v1/requests/{request}");
         // A cancellation that is lost costs only the work it would have saved.
-        tokio::spawn(async move { request.send().await.map(drop) });
+        tokio::spawn(async move {
+            let Some(client) = checkout.client() else { return };
+            let sent = client.delete(url).timeout(PROBE_TIMEOUT).send().await;
+            if let Ok(response) = sent
+                && read_body(response).await.is_some()
+            {
+                checkout.release();
+            }
+        });
     }
 
     /// Starts a probe; its result comes as mail.
     pub(super) fn probe(&mut self, view: &View, probe: Probe) {
-        let request = self
-            .client(view, probe.replica)
-            .get(url(view, probe.replica, "snapshots"))
-            .timeout(PROBE_TIMEOUT);
+        self.collect();
+        let checkout = self.connections.take(view, probe.replica, Purpose::Other);
+        let url = url(view, probe.replica, "snapshots");
         let own = self.own.clone();
         tokio::spawn(async move {
-            let result = run_probe(request).await.ok();
-            own.send(Mail::Probed(probe.replica, result));
+            let result = match checkout {
+                Some(checkout) => run_probe(checkout, url).await.unwrap_or(ProbeResult::Failed),
+                None => ProbeResult::Failed,
+            };
+            own.send_surely(Mail::Probed(probe.replica, result)).await;
         });
     }
 
-    fn client(&mut self, view: &View, replica: ReplicaId) -> Client {
-        self.clients.grow(view.topology.replicas.len(), || None);
-        let connections = view.topology.replicas[replica].settings.connections;
-        let make = || {
-            Client::builder()
-                .http1_only()
-                .tcp_nodelay(true)
-                .pool_max_idle_per_host(connections.into())
-                .build()
-                .unwrap_or_default()
-        };
-        self.clients[replica].get_or_insert_with(make).clone()
+    fn collect(&mut self) {
+        let calls = &mut self.calls;
+        self.connections.collect(|ended| {
+            if let Ok(at) = calls.binary_search_by_key(&ended, |(key, _)| *key) {
+                calls.remove(at);
+            }
+        });
     }
 }
 
@@ -106,20 +126,73 @@
     format!("http://{}/v1/{service}/{}/{action}", replica.settings.address, shard.name)
 }
 
-async fn run_call(request: RequestBuilder) -> CallResult {
+async fn run_call(
+    checkout: Checkout,
+    url: String,
+    call: Call,
+    stopped: oneshot::Receiver<()>,
+) -> CallResult {
+    let Some(request) = checkout.client().map(|client| lookup(client, url, call)) else {
+        return failed(Verdict::NotRun, FailReason::Connection);
+    };
+    // The drop of an unfinished request closes its connection.
+    let response = tokio::select! {
+        response = exchange(request) => response,
+        _ = stopped => return failed(Verdict::MayHaveRun, FailReason::Connection),
+    };
+    if response.whole {
+        checkout.release();
+    }
+    response.result
+}
+
+fn lookup(client: &Client, url: String, call: Call) -> RequestBuilder {
+    client
+        .post(url)
+        .timeout(call.time_left + CALL_GRACE)
+        .header(REQUEST_ID, call.request.to_string())
+        .header(SNAPSHOT, call.snapshot.0)
+        .header(RANK, call.rank.name())
+        .header(DEADLINE_MS, call.time_left.as_millis() as u64)
+        .body(call.body)
+}
+
+/// What came back on a connection.
+struct Exchange {
+    result: CallResult,
+    /// Whether the reply was read to its end.
+    whole: bool,
+}
+
+async fn exchange(request: RequestBuilder) -> Exchange {
     let response = match request.send().await {
         Ok(response) => response,
-        Err(e) => return failed(error_verdict(&e), error_reason(&e)),
+        Err(e) => return Exchange { result: failed_request(&e), whole: false },
     };
-    match response.status() {
-        StatusCode::OK => {}
-        StatusCode::GONE => return failed(Verdict::NotRun, FailReason::SnapshotGone),
-        _ => return refused(&response),
-    }
-    let Ok(body) = response.bytes().await else {
-        return failed(Verdict::MayHaveRun, FailReason::Connection);
+    let status = response.status();
+    let not_run = response.headers().contains_key(NOT_RUN);
+    let draining = response.headers().contains_key(DRAINING);
+    let body = read_body(response).await;
+    let whole = body.is_some();
+    let result = match status {
+        StatusCode::OK => body.map_or_else(
+            || failed(Verdict::MayHaveRun, FailReason::Connection),
+            |body| parse_reply(&body),
+        ),
+        StatusCode::GONE => failed(Verdict::NotRun, FailReason::SnapshotGone),
+        StatusCode::SERVICE_UNAVAILABLE if not_run && draining => {
+            failed(Verdict::NotRun, FailReason::Draining)
+        }
+        StatusCode::SERVICE_UNAVAILABLE if not_run => {
+            failed(Verdict::NotRun, FailReason::Overloaded)
+        }
+        _ => failed(Verdict::MayHaveRun, FailReason::UpstreamError),
     };
-    let reply = serde_json::from_slice::<LookupReply>(&body).ok();
+    Exchange { result, whole }
+}
+
+fn parse_reply(body: &[u8]) -> CallResult {
+    let reply = serde_json::from_slice::<LookupReply>(body).ok();
     let request = reply.as_ref().and_then(|r| u64::from_str_radix(&r.request, 16).ok());
     match (reply, request) {
         (Some(LookupReply { shard, snapshot, serves, rows, .. }), Some(request)) => {
@@ -129,30 +202,44 @@
     }
 }
 
-fn refused(response: &Response) -> CallResult {
-    let headers = response.headers();
-    if !headers.contains_key(NOT_RUN) {
-        return failed(Verdict::MayHaveRun, FailReason::UpstreamError);
-    }
-    if headers.contains_key(DRAINING) {
-        return failed(Verdict::NotRun, FailReason::Draining);
+/// Reads a body to its end; returns `None` if that fails or if it is too large.
+async fn read_body(mut response: Response) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.ok()? {
+        if body.len() + chunk.len() > REPLY_LIMIT {
+            return None;
+        }
+        body.extend_from_slice(&chunk);
     }
-    failed(Verdict::NotRun, FailReason::Overloaded)
+    Some(body)
 }
 
-/// Only a connection that was never made proves that no byte was written.
-fn error_verdict(e: &reqwest::Error) -> Verdict {
-    if e.is_connect() { Verdict::NotRun } else { Verdict::MayHaveRun }
-}
-
-fn error_reason(e: &reqwest::Error) -> FailReason {
-    if e.is_timeout() { FailReason::Deadline } else { FailReason::Connection }
+/// Tells whether a request without a response may have run.
+///
+/// Only a connection that was never made proves that no byte was written. A pooled connection that
+/// breaks once the request is on it proves nothing.
+fn failed_request(e: &reqwest::Error) -> CallResult {
+    let verdict = if e.is_connect() { Verdict::NotRun } else { Verdict::MayHaveRun };
+    failed(verdict, FailReason::Connection)
 }
 
 fn failed(verdict: Verdict, reason: FailReason) -> CallResult {
     CallResult::Failed { verdict, reason }
 }
 
-async fn run_probe(request: RequestBuilder) -> Result<SnapshotRange, reqwest::Error> {
-    request.send().await?.error_for_status()?.json().await
+async fn run_probe(checkout: Checkout, url: String) -> Option<ProbeResult> {
+    let request = checkout.client()?.get(url).timeout(PROBE_TIMEOUT);
+    let response = request.send().await.ok()?;
+    let draining = response.headers().contains_key(DRAINING);
+    let status = response.status();
+    let body = read_body(response).await?;
+    checkout.release();
+    if draining {
+        return Some(ProbeResult::Draining);
+    }
+    let range = serde_json::from_slice(&body).ok().filter(|_| status == StatusCode::OK)?;
+    Some(ProbeResult::Serves(range))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_wire/src/upstream.rs
+++ b/crates/berylpin_wire/src/upstream.rs
@@ -2,7 +2,12 @@
 //!
 //! `POST /v1/{service}/{shard}/lookup` runs a sub-query: its body is what the caller asked, the
 //! headers below carry the rest. `GET /v1/{service}/{shard}/snapshots` tells what a replica
-//! serves. `DELETE /v1/requests/{id}` cancels a request.
+//! serves; a replica that is leaving says so there too, in a header. `DELETE /v1/requests/{id}`
+//! cancels a request.
+//!
+//! Status 200 carries a [`LookupReply`], 410 says that the snapshot is gone and nothing ran, and
+//! 503 with [`NOT_RUN`] is a refusal before execution. After any other status the request may have
+//! run.
 
 use berylpin_core::ids::Snapshot;
 use berylpin_core::message::{Row, SnapshotRange};
@@ -18,7 +23,7 @@
 pub const DEADLINE_MS: &str = "x-deadline-ms";
 /// Header of a refusal: the request was not run.
 pub const NOT_RUN: &str = "x-not-run";
-/// Header of a refusal: the replica is leaving.
+/// Header of a refusal or of a reply to a probe: the replica is leaving.
 pub const DRAINING: &str = "x-draining";
 
 /// Body of a status 200 to a lookup.
