Write the owner's decisions to logs and metrics

A gauge a replica for shed levels was ruled out, since its series would grow with replicas; the log and the hints carry them.

--- a/crates/berylpin_core/src/decision.rs
+++ b/crates/berylpin_core/src/decision.rs
@@ -86,7 +86,12 @@
             Self::Pinned { query, .. }
             | Self::Routed { query, .. }
             | Self::Started { query, .. }
-            | Self::Refused { query, .. } => Some(*query),
+            | Self::Refused { query, .. }
+            | Self::Stalled { query, .. } => Some(*query),
+            Self::ShedLevel { .. }
+            | Self::Ejected { .. }
+            | Self::Returned { .. }
+            | Self::Drained { .. } => None,
         }
     }
 }
--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -18,6 +18,8 @@
 const ATTEMPTS: &str = "berylpin_attempts_total";
 const STARTS: &str = "berylpin_upstream_calls_total";
 const REFUSALS: &str = "berylpin_sub_query_refusals_total";
+const STALLS: &str = "berylpin_stalled_calls_total";
+const CHANGES: &str = "berylpin_replica_changes_total";
 const EPOCH: &str = "berylpin_view_epoch";
 const MEMBERS: &str = "berylpin_members_live";
 const OWNED: &str = "berylpin_replicas_owned";
@@ -91,7 +93,11 @@
         Decision::Refused { reason, .. } => {
             counter!(REFUSALS, "reason" => reason.name()).increment(1);
         }
-        Decision::Pinned { .. } => {}
+        Decision::Stalled { .. } => counter!(STALLS).increment(1),
+        Decision::Ejected { .. } => counter!(CHANGES, "change" => "ejected").increment(1),
+        Decision::Returned { .. } => counter!(CHANGES, "change" => "returned").increment(1),
+        Decision::Drained { .. } => counter!(CHANGES, "change" => "drained").increment(1),
+        Decision::Pinned { .. } | Decision::ShedLevel { .. } => {}
     }
 }
 
@@ -115,6 +121,8 @@
     describe_counter!(ATTEMPTS, "Attempts at shards by cause: first, retry or hedge");
     describe_counter!(STARTS, "Calls to upstreams");
     describe_counter!(REFUSALS, "Sub-queries refused by their owner, by reason");
+    describe_counter!(STALLS, "Calls that made no progress, with their connection replaced");
+    describe_counter!(CHANGES, "Replicas that were ejected, drained or returned, by change");
     describe_gauge!(EPOCH, "Epoch of the view in force");
     describe_gauge!(MEMBERS, "Daemons that take part in placement");
     describe_gauge!(OWNED, "Replicas that this daemon owns");
