--- a/crates/berylpin_core/src/decision.rs
+++ b/crates/berylpin_core/src/decision.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{QueryTag, ReplicaTag, Snapshot};
 use crate::message::FailReason;
+use crate::query::RefusalReason;
 use crate::rank::Rank;
 use std::fmt;
 
@@ -46,6 +47,22 @@
         /// Why.
         reason: FailReason,
     },
+    /// A query was refused before any sub-query was sent.
+    Rejected {
+        /// The query.
+        query: QueryTag,
+        /// Its rank.
+        rank: Rank,
+        /// Why.
+        reason: RefusalReason,
+    },
+    /// A query starts again, as its snapshot is not served any more.
+    Restarted {
+        /// The query.
+        query: QueryTag,
+        /// The snapshot that is given up.
+        from: Snapshot,
+    },
 }
 
 /// Why an attempt was made.
@@ -57,6 +74,8 @@
     Retry,
     /// The earlier attempt is slow.
     Hedge,
+    /// The owner of the earlier attempt was lost or changed.
+    Reroute,
 }
 
 impl fmt::Display for AttemptCause {
@@ -65,6 +84,7 @@
             Self::First => "first",
             Self::Retry => "retry",
             Self::Hedge => "hedge",
+            Self::Reroute => "reroute",
         })
     }
 }
--- a/crates/berylpin_core/src/lib.rs
+++ b/crates/berylpin_core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod decision;
 pub mod ids;
+pub mod limits;
 pub mod message;
 pub mod query;
 pub mod rank;
--- /dev/null
+++ b/crates/berylpin_core/src/limits/mod.rs
@@ -0,0 +1,9 @@
+//! Limits of load: admission of whole queries, budgets for extra attempts, queries at once.
+
+mod admission;
+mod budget;
+mod running;
+
+pub(crate) use admission::{Assessment, HINT_TRUST, shed_level};
+pub use budget::Budget;
+pub use running::RunningLimit;
--- /dev/null
+++ b/crates/berylpin_core/src/limits/running.rs
@@ -0,0 +1,42 @@
+//! How many queries a thread runs at once.
+
+use crate::rank::Rank;
+
+/// Bounds the queries of a thread, with places reserved for each rank.
+///
+/// A flood of one rank, whichever it is, leaves the reserved places of the other ranks free.
+#[derive(Clone, Copy, Debug)]
+pub struct RunningLimit {
+    /// At least the sum of `reserved`.
+    limit: u32,
+    /// Indexed by rank.
+    reserved: [u32; Rank::COUNT],
+    /// Indexed by rank; the sum never exceeds `limit`.
+    running: [u32; Rank::COUNT],
+}
+
+impl RunningLimit {
+    /// Allows `limit` queries; an eighth of the places is reserved for each rank.
+    pub fn new(limit: u32) -> Self {
+        Self { limit, reserved: [limit / 8; Rank::COUNT], running: [0; Rank::COUNT] }
+    }
+
+    /// Takes a place, if the rank may have one more.
+    pub fn enter(&mut self, rank: Rank) -> bool {
+        let others = Rank::ALL.into_iter().filter(|other| *other != rank);
+        let held: u32 = others.map(|r| self.running[r.index()].max(self.reserved[r.index()])).sum();
+        let allowed = self.running[rank.index()] + held < self.limit;
+        if allowed {
+            self.running[rank.index()] += 1;
+        }
+        allowed
+    }
+
+    /// Gives a place back.
+    pub fn leave(&mut self, rank: Rank) {
+        self.running[rank.index()] -= 1;
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_core/src/message.rs
+++ b/crates/berylpin_core/src/message.rs
@@ -20,6 +20,8 @@
     pub thread: ThreadId,
     /// The query on that thread.
     pub query: SlabKey,
+    /// The tag of the query; an entry that was restarted reuses the other keys, but not this one.
+    pub tag: QueryTag,
     /// The position of the shard within the query.
     pub position: u32,
     /// Counts the attempts at this shard from 0.
--- a/crates/berylpin_core/src/query/coordinator.rs
+++ b/crates/berylpin_core/src/query/coordinator.rs
@@ -1,147 +1,86 @@
 //! The queries that one traffic thread runs as their entry.
 
-use super::answer::{Answer, Coverage, Missing, Refusal, RefusalReason};
+use super::answer::{Refusal, RefusalReason};
+use super::event::{Action, Event, Request, Ticket};
+use super::outbox::Outbox;
+use super::replicas::{INQUIRY_WAIT, Replicas};
 use super::snapshot;
+use super::state::Query;
+use super::survey::Survey;
 use crate::arena::{Arena, Slab, SlabKey};
 use crate::control::View;
-use crate::decision::{AttemptCause, Decision};
-use crate::ids::{MemberId, QueryTag, ReplicaId, ReplicaTag, ShardId, Snapshot, ThreadId};
-use crate::message::{
-    AttemptId, Batch, FailReason, Hint, Outcome, Part, PartReply, QueryMessage, Row,
-};
+use crate::decision::Decision;
+use crate::ids::{QueryTag, ReplicaId, ReplicaTag, ServiceId, ThreadId};
+use crate::limits::{Budget, RunningLimit};
+use crate::message::Hint;
 use crate::rank::Rank;
 use crate::timers::Timers;
 use crate::verdict::Verdict;
-use bytes::Bytes;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// How long a query waits for owners to say which snapshots they serve.
-const INQUIRY_WAIT: Duration = Duration::from_millis(50);
+/// Queries that one thread runs at once.
+const RUNNING_LIMIT: u32 = 4096;
 
-/// Attempts at one shard, the first included.
-const ATTEMPT_LIMIT: u8 = 3;
+/// When a caller may resend a query that found no place.
+const FULL_RETRY: Duration = Duration::from_secs(1);
 
-/// Names a caller's request within one thread; chosen by the front end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Ticket(pub u64);
-
-/// A checked request of a caller.
-#[derive(Clone, Debug)]
-pub struct Request {
-    /// A service or a group.
-    pub target: String,
-    /// How urgent it is.
-    pub rank: Rank,
-    /// How long the caller waits.
-    pub time_left: Duration,
-    /// The most rows wanted.
-    pub limit: usize,
-    /// What is asked of each shard.
-    pub body: Bytes,
-}
+/// Timers set beyond those that running queries need, before dead ones are dropped.
+const TIMER_SLACK: usize = 64;
 
-/// What happens to the queries of a thread.
-#[derive(Debug)]
-pub enum Event {
-    /// Control state changed.
-    View(Arc<View>),
-    /// A caller sent a request.
-    Request(Ticket, Request),
-    /// The caller does not wait any more.
-    CallerGone(Ticket),
-    /// An owner replied to a sub-query.
-    Reply(PartReply),
-    /// Owners said what state their replicas are in.
-    Hints(Vec<(ReplicaTag, Hint)>),
-    /// The link to a daemon broke; what was sent over it may be lost.
-    LinkDown(MemberId),
-    /// A timer may be due.
-    Tick,
-}
+/// Timers set for each running query, before dead ones are dropped.
+const TIMERS_PER_QUERY: usize = 4;
 
-/// What the shell is to do.
-#[derive(Debug)]
-pub enum Action {
-    /// Send a message to a daemon, which may be this one.
-    Send(MemberId, QueryMessage),
-    /// Answer a caller.
-    Answer(Ticket, Result<Answer, Refusal>),
-    /// Log a decision.
-    Decided(Decision),
-}
+/// The part of a query's time that has to be left for a second run, as a divisor.
+const RESTART_SHARE: u32 = 4;
 
 /// The queries that one traffic thread runs as their entry.
 #[derive(Debug)]
 pub struct Coordinator {
-    thread: ThreadId,
-    view: Arc<View>,
-    /// Indexed by replica; as long as the replica arena of `view`.
-    hints: Arena<ReplicaId, Hint>,
-    queries: Slab<Query>,
-    timers: Timers<(SlabKey, Timer)>,
-    rng: SmallRng,
+    pub(super) thread: ThreadId,
+    pub(super) view: Arc<View>,
+    pub(super) replicas: Replicas,
+    /// As long as the service arena of `view`; indexed by rank within a service.
+    pub(super) budgets: Arena<ServiceId, [Budget; Rank::COUNT]>,
+    pub(super) queries: Slab<Query>,
+    /// Sorted by ticket; holds every query in progress.
+    tickets: Vec<(Ticket, SlabKey)>,
+    /// Queries that wait for hints; a key may belong to no query any more.
+    waiting: Vec<SlabKey>,
+    running: RunningLimit,
+    pub(super) timers: Timers<(SlabKey, Timer)>,
+    pub(super) rng: SmallRng,
+    pub(super) outbox: Outbox,
+    survey: Survey,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
+pub(super) enum Timer {
     Inquiry,
+    Wake,
     Deadline,
 }
 
-#[derive(Debug)]
-struct Query {
-    ticket: Ticket,
-    tag: QueryTag,
-    rank: Rank,
-    deadline: Instant,
-    limit: usize,
-    minimum_coverage: f64,
-    body: Bytes,
-    /// `None` until the snapshot is chosen; never changes afterwards.
-    snapshot: Option<Snapshot>,
-    /// In the order of the target's shards.
-    shards: Vec<ShardProgress>,
-    /// Shards without rows and with an attempt in progress.
-    open: u32,
-    rows: Vec<Row>,
-}
-
-#[derive(Debug)]
-struct ShardProgress {
-    shard: ShardId,
-    state: ShardState,
-    attempts: u8,
-    /// The replica of the newest attempt.
-    replica: Option<ReplicaId>,
-    /// Whether any attempt may have run.
-    verdict: Verdict,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ShardState {
-    /// An attempt is in progress, or the snapshot is not chosen yet.
-    Open,
-    /// Its rows are merged.
-    Answered,
-    /// No attempt is left.
-    Missing(FailReason),
-}
-
 impl Coordinator {
     /// Makes the coordinator of one thread; `seed` drives its random choices.
     pub fn new(thread: ThreadId, view: Arc<View>, seed: u64) -> Self {
         let mut coordinator = Self {
             thread,
-            hints: Arena::default(),
+            replicas: Replicas::default(),
+            budgets: Arena::default(),
             queries: Slab::default(),
+            tickets: Vec::new(),
+            waiting: Vec::new(),
+            running: RunningLimit::new(RUNNING_LIMIT),
             timers: Timers::default(),
             rng: SmallRng::seed_from_u64(seed),
+            outbox: Outbox::default(),
+            survey: Survey::default(),
             view: view.clone(),
         };
-        coordinator.install(view);
+        coordinator.follow(view);
         coordinator
     }
 
@@ -158,113 +97,132 @@
     /// Handles one event and appends what the shell is to do.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::View(view) => self.install(view),
+            Event::View(view) => {
+                self.follow(view);
+                self.reroute_moved(now, out);
+            }
             Event::Request(ticket, request) => self.begin(now, ticket, request, out),
-            Event::CallerGone(ticket) => self.abandon(ticket, out),
+            Event::CallerGone(ticket) => self.abandon(now, ticket, out),
             Event::Reply(reply) => self.reply(now, reply, out),
-            Event::Hints(hints) => self.learn(now, &hints, out),
-            Event::LinkDown(member) => self.link_down(now, member, out),
+            Event::Hints(hints) => self.hints(now, &hints, out),
+            Event::LinkDown(member) => self.reroute_lost(now, member, out),
             Event::Tick => self.tick(now, out),
         }
     }
 
-    fn install(&mut self, view: Arc<View>) {
-        self.hints.grow(view.topology.replicas.len(), Hint::default);
+    fn follow(&mut self, view: Arc<View>) {
+        self.replicas.install(&view);
+        self.budgets.grow(view.topology.services.len(), Default::default);
         self.view = view;
     }
 
     fn begin(&mut self, now: Instant, ticket: Ticket, request: Request, out: &mut Vec<Action>) {
-        let view = self.view.clone();
-        let Some((_, shards)) = view.topology.target(&request.target) else {
-            let refusal = Refusal {
-                verdict: Verdict::NotRun,
-                reason: RefusalReason::UnknownTarget,
-                retry_after: None,
-            };
-            return out.push(Action::Answer(ticket, Err(refusal)));
+        let refuse = |reason, retry_after| {
+            let verdict = Verdict::NotRun;
+            Action::Answer(ticket, Err(Refusal { verdict, reason, retry_after }))
         };
-        let progress = |&shard| ShardProgress {
-            shard,
-            state: ShardState::Open,
-            attempts: 0,
-            replica: None,
-            verdict: Verdict::NotRun,
+        let Some((_, shards)) = self.view.topology.target(&request.target) else {
+            return out.push(refuse(RefusalReason::UnknownTarget, None));
         };
-        let service = &view.topology.services[view.topology.shards[shards[0]].service];
-        let deadline = now + request.time_left;
-        let key = self.queries.insert(Query {
-            ticket,
-            tag: QueryTag(self.rng.random()),
-            rank: request.rank,
-            deadline,
-            limit: request.limit,
-            minimum_coverage: service.settings.minimum_coverage,
-            body: request.body,
-            snapshot: None,
-            open: shards.len() as u32,
-            shards: shards.iter().map(progress).collect(),
-            rows: Vec::new(),
-        });
-        self.timers.set(deadline, (key, Timer::Deadline));
-        let unknown = self.unknown_replicas(key);
-        if unknown.is_empty() {
-            return self.pin(now, key, out);
+        if !self.running.enter(request.rank) {
+            return out.push(refuse(RefusalReason::Overloaded, Some(FULL_RETRY)));
+        }
+        let time_left = request.time_left;
+        let tag = QueryTag(self.rng.random());
+        let query = Query::new(now, ticket, tag, request, &self.view.topology, shards);
+        let key = self.store(query);
+        if self.survey(now, key, out) {
+            let wait = INQUIRY_WAIT.min(time_left / 4);
+            self.set_timer(now + wait, key, Timer::Inquiry);
+            self.waiting.push(key);
+        } else {
+            self.pin(now, key, out);
         }
-        self.timers.set(now + INQUIRY_WAIT.min(request.time_left / 4), (key, Timer::Inquiry));
-        self.inquire(&unknown, out);
     }
 
-    /// Returns the replicas of shards of which no replica's snapshots are known.
-    fn unknown_replicas(&self, key: SlabKey) -> Vec<ReplicaId> {
-        let Some(query) = self.queries.get(key) else { return Vec::new() };
-        let shards = query.shards.iter().map(|progress| progress.shard);
-        shards
-            .map(|shard| &self.view.topology.shards[shard].replicas)
-            .filter(|replicas| replicas.iter().all(|r| self.hints[*r].snapshots.is_none()))
-            .flatten()
-            .copied()
-            .filter(|replica| self.view.owner(*replica).is_some())
-            .collect()
+    /// Stores a query under a new key; replies to earlier keys of it find nothing.
+    fn store(&mut self, query: Query) -> SlabKey {
+        let (ticket, deadline) = (query.ticket, query.deadline);
+        let key = self.queries.insert(query);
+        let at = self.tickets.partition_point(|known| *known < (ticket, key));
+        self.tickets.insert(at, (ticket, key));
+        self.set_timer(deadline, key, Timer::Deadline);
+        key
     }
 
-    fn inquire(&self, replicas: &[ReplicaId], out: &mut Vec<Action>) {
-        let view = &self.view;
-        let asked = replicas.iter().filter_map(|r| Some((view.owner(*r)?, *r)));
-        for (owner, replicas) in by_owner(asked.collect()) {
-            let tags = replicas.iter().map(|r| view.topology.replicas[*r].settings.tag);
-            let message = QueryMessage::Inquire { thread: self.thread, replicas: tags.collect() };
-            out.push(Action::Send(owner, message));
+    /// Sets a timer of a query; drops dead timers once they outnumber the needed ones.
+    pub(super) fn set_timer(&mut self, at: Instant, key: SlabKey, timer: Timer) {
+        self.timers.set(at, (key, timer));
+        if self.timers.len() > TIMER_SLACK + TIMERS_PER_QUERY * self.queries.len() {
+            let queries = &self.queries;
+            self.timers.retain(|at, (key, timer)| {
+                let query = queries.get(*key);
+                query.is_some_and(|query| match timer {
+                    Timer::Inquiry => query.snapshot.is_none(),
+                    Timer::Wake => query.wake == Some(at),
+                    Timer::Deadline => true,
+                })
+            });
         }
     }
 
-    fn learn(&mut self, now: Instant, hints: &[(ReplicaTag, Hint)], out: &mut Vec<Action>) {
+    /// Looks at what is known of a query's shards; returns whether it is worth waiting for more.
+    fn survey(&mut self, now: Instant, key: SlabKey, out: &mut Vec<Action>) -> bool {
+        let Some(query) = self.queries.get(key) else { return false };
+        let (known, outbox) = (&mut self.replicas, &mut self.outbox);
+        self.survey.take(now, &self.view, query, known, outbox);
+        self.outbox.flush_inquiries(self.thread, out);
+        self.survey.awaited
+    }
+
+    fn hints(&mut self, now: Instant, hints: &[(ReplicaTag, Hint)], out: &mut Vec<Action>) {
         for (tag, hint) in hints {
             if let Some(replica) = self.view.topology.replica(*tag) {
-                self.hints[replica] = *hint;
+                self.learn(now, replica, *hint);
             }
         }
-        let waiting: Vec<SlabKey> =
-            self.queries.iter().filter(|(_, q)| q.snapshot.is_none()).map(|(key, _)| key).collect();
-        for key in waiting {
-            if self.unknown_replicas(key).is_empty() {
-                self.pin(now, key, out);
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.retain(|key| {
+            let waits = self.queries.get(*key).is_some_and(|query| query.snapshot.is_none());
+            if waits && !self.survey(now, *key, out) {
+                self.pin(now, *key, out);
+                return false;
+            }
+            waits
+        });
+        self.waiting.append(&mut waiting);
+    }
+
+    /// Takes what an owner said about a replica.
+    pub(super) fn learn(&mut self, now: Instant, replica: ReplicaId, hint: Hint) {
+        self.replicas.learn(now, replica, hint);
+        if hint.shed_above.iter().any(|level| *level < QueryTag::LEVELS) {
+            let shard = self.view.topology.replicas[replica].shard;
+            let budgets = &mut self.budgets[self.view.topology.shards[shard].service];
+            for (budget, level) in budgets.iter_mut().zip(hint.shed_above) {
+                if level < QueryTag::LEVELS {
+                    budget.close(now);
+                }
             }
         }
     }
 
-    /// Chooses the snapshot and sends the first attempt at every shard.
+    /// Chooses the snapshot by the last survey and sends the first attempt at every shard.
     fn pin(&mut self, now: Instant, key: SlabKey, out: &mut Vec<Action>) {
         let Some(query) = self.queries.get_mut(key).filter(|q| q.snapshot.is_none()) else {
             return;
         };
-        let mut ranges = Vec::with_capacity(query.shards.len() * 2);
-        for (position, progress) in query.shards.iter().enumerate() {
-            let replicas = &self.view.topology.shards[progress.shard].replicas;
-            let known = replicas.iter().filter_map(|r| self.hints[*r].snapshots);
-            ranges.extend(known.map(|range| (position as u32, range)));
+        if !query.restarted && self.survey.is_overloaded(&self.view) {
+            let refusal = query.refusal(RefusalReason::Overloaded);
+            let (query, rank, reason) = (query.tag, query.rank, refusal.reason);
+            out.push(Action::Decided(Decision::Rejected { query, rank, reason }));
+            if let Some(query) = self.remove(now, key, out) {
+                out.push(Action::Answer(query.ticket, Err(refusal)));
+            }
+            return;
         }
-        let Some(choice) = snapshot::choose(&ranges) else {
-            return self.finish(key, out);
+        let Some(choice) = snapshot::choose(&self.survey.ranges) else {
+            return self.finish(now, key, out);
         };
         query.snapshot = Some(choice.snapshot);
         out.push(Action::Decided(Decision::Pinned {
@@ -274,222 +232,93 @@
             shards: query.shards.len() as u32,
             serving: choice.serving,
         }));
-        let positions: Vec<u32> = (0..query.shards.len() as u32).collect();
-        self.attempt(now, key, &positions, AttemptCause::First, out);
-    }
-
-    /// Sends an attempt at each of the given shards, one message an owner.
-    fn attempt(
-        &mut self,
-        now: Instant,
-        key: SlabKey,
-        positions: &[u32],
-        cause: AttemptCause,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(query) = self.queries.get_mut(key) else { return };
-        let Some(snapshot) = query.snapshot else { return };
-        let mut parts = Vec::with_capacity(positions.len());
-        for &position in positions {
-            let progress = &mut query.shards[position as usize];
-            let Some((owner, replica)) = pick(&self.view, &self.hints, progress, snapshot) else {
-                progress.state = ShardState::Missing(FailReason::Unreachable);
-                query.open -= 1;
-                continue;
-            };
-            let tag = self.view.topology.replicas[replica].settings.tag;
-            let ordinal = progress.attempts;
-            let attempt = AttemptId { thread: self.thread, query: key, position, ordinal };
-            progress.attempts += 1;
-            progress.replica = Some(replica);
-            out.push(Action::Decided(Decision::Routed { query: query.tag, replica: tag, cause }));
-            parts.push((owner, Part { attempt, replica: tag }));
-        }
-        for (owner, parts) in by_owner(parts) {
-            let batch = Batch {
-                query: query.tag,
-                rank: query.rank,
-                time_left: query.deadline.saturating_duration_since(now),
-                snapshot,
-                body: query.body.clone(),
-                parts,
-            };
-            out.push(Action::Send(owner, QueryMessage::Batch(batch)));
-        }
-        if query.open == 0 {
-            self.finish(key, out);
-        }
+        self.attempt_first(now, key, out);
+        self.settle(now, key, out);
     }
 
-    fn reply(&mut self, now: Instant, reply: PartReply, out: &mut Vec<Action>) {
-        if let Some(replica) = self.view.topology.replica(reply.replica) {
-            self.hints[replica] = reply.hint;
-        }
-        let AttemptId { query: key, position, ordinal, .. } = reply.attempt;
+    /// Sends what was gathered for a query and ends it once nothing is open.
+    pub(super) fn settle(&mut self, now: Instant, key: SlabKey, out: &mut Vec<Action>) {
         let Some(query) = self.queries.get_mut(key) else { return };
-        let Some(progress) = query.shards.get_mut(position as usize) else { return };
-        let current = ordinal + 1 == progress.attempts && progress.state == ShardState::Open;
-        if !current {
+        self.outbox.flush_batches(now, query, out);
+        self.outbox.flush_cancels(out);
+        let snapshot_lost = std::mem::take(&mut query.snapshot_lost);
+        let open = query.open;
+        if snapshot_lost && self.restart(now, key, out) {
             return;
         }
-        match reply.outcome {
-            Outcome::Rows { snapshot, rows } if Some(snapshot) == query.snapshot => {
-                progress.state = ShardState::Answered;
-                query.open -= 1;
-                query.rows.extend(rows);
-                if query.open == 0 {
-                    self.finish(key, out);
-                }
-            }
-            Outcome::Rows { .. } => self.failed(now, key, position, FailReason::BadReply, out),
-            Outcome::Failed { verdict, reason } => {
-                progress.verdict = progress.verdict.and(verdict);
-                self.failed(now, key, position, reason, out);
-            }
+        if open == 0 {
+            self.finish(now, key, out);
         }
     }
 
-    fn failed(
-        &mut self,
-        now: Instant,
-        key: SlabKey,
-        position: u32,
-        reason: FailReason,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(query) = self.queries.get_mut(key) else { return };
-        let progress = &mut query.shards[position as usize];
-        if progress.attempts < ATTEMPT_LIMIT && now < query.deadline {
-            return self.attempt(now, key, &[position], AttemptCause::Retry, out);
-        }
-        progress.state = ShardState::Missing(reason);
-        query.open -= 1;
-        if query.open == 0 {
-            self.finish(key, out);
-        }
-    }
-
-    fn link_down(&mut self, now: Instant, member: MemberId, out: &mut Vec<Action>) {
-        let view = self.view.clone();
-        let lost = |progress: &ShardProgress| {
-            progress.state == ShardState::Open
-                && progress.replica.and_then(|replica| view.owner(replica)) == Some(member)
-        };
-        let mut open = Vec::new();
-        for (key, query) in self.queries.iter() {
-            let positions = query.shards.iter().enumerate().filter(|(_, p)| lost(p));
-            open.extend(positions.map(|(position, _)| (key, position as u32)));
-        }
-        for (key, position) in open {
-            self.failed(now, key, position, FailReason::Connection, out);
+    /// Starts a query again on a newer snapshot, if that covers more shards.
+    fn restart(&mut self, now: Instant, key: SlabKey, out: &mut Vec<Action>) -> bool {
+        self.survey(now, key, out);
+        let Some(query) = self.queries.get(key) else { return false };
+        let time_left = query.deadline.saturating_duration_since(now);
+        let in_time = time_left > (query.deadline - query.started) / RESTART_SHARE;
+        let newer = snapshot::choose(&self.survey.ranges)
+            .filter(|choice| Some(choice.snapshot) > query.snapshot)
+            .filter(|choice| choice.serving > query.hopeful());
+        let calm = query
+            .shards
+            .iter()
+            .all(|progress| self.budgets[progress.service][query.rank.index()].is_open(now));
+        let Some(from) = query.snapshot else { return false };
+        if query.restarted || !in_time || newer.is_none() || !calm {
+            return false;
         }
+        out.push(Action::Decided(Decision::Restarted { query: query.tag, from }));
+        let Some(query) = self.remove(now, key, out) else { return false };
+        // The place of the first run was given back just now.
+        self.running.enter(query.rank);
+        let key = self.store(query.restart());
+        self.pin(now, key, out);
+        true
     }
 
     fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         while let Some((key, timer)) = self.timers.pop_due(now) {
             match timer {
-                Timer::Inquiry => self.pin(now, key, out),
-                Timer::Deadline => self.finish(key, out),
+                Timer::Inquiry => {
+                    self.survey(now, key, out);
+                    self.pin(now, key, out);
+                }
+                Timer::Wake => self.wake(now, key, out),
+                Timer::Deadline => self.finish(now, key, out),
             }
         }
     }
 
-    fn abandon(&mut self, ticket: Ticket, out: &mut Vec<Action>) {
-        let key = self.queries.iter().find(|(_, q)| q.ticket == ticket).map(|(key, _)| key);
-        if let Some(query) = key.and_then(|key| self.queries.remove(key).map(|q| (key, q))) {
-            self.cancel_open(query.0, &query.1, out);
+    fn abandon(&mut self, now: Instant, ticket: Ticket, out: &mut Vec<Action>) {
+        if let Ok(at) = self.tickets.binary_search_by_key(&ticket, |(known, _)| *known) {
+            self.remove(now, self.tickets[at].1, out);
         }
     }
 
     /// Answers with what there is and cancels the rest.
-    fn finish(&mut self, key: SlabKey, out: &mut Vec<Action>) {
-        let Some(mut query) = self.queries.remove(key) else { return };
-        self.cancel_open(key, &query, out);
-        let missing: Vec<Missing> = query.shards.iter().filter_map(missing_of).collect();
-        let asked = query.shards.len() as u32;
-        let answered = asked - missing.len() as u32;
-        let verdict = query.shards.iter().map(shard_verdict).fold(Verdict::NotRun, Verdict::and);
-        let refuse = |reason| Err(Refusal { verdict, reason, retry_after: None });
-        let enough = f64::from(answered) >= query.minimum_coverage * f64::from(asked);
-        let result = match query.snapshot {
-            None => refuse(RefusalReason::NoSnapshot),
-            Some(_) if answered == 0 => refuse(RefusalReason::Deadline),
-            Some(_) if !enough => refuse(RefusalReason::Coverage),
-            Some(snapshot) => {
-                query.rows.sort_unstable();
-                query.rows.truncate(query.limit);
-                let coverage = Coverage { asked, answered, missing };
-                Ok(Answer { snapshot, rows: query.rows, coverage })
-            }
-        };
-        out.push(Action::Answer(query.ticket, result));
+    fn finish(&mut self, now: Instant, key: SlabKey, out: &mut Vec<Action>) {
+        if let Some(query) = self.remove(now, key, out) {
+            let ticket = query.ticket;
+            out.push(Action::Answer(ticket, query.result(now, &self.view.topology)));
+        }
     }
 
-    fn cancel_open(&self, key: SlabKey, query: &Query, out: &mut Vec<Action>) {
-        let mut parts = Vec::new();
-        for (position, progress) in query.shards.iter().enumerate() {
-            let Some(replica) = progress.replica.filter(|_| progress.state == ShardState::Open)
-            else {
-                continue;
-            };
-            let Some(owner) = self.view.owner(replica) else { continue };
-            let attempt = AttemptId {
-                thread: self.thread,
-                query: key,
-                position: position as u32,
-                ordinal: progress.attempts - 1,
-            };
-            let tag = self.view.topology.replicas[replica].settings.tag;
-            parts.push((owner, Part { attempt, replica: tag }));
+    /// Takes a query out and cancels its open attempts.
+    fn remove(&mut self, now: Instant, key: SlabKey, out: &mut Vec<Action>) -> Option<Query> {
+        let shards = self.queries.get(key)?.shards.len() as u32;
+        for position in 0..shards {
+            self.cancel_attempts(now, key, position);
         }
-        for (owner, parts) in by_owner(parts) {
-            out.push(Action::Send(owner, QueryMessage::Cancel(parts)));
+        self.outbox.flush_cancels(out);
+        let query = self.queries.remove(key)?;
+        if let Ok(at) = self.tickets.binary_search(&(query.ticket, key)) {
+            self.tickets.remove(at);
         }
+        self.running.leave(query.rank);
+        Some(query)
     }
 }
 
-/// Picks the replica with the least expected delay; one that was not tried yet goes first.
-fn pick(
-    view: &View,
-    hints: &Arena<ReplicaId, Hint>,
-    progress: &ShardProgress,
-    snapshot: Snapshot,
-) -> Option<(MemberId, ReplicaId)> {
-    let replicas = &view.topology.shards[progress.shard].replicas;
-    let owned = replicas.iter().filter_map(|r| Some((view.owner(*r)?, *r)));
-    owned.min_by_key(|(_, replica)| {
-        let hint = &hints[*replica];
-        let serves = hint.snapshots.is_some_and(|range| range.contains(snapshot));
-        (progress.replica == Some(*replica), !serves, !hint.usable, hint.queue_delay)
-    })
-}
-
-fn missing_of(progress: &ShardProgress) -> Option<Missing> {
-    let reason = match progress.state {
-        ShardState::Answered => return None,
-        ShardState::Open => FailReason::Deadline,
-        ShardState::Missing(reason) => reason,
-    };
-    Some(Missing { shard: progress.shard, reason })
-}
-
-fn shard_verdict(progress: &ShardProgress) -> Verdict {
-    match progress.state {
-        ShardState::Answered => Verdict::Ran,
-        ShardState::Open if progress.attempts > 0 => Verdict::MayHaveRun,
-        ShardState::Open | ShardState::Missing(_) => progress.verdict,
-    }
-}
-
-/// Gathers items by owner, owners in order of their ids.
-fn by_owner<T>(mut items: Vec<(MemberId, T)>) -> Vec<(MemberId, Vec<T>)> {
-    items.sort_by_key(|(owner, _)| *owner);
-    let mut gathered: Vec<(MemberId, Vec<T>)> = Vec::new();
-    for (owner, item) in items {
-        match gathered.last_mut() {
-            Some((known, items)) if *known == owner => items.push(item),
-            _ => gathered.push((owner, vec![item])),
-        }
-    }
-    gathered
-}
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/query/coordinator/tests/world.rs
@@ -0,0 +1,290 @@
+//! A small fleet as a coordinator sees it, in virtual time.
+
+use crate::arena::Arena;
+use crate::config::{ReplicaSettings, ServiceSettings, ShardSettings};
+use crate::control::{Member, Topology, View};
+use crate::decision::{AttemptCause, Decision};
+use crate::ids::{
+    Key, MemberId, MemberTag, QueryTag, ReplicaId, ReplicaTag, ServiceId, Snapshot, ThreadId,
+};
+use crate::message::{
+    Batch, FailReason, Hint, Outcome, Part, PartReply, QueryMessage, Row, SnapshotRange,
+};
+use crate::query::{Action, Answer, Coordinator, Event, Refusal, Request, Ticket};
+use crate::rank::Rank;
+use crate::verdict::Verdict;
+use bytes::Bytes;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+pub(super) const DATA_CENTRES: [&str; 2] = ["palermo-1", "catania-1"];
+
+/// The size of a fleet; every service has as many shards and belongs to the group `desk`.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Shape {
+    pub(super) services: u32,
+    pub(super) shards: u32,
+    pub(super) replicas: u32,
+    pub(super) members: u32,
+    pub(super) minimum_coverage: f64,
+    pub(super) extra_load: f64,
+}
+
+pub(super) const SMALL: Shape = Shape {
+    services: 3,
+    shards: 2,
+    replicas: 2,
+    members: 5,
+    minimum_coverage: 0.0,
+    extra_load: 0.1,
+};
+
+/// A sub-query that was sent, and what its replies so far said.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sent {
+    pub(super) owner: MemberId,
+    pub(super) part: Part,
+    pub(super) query: QueryTag,
+    pub(super) ticket: Ticket,
+    pub(super) snapshot: Snapshot,
+    pub(super) cancelled: bool,
+    pub(super) replied: bool,
+    pub(super) not_run: bool,
+}
+
+pub(super) struct World {
+    pub(super) now: Instant,
+    pub(super) view: Arc<View>,
+    pub(super) coordinator: Coordinator,
+    /// Indexed by replica.
+    pub(super) hints: Vec<Hint>,
+    pub(super) sent: Vec<Sent>,
+    pub(super) inquiries: Vec<(MemberId, ReplicaTag)>,
+    pub(super) answers: Vec<(Ticket, Result<Answer, Refusal>)>,
+    /// Routed attempts with the service and rank of the query.
+    pub(super) routed: Vec<(ServiceId, Rank, AttemptCause)>,
+    pub(super) ranks: Vec<(QueryTag, Rank)>,
+    pub(super) restarts: Vec<QueryTag>,
+    tickets: u64,
+}
+
+impl World {
+    pub(super) fn new(shape: Shape) -> Self {
+        let live = vec![true; shape.members as usize];
+        let topology = Arc::new(Topology::default().with_documents(&documents(shape)));
+        let view = Arc::new(view(1, &live, topology));
+        let range = SnapshotRange { oldest: Snapshot(1), newest: Snapshot(3) };
+        let hint = Hint {
+            snapshots: Some(range),
+            queue_delay: Duration::ZERO,
+            shed_above: [QueryTag::LEVELS; Rank::COUNT],
+            usable: true,
+        };
+        Self {
+            now: Instant::now(),
+            coordinator: Coordinator::new(ThreadId::from_index(0), view.clone(), 7),
+            hints: vec![hint; view.topology.replicas.len()],
+            view,
+            sent: Vec::new(),
+            inquiries: Vec::new(),
+            answers: Vec::new(),
+            routed: Vec::new(),
+            ranks: Vec::new(),
+            restarts: Vec::new(),
+            tickets: 0,
+        }
+    }
+
+    pub(super) fn event(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.coordinator.handle(self.now, event, &mut out);
+        for action in out {
+            match action {
+                Action::Send(owner, QueryMessage::Batch(batch)) => self.batch(owner, &batch),
+                Action::Send(_, QueryMessage::Cancel(parts)) => {
+                    for sent in &mut self.sent {
+                        sent.cancelled |= parts.contains(&sent.part);
+                    }
+                }
+                Action::Send(owner, QueryMessage::Inquire { replicas, .. }) => {
+                    self.inquiries.extend(replicas.into_iter().map(|tag| (owner, tag)));
+                }
+                Action::Send(_, message) => panic!("an entry does not send {message:?}"),
+                Action::Answer(ticket, result) => self.answers.push((ticket, result)),
+                Action::Decided(decision) => self.decided(decision),
+            }
+        }
+    }
+
+    fn batch(&mut self, owner: MemberId, batch: &Batch) {
+        let ticket = Ticket(u64::from_le_bytes(batch.body[..].try_into().unwrap()));
+        assert!(!batch.parts.is_empty());
+        self.sent.extend(batch.parts.iter().map(|&part| Sent {
+            owner,
+            part,
+            query: batch.query,
+            ticket,
+            snapshot: batch.snapshot,
+            cancelled: false,
+            replied: false,
+            not_run: false,
+        }));
+    }
+
+    fn decided(&mut self, decision: Decision) {
+        match decision {
+            Decision::Pinned { query, rank, .. } => self.ranks.push((query, rank)),
+            Decision::Routed { query, replica, cause } => {
+                let rank = self.ranks.iter().find(|(tag, _)| *tag == query).unwrap().1;
+                let replica = self.view.topology.replica(replica).unwrap();
+                let shard = self.view.topology.replicas[replica].shard;
+                self.routed.push((self.view.topology.shards[shard].service, rank, cause));
+            }
+            Decision::Restarted { query, .. } => self.restarts.push(query),
+            _ => {}
+        }
+    }
+
+    pub(super) fn request(&mut self, rank: Rank, time_left: Duration) -> Ticket {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        let body = Bytes::copy_from_slice(&self.tickets.to_le_bytes());
+        let target = "desk".to_owned();
+        let request = Request { target, rank, time_left, limit: 10_000, body };
+        self.event(Event::Request(ticket, request));
+        ticket
+    }
+
+    /// Answers all inquiries.
+    pub(super) fn hint(&mut self) {
+        let asked = std::mem::take(&mut self.inquiries);
+        let hints = asked.iter().map(|(_, tag)| (*tag, self.hint_of(*tag))).collect();
+        self.event(Event::Hints(hints));
+    }
+
+    /// Tells the state of all replicas.
+    pub(super) fn hint_all(&mut self) {
+        let replicas = self.view.topology.replicas.iter();
+        let hints = replicas.map(|(_, replica)| replica.settings.tag);
+        let hints = hints.map(|tag| (tag, self.hint_of(tag))).collect();
+        self.event(Event::Hints(hints));
+    }
+
+    pub(super) fn hint_of(&self, tag: ReplicaTag) -> Hint {
+        self.hints[self.view.topology.replica(tag).unwrap().index()]
+    }
+
+    /// Advances time, with a tick at each timer on the way.
+    pub(super) fn wait(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while let Some(at) = self.coordinator.next_timer().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            self.event(Event::Tick);
+        }
+        self.now = end;
+    }
+
+    /// Makes the row that a replica's shard gives to a ticket.
+    pub(super) fn row(&self, replica: ReplicaTag, ticket: Ticket, snapshot: Snapshot) -> Row {
+        let replica = self.view.topology.replica(replica).unwrap();
+        let shard = self.view.topology.replicas[replica].shard;
+        Row { key: format!("{:04}", shard.index()), value: format!("{}@{snapshot}", ticket.0) }
+    }
+
+    pub(super) fn rows(&self, sent: &Sent) -> Outcome {
+        let row = self.row(sent.part.replica, sent.ticket, sent.snapshot);
+        Outcome::Rows { snapshot: sent.snapshot, rows: vec![row] }
+    }
+
+    pub(super) fn reply(&mut self, index: usize, outcome: Outcome) {
+        let part = self.sent[index].part;
+        // Only the first reply to an attempt counts.
+        if !self.sent[index].replied {
+            self.sent[index].replied = true;
+            self.sent[index].not_run =
+                matches!(outcome, Outcome::Failed { verdict: Verdict::NotRun, .. });
+        }
+        let hint = self.hint_of(part.replica);
+        let (attempt, replica) = (part.attempt, part.replica);
+        self.event(Event::Reply(PartReply { attempt, replica, outcome, hint }));
+    }
+
+    pub(super) fn fail(&mut self, index: usize, verdict: Verdict, reason: FailReason) {
+        self.reply(index, Outcome::Failed { verdict, reason });
+    }
+
+    /// Gives rows to every sub-query that waits for a reply from a live owner.
+    pub(super) fn answer_all(&mut self) {
+        while let Some(index) = self
+            .sent
+            .iter()
+            .position(|sent| !sent.replied && !sent.cancelled && self.view.members[sent.owner].live)
+        {
+            let rows = self.rows(&self.sent[index]);
+            self.reply(index, rows);
+        }
+    }
+
+    /// Publishes a view in which these members are live; member 0 is this daemon.
+    pub(super) fn members(&mut self, live: &[bool]) {
+        let topology = self.view.topology.clone();
+        self.view = Arc::new(view(self.view.epoch + 1, live, topology));
+        self.event(Event::View(self.view.clone()));
+    }
+
+    /// Runs a query whose sub-queries each take as long.
+    pub(super) fn run(&mut self, rank: Rank, each: Duration) -> Ticket {
+        let ticket = self.request(rank, Duration::from_secs(1));
+        self.hint();
+        self.wait(each);
+        self.answer_all();
+        ticket
+    }
+
+    pub(super) fn result(&self, ticket: Ticket) -> Option<&Result<Answer, Refusal>> {
+        self.answers.iter().find(|(known, _)| *known == ticket).map(|(_, result)| result)
+    }
+
+    pub(super) fn replica(&self, index: usize) -> ReplicaId {
+        ReplicaId::from_index(index % self.hints.len())
+    }
+}
+
+fn documents(shape: Shape) -> Vec<Arc<ServiceSettings>> {
+    let replica = |service, shard, index: u32| ReplicaSettings {
+        tag: ReplicaTag(u64::from((service * 100 + shard) * 100 + index) * 0x9e37_79b9),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        data_centre: DATA_CENTRES[index as usize % DATA_CENTRES.len()].to_owned(),
+        slots: 2,
+        connections: 25,
+        drain: false,
+    };
+    let shard = |service, shard| ShardSettings {
+        name: format!("shard-{shard}"),
+        replicas: (0..shape.replicas).map(|index| replica(service, shard, index)).collect(),
+    };
+    let service = |service| ServiceSettings {
+        name: format!("desk-{service:02}"),
+        group: "desk".to_owned(),
+        minimum_coverage: shape.minimum_coverage,
+        extra_load: shape.extra_load,
+        targets: [Duration::from_secs(1); Rank::COUNT],
+        shards: (0..shape.shards).map(|index| shard(service, index)).collect(),
+    };
+    (0..shape.services).map(|index| Arc::new(service(index))).collect()
+}
+
+fn view(epoch: u64, live: &[bool], topology: Arc<Topology>) -> View {
+    let mut members = Arena::default();
+    for (index, live) in live.iter().enumerate() {
+        let name = format!("vm-{index}");
+        members.push(Member {
+            tag: MemberTag::of([name.as_str()]),
+            name,
+            data_centre: DATA_CENTRES[index % DATA_CENTRES.len()].to_owned(),
+            peer_address: "127.0.0.1:9100".parse().unwrap(),
+            live: *live,
+        });
+    }
+    View::new(epoch, MemberId::from_index(0), members, topology)
+}
--- /dev/null
+++ b/crates/berylpin_core/src/query/latency/tests.rs
@@ -0,0 +1,45 @@
+use super::*;
+use proptest::prelude::*;
+
+proptest! {
+    /// A quantile is never below the exact one and at most a bucket, a quarter, above it.
+    #[test]
+    fn quantile_is_within_a_bucket(samples in prop::collection::vec(200u32..4_000_000, 32..400)) {
+        let mut latency = Latency::default();
+        for sample in &samples {
+            latency.record(Duration::from_micros((*sample).into()));
+        }
+        let mut sorted = samples.clone();
+        sorted.sort_unstable();
+        let exact = sorted[(sorted.len() * 95).div_ceil(100) - 1];
+        let p95 = latency.quantile(95);
+        prop_assert!(p95 >= exact && p95 <= exact + exact / 4 + 1, "{p95} for {exact}");
+        prop_assert!(latency.p99() >= latency.p95());
+    }
+
+    #[test]
+    fn counts_stay_bounded(samples in prop::collection::vec(0u64..u64::MAX / 2, 1..2000)) {
+        let mut latency = Latency::default();
+        for sample in samples {
+            latency.record(Duration::from_micros(sample));
+            prop_assert!(latency.total < WINDOW);
+            prop_assert!(latency.mean().is_some());
+        }
+    }
+}
+
+#[test]
+fn a_replica_that_became_slow_is_known_after_a_window() {
+    let mut latency = Latency::default();
+    (0..400).for_each(|_| latency.record(Duration::from_millis(2)));
+    assert!(latency.p95() < Some(Duration::from_millis(3)));
+    (0..400).for_each(|_| latency.record(Duration::from_millis(40)));
+    assert!(latency.p95() >= Some(Duration::from_millis(40)));
+}
+
+#[test]
+fn no_quantile_is_known_from_a_few_samples() {
+    let mut latency = Latency::default();
+    (0..SAMPLES_NEEDED - 1).for_each(|_| latency.record(Duration::from_millis(2)));
+    assert_eq!(latency.p95(), None);
+}
--- a/crates/berylpin_core/src/query/mod.rs
+++ b/crates/berylpin_core/src/query/mod.rs
@@ -1,8 +1,19 @@
-//! The entry side of a query: snapshot choice, fan-out, merge, coverage and deadline.
+//! The entry side of a query: snapshot choice, fan-out, merge, coverage, hedges and deadline.
 
 mod answer;
+mod attempts;
 mod coordinator;
+mod event;
+mod hedge;
+mod latency;
+mod outbox;
+mod progress;
+mod replicas;
+mod reroute;
 mod snapshot;
+mod state;
+mod survey;
 
 pub use answer::{Answer, Coverage, Missing, Refusal, RefusalReason};
-pub use coordinator::{Action, Coordinator, Event, Request, Ticket};
+pub use coordinator::Coordinator;
+pub use event::{Action, Event, Request, Ticket};
--- /dev/null
+++ b/crates/berylpin_core/src/query/replicas.rs
@@ -0,0 +1,319 @@
+//! What the entry knows of each replica, and which one it asks.
+
+use super::latency::Latency;
+use super::progress::Progress;
+use crate::arena::Arena;
+use crate::control::View;
+use crate::ids::{Key, MemberId, ReplicaId, ShardId, Snapshot};
+use crate::limits::{HINT_TRUST, shed_level};
+use crate::message::{FailReason, Hint, SnapshotRange};
+use crate::rank::Rank;
+use std::time::{Duration, Instant};
+
+/// How long what an owner said about snapshots and usability holds without a refresh.
+const HINT_EXPIRY: Duration = Duration::from_secs(5);
+
+/// Pause between two inquiries about a replica whose snapshots its owner did not know.
+const INQUIRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// How long a query waits for owners to say which snapshots they serve.
+pub(super) const INQUIRY_WAIT: Duration = Duration::from_millis(50);
+
+/// How long a replica is avoided after a failure.
+const AVOID_REPLICA: Duration = Duration::from_millis(500);
+
+/// How long the replicas of a daemon are avoided after its link broke.
+const AVOID_OWNER: Duration = Duration::from_secs(2);
+
+/// Time after which the measured latency of an unused replica counts half.
+const FORGET_LATENCY: Duration = Duration::from_secs(10);
+
+/// The latency assumed of an unmeasured replica in another data centre, in microseconds.
+const REMOTE_MICROS: u32 = 10_000;
+
+/// The unit in which expected delays are compared, in microseconds.
+const DELAY_STEP: u32 = 64;
+
+/// What the entry knows of one replica.
+#[derive(Clone, Debug)]
+struct ReplicaState {
+    hint: Hint,
+    /// When `hint` came; `None` before the first.
+    heard: Option<Instant>,
+    /// The first and the last inquiry that no hint followed.
+    inquired: Option<(Instant, Instant)>,
+    avoid_until: Option<Instant>,
+    sampled: Option<Instant>,
+    /// Open attempts of this thread.
+    in_flight: u32,
+    slots: u32,
+    /// Whether it runs in the data centre of this daemon.
+    local: bool,
+    latency: Latency,
+}
+
+/// What a sub-query asks of a replica.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wanted {
+    pub(super) snapshot: Snapshot,
+    pub(super) rank: Rank,
+    /// The shed level of the query.
+    pub(super) level: u16,
+}
+
+/// What a query is judged by before it starts.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Load {
+    pub(super) rank: Rank,
+    /// The shed level of the query.
+    pub(super) level: u16,
+    pub(super) time_left: Duration,
+}
+
+/// The replica chosen for an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Route {
+    pub(super) replica: ReplicaId,
+    pub(super) owner: MemberId,
+    /// Whether an earlier attempt at the shard went there.
+    pub(super) tried: bool,
+    /// When its reply is expected, from now.
+    pub(super) delay: Duration,
+}
+
+/// What the entry knows of all replicas; as long as the replica arena of the view.
+#[derive(Debug, Default)]
+pub(super) struct Replicas {
+    states: Arena<ReplicaId, ReplicaState>,
+    /// Until when the replicas of a daemon are avoided.
+    owners_down: Arena<MemberId, Option<Instant>>,
+}
+
+impl Replicas {
+    /// Follows a change of control state.
+    pub(super) fn install(&mut self, view: &View) {
+        self.owners_down.grow(view.members.len(), || None);
+        self.states.grow(view.topology.replicas.len(), ReplicaState::default);
+        let own = &view.members[view.own].data_centre;
+        for (id, replica) in view.topology.replicas.iter() {
+            let state = &mut self.states[id];
+            state.slots = replica.settings.slots.into();
+            state.local = replica.settings.data_centre == *own;
+        }
+    }
+
+    /// Takes what an owner said about a replica.
+    pub(super) fn learn(&mut self, now: Instant, replica: ReplicaId, hint: Hint) {
+        let state = &mut self.states[replica];
+        state.hint = hint;
+        state.heard = Some(now);
+        state.inquired = None;
+    }
+
+    /// Counts an attempt as in flight.
+    pub(super) fn started(&mut self, replica: ReplicaId) {
+        self.states[replica].in_flight += 1;
+    }
+
+    /// Counts an attempt as over.
+    pub(super) fn ended(&mut self, replica: ReplicaId) {
+        self.states[replica].in_flight -= 1;
+    }
+
+    /// Takes how long an attempt took.
+    pub(super) fn sample(&mut self, now: Instant, replica: ReplicaId, elapsed: Duration) {
+        let state = &mut self.states[replica];
+        state.latency.record(elapsed);
+        state.sampled = Some(now);
+    }
+
+    /// Takes how long an attempt went unanswered, which says something once it is long.
+    pub(super) fn sample_unanswered(&mut self, now: Instant, replica: ReplicaId, age: Duration) {
+        if self.states[replica].latency.mean().is_none_or(|mean| age > mean) {
+            self.sample(now, replica, age);
+        }
+    }
+
+    /// Avoids a replica for a moment.
+    pub(super) fn avoid(&mut self, now: Instant, replica: ReplicaId) {
+        self.states[replica].avoid_until = Some(now + AVOID_REPLICA);
+    }
+
+    /// Avoids all replicas of a daemon for a moment.
+    pub(super) fn avoid_owner(&mut self, now: Instant, owner: MemberId) {
+        if owner.index() < self.owners_down.len() {
+            self.owners_down[owner] = Some(now + AVOID_OWNER);
+        }
+    }
+
+    /// Ends the avoidance of a daemon's replicas.
+    pub(super) fn trust_owner(&mut self, owner: MemberId) {
+        if owner.index() < self.owners_down.len() {
+            self.owners_down[owner] = None;
+        }
+    }
+
+    /// Returns all open attempts of this thread.
+    #[cfg(test)]
+    pub(super) fn in_flight(&self) -> u32 {
+        self.states.iter().map(|(_, state)| state.in_flight).sum()
+    }
+
+    /// Returns how long to wait for a reply before a hedge; `None` with too few samples.
+    pub(super) fn hedge_delay(&self, replica: ReplicaId, few_left: bool) -> Option<Duration> {
+        let latency = &self.states[replica].latency;
+        if few_left { latency.p95() } else { latency.p99() }
+    }
+
+    /// Returns whether a replica may get work as far as is known.
+    pub(super) fn is_usable(&self, now: Instant, replica: ReplicaId) -> bool {
+        let state = &self.states[replica];
+        state.hint.usable || state.age(now).is_none_or(|age| age >= HINT_EXPIRY)
+    }
+
+    /// Returns the snapshots of a replica that may get work.
+    pub(super) fn snapshots(&self, now: Instant, replica: ReplicaId) -> Option<SnapshotRange> {
+        let state = &self.states[replica];
+        let known = state.age(now).is_some_and(|age| age < HINT_EXPIRY) && state.hint.usable;
+        state.hint.snapshots.filter(|_| known)
+    }
+
+    /// Returns the snapshots of a replica as last heard, however long ago.
+    pub(super) fn last_snapshots(&self, replica: ReplicaId) -> Option<SnapshotRange> {
+        self.states[replica].hint.snapshots
+    }
+
+    /// Returns whether an inquiry is due, and marks it as made.
+    pub(super) fn inquire(&mut self, now: Instant, replica: ReplicaId) -> bool {
+        let known = &mut self.states[replica];
+        let refresh = if known.hint.snapshots.is_some() { HINT_TRUST } else { INQUIRY_PAUSE };
+        let paused = |(_, last)| now.saturating_duration_since(last) < INQUIRY_PAUSE;
+        let due =
+            known.age(now).is_none_or(|age| age >= refresh) && !known.inquired.is_some_and(paused);
+        if due {
+            let first = known.inquired.map_or(now, |(first, _)| first);
+            known.inquired = Some((first, now));
+        }
+        due
+    }
+
+    /// Returns whether nothing is known of a replica and its owner may soon say something.
+    pub(super) fn is_awaited(&self, now: Instant, replica: ReplicaId) -> bool {
+        let state = &self.states[replica];
+        let known = state.age(now).is_some_and(|age| age < HINT_EXPIRY);
+        !known
+            && state
+                .inquired
+                .is_some_and(|(first, _)| now.saturating_duration_since(first) < INQUIRY_WAIT)
+    }
+
+    /// Returns whether a replica would shed the query or reply too late.
+    pub(super) fn is_overloaded(&self, now: Instant, replica: ReplicaId, load: Load) -> bool {
+        let state = &self.states[replica];
+        let delay = Duration::from_micros(state.expected_micros(now, 0).into());
+        state.sheds(now, load.rank, load.level) || delay > load.time_left
+    }
+
+    /// Returns why no replica of a shard can be asked.
+    pub(super) fn absence(&self, now: Instant, view: &View, shard: ShardId) -> FailReason {
+        let replicas = view.topology.shards[shard].replicas.iter();
+        let owned = replicas.filter(|replica| view.owner(**replica).is_some());
+        let reasons = owned.map(|replica| {
+            let usable = self.is_usable(now, *replica);
+            if usable { FailReason::SnapshotGone } else { FailReason::Draining }
+        });
+        reasons.min_by_key(|r| *r != FailReason::SnapshotGone).unwrap_or(FailReason::Unreachable)
+    }
+
+    /// Chooses the replica with the least expected delay; one that was not tried goes first.
+    ///
+    /// `spread` is a random number that keeps entries with the same hints from all choosing the
+    /// same replica.
+    pub(super) fn choose(
+        &self,
+        now: Instant,
+        view: &View,
+        wanted: Wanted,
+        progress: &Progress,
+        spread: u64,
+    ) -> Option<Route> {
+        let replicas = view.topology.shards[progress.shard].replicas.iter();
+        let routes = replicas.enumerate().filter_map(|(index, &replica)| {
+            let owner = view.owner(replica)?;
+            let state = &self.states[replica];
+            if progress.is_open_at(replica) || state.is_excluded(now, wanted.snapshot) {
+                return None;
+            }
+            let tried = progress.was_tried(replica);
+            let avoided =
+                is_future(now, state.avoid_until) || is_future(now, self.owners_down[owner]);
+            let serves = state.hint.snapshots.is_some_and(|range| range.contains(wanted.snapshot));
+            let sheds = state.sheds(now, wanted.rank, wanted.level);
+            let noise = spread.rotate_left(8 * index as u32) as u32;
+            let expected = state.expected_micros(now, state.unmeasured_micros());
+            let delay = Duration::from_micros(expected.into());
+            let jittered = expected.saturating_add(expected / 128 * (noise % 32)) / DELAY_STEP;
+            let score = (tried, avoided, !serves, sheds, jittered, !state.local, noise);
+            Some((score, Route { replica, owner, tried, delay }))
+        });
+        routes.min_by_key(|(score, _)| *score).map(|(_, route)| route)
+    }
+}
+
+impl Default for ReplicaState {
+    fn default() -> Self {
+        Self {
+            hint: Hint::default(),
+            heard: None,
+            inquired: None,
+            avoid_until: None,
+            sampled: None,
+            in_flight: 0,
+            slots: 1,
+            local: false,
+            latency: Latency::default(),
+        }
+    }
+}
+
+impl ReplicaState {
+    fn age(&self, now: Instant) -> Option<Duration> {
+        self.heard.map(|heard| now.saturating_duration_since(heard))
+    }
+
+    /// Returns whether the owner would refuse the sub-query for sure.
+    fn is_excluded(&self, now: Instant, snapshot: Snapshot) -> bool {
+        let Some(age) = self.age(now) else { return false };
+        let gone = self.hint.snapshots.is_some_and(|range| !range.contains(snapshot));
+        (age < HINT_EXPIRY && !self.hint.usable) || (age < HINT_TRUST && gone)
+    }
+
+    fn sheds(&self, now: Instant, rank: Rank, level: u16) -> bool {
+        let shed_above = self.hint.shed_above[rank.index()];
+        self.age(now).is_some_and(|age| level >= shed_level(shed_above, age))
+    }
+
+    /// Returns the latency assumed while none is measured, in microseconds.
+    fn unmeasured_micros(&self) -> u32 {
+        if self.local { 0 } else { REMOTE_MICROS }
+    }
+
+    /// Returns the delay of one more sub-query, in microseconds.
+    fn expected_micros(&self, now: Instant, unmeasured: u32) -> u32 {
+        let mean = self.latency.mean().map_or(unmeasured, |mean| mean.as_micros() as u32);
+        let idle = self
+            .sampled
+            .map_or(0, |at| now.saturating_duration_since(at).as_secs() / FORGET_LATENCY.as_secs());
+        let service = mean >> idle.min(16);
+        let trust = HINT_TRUST.as_micros() as u64;
+        let age = self.age(now).map_or(trust, |age| age.as_micros().min(trust.into()) as u64);
+        let queue = self.hint.queue_delay.as_micros().min(u32::MAX.into()) as u64;
+        let waiting = queue * (trust - age) / trust;
+        let own = u64::from(service) * u64::from(self.in_flight) / u64::from(self.slots.max(1));
+        (u64::from(service) + waiting + own).min(u32::MAX.into()) as u32
+    }
+}
+
+fn is_future(now: Instant, until: Option<Instant>) -> bool {
+    until.is_some_and(|until| until > now)
+}
--- /dev/null
+++ b/crates/berylpin_core/src/query/reroute.rs
@@ -0,0 +1,84 @@
+//! New attempts in place of those whose owner was lost or changed.
+
+use super::attempts::Failure;
+use super::coordinator::Coordinator;
+use super::event::Action;
+use super::progress::{Attempt, AttemptState, Progress};
+use crate::arena::SlabKey;
+use crate::ids::MemberId;
+use std::time::Instant;
+
+impl Coordinator {
+    /// Follows a change of control state with all queries.
+    ///
+    /// The earlier attempts are not cancelled: a leaving owner finishes what it has, and the new
+    /// owner may not know yet that it is one.
+    pub(super) fn reroute_moved(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.each_shard(now, out, |this, key, position, out| {
+            if let Some(parked) = this.progress(key, position).and_then(|p| p.parked) {
+                this.unpark(now, key, position, parked, out);
+            }
+        });
+        let view = self.view.clone();
+        let moved = |attempt: &Attempt| match view.owner(attempt.replica) {
+            Some(owner) => owner != attempt.owner,
+            None => !view.members[attempt.owner].live,
+        };
+        self.reroute(now, moved, out);
+    }
+
+    /// Makes new attempts in place of those sent over a link that broke.
+    pub(super) fn reroute_lost(&mut self, now: Instant, owner: MemberId, out: &mut Vec<Action>) {
+        self.replicas.avoid_owner(now, owner);
+        self.reroute(now, |attempt| attempt.owner == owner, out);
+    }
+
+    fn reroute<F>(&mut self, now: Instant, lost: F, out: &mut Vec<Action>)
+    where
+        F: Fn(&Attempt) -> bool,
+    {
+        self.each_shard(now, out, |this, key, position, out| {
+            if this.lose_attempts(now, key, position, &lost) {
+                this.recover(now, key, position, Failure::OWNER_LOST, out);
+            }
+        });
+    }
+
+    fn each_shard<F>(&mut self, now: Instant, out: &mut Vec<Action>, mut step: F)
+    where
+        F: FnMut(&mut Self, SlabKey, u32, &mut Vec<Action>),
+    {
+        let keys: Vec<SlabKey> = self.queries.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            let shards = self.queries.get(key).map_or(0, |query| query.shards.len() as u32);
+            for position in 0..shards {
+                step(self, key, position, out);
+            }
+            self.settle(now, key, out);
+        }
+    }
+
+    /// Marks the open attempts that `lost` selects; returns whether there were any.
+    fn lose_attempts<F>(&mut self, now: Instant, key: SlabKey, position: u32, lost: F) -> bool
+    where
+        F: Fn(&Attempt) -> bool,
+    {
+        let Some(query) = self.queries.get_mut(key) else { return false };
+        let started = query.started;
+        let mut any = false;
+        for attempt in query.shards[position as usize].attempts_mut() {
+            if attempt.state == AttemptState::Open && lost(attempt) {
+                attempt.state = AttemptState::Lost;
+                self.replicas.ended(attempt.replica);
+                let age = now.saturating_duration_since(attempt.sent_at(started));
+                self.replicas.sample_unanswered(now, attempt.replica, age);
+                any = true;
+            }
+        }
+        any
+    }
+
+    fn progress(&self, key: SlabKey, position: u32) -> Option<&Progress> {
+        self.queries.get(key)?.shards.get(position as usize)
+    }
+}
--- a/crates/berylpin_core/src/query/snapshot.rs
+++ b/crates/berylpin_core/src/query/snapshot.rs
@@ -18,25 +18,40 @@
 /// ascending order. Only the newest end of a range can be the best choice: a snapshot between
 /// ends has the same shards as the next end above it.
 pub(super) fn choose(ranges: &[(u32, SnapshotRange)]) -> Option<Choice> {
-    let mut candidates: Vec<Snapshot> = ranges.iter().map(|(_, range)| range.newest).collect();
-    candidates.sort_unstable_by(|a, b| b.cmp(a));
-    candidates.dedup();
-    let count = |snapshot| {
-        let mut serving = 0;
-        let mut last = None;
-        for (position, range) in ranges {
-            if last != Some(position) && range.contains(snapshot) {
-                serving += 1;
-                last = Some(position);
-            }
+    let mut candidates: Vec<Snapshot> = Vec::new();
+    for (_, range) in ranges {
+        if let Err(at) = candidates.binary_search(&range.newest) {
+            candidates.insert(at, range.newest);
         }
-        Choice { snapshot, serving }
-    };
-    candidates.into_iter().map(count).reduce(
-        |best, next| {
-            if next.serving > best.serving { next } else { best }
-        },
-    )
+    }
+    let shards = count_shards(ranges, |_| true);
+    let mut best: Option<Choice> = None;
+    for snapshot in candidates.into_iter().rev() {
+        let serving = count_shards(ranges, |range| range.contains(snapshot));
+        if best.is_none_or(|choice| serving > choice.serving) {
+            best = Some(Choice { snapshot, serving });
+        }
+        if serving == shards {
+            break;
+        }
+    }
+    best
+}
+
+/// Counts the shards with a range that `matches`.
+fn count_shards<F>(ranges: &[(u32, SnapshotRange)], matches: F) -> u32
+where
+    F: Fn(SnapshotRange) -> bool,
+{
+    let mut count = 0;
+    let mut last = None;
+    for (position, range) in ranges {
+        if last != Some(position) && matches(*range) {
+            count += 1;
+            last = Some(position);
+        }
+    }
+    count
 }
 
 #[cfg(test)]
--- a/crates/berylpin_core/src/timers.rs
+++ b/crates/berylpin_core/src/timers.rs
@@ -28,6 +28,19 @@
         self.heap.push(Reverse((at, timer)));
     }
 
+    /// Returns how many timers are set, dead ones included.
+    pub(crate) fn len(&self) -> usize {
+        self.heap.len()
+    }
+
+    /// Drops the timers that `keep` turns down.
+    pub(crate) fn retain<F>(&mut self, mut keep: F)
+    where
+        F: FnMut(Instant, &T) -> bool,
+    {
+        self.heap.retain(|Reverse((at, timer))| keep(*at, timer));
+    }
+
     /// Returns when the earliest timer fires.
     pub(crate) fn next(&self) -> Option<Instant> {
         self.heap.peek().map(|Reverse((at, _))| *at)
--- a/crates/berylpin_daemon/src/logging.rs
+++ b/crates/berylpin_daemon/src/logging.rs
@@ -65,5 +65,13 @@
             debug!(log, "owner: sub-query refused"; "query" => %query, "replica" => %replica,
                 "reason" => reason.name());
         }
+        Decision::Rejected { query, rank, reason } => {
+            debug!(log, "query: rejected before any sub-query"; "query" => %query,
+                "rank" => rank.name(), "reason" => reason.name());
+        }
+        Decision::Restarted { query, from } => {
+            debug!(log, "query: starts again on a newer snapshot"; "query" => %query,
+                "from" => from.0);
+        }
     }
 }
