--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -18,6 +18,7 @@
 const ATTEMPTS: &str = "berylpin_attempts_total";
 const STARTS: &str = "berylpin_upstream_calls_total";
 const REFUSALS: &str = "berylpin_sub_query_refusals_total";
+const RESTARTS: &str = "berylpin_query_restarts_total";
 const EPOCH: &str = "berylpin_view_epoch";
 const MEMBERS: &str = "berylpin_members_live";
 const OWNED: &str = "berylpin_replicas_owned";
@@ -91,7 +92,9 @@
         Decision::Refused { reason, .. } => {
             counter!(REFUSALS, "reason" => reason.name()).increment(1);
         }
-        Decision::Pinned { .. } => {}
+        Decision::Restarted { .. } => counter!(RESTARTS).increment(1),
+        // Rejected queries are counted with the answers.
+        Decision::Pinned { .. } | Decision::Rejected { .. } => {}
     }
 }
 
@@ -112,9 +115,10 @@
     describe_histogram!(LATENCY, "Time from request to answer, by rank and target");
     describe_counter!(ANSWERS, "Queries by rank, target and outcome");
     describe_histogram!(COVERAGE, "Share of shards that answers cover, by rank and target");
-    describe_counter!(ATTEMPTS, "Attempts at shards by cause: first, retry or hedge");
+    describe_counter!(ATTEMPTS, "Attempts at shards by cause: first, retry, hedge or reroute");
     describe_counter!(STARTS, "Calls to upstreams");
     describe_counter!(REFUSALS, "Sub-queries refused by their owner, by reason");
+    describe_counter!(RESTARTS, "Queries that started again on a newer snapshot");
     describe_gauge!(EPOCH, "Epoch of the view in force");
     describe_gauge!(MEMBERS, "Daemons that take part in placement");
     describe_gauge!(OWNED, "Replicas that this daemon owns");
--- a/crates/berylpin_wire/benches/frames.rs
+++ b/crates/berylpin_wire/benches/frames.rs
@@ -24,7 +24,8 @@
 
 fn attempt(position: u32) -> AttemptId {
     let query = Slab::default().insert(());
-    AttemptId { thread: ThreadId::from_index(1), query, position, ordinal: 0 }
+    let tag = QueryTag(0x0123_4567_89ab_cdef);
+    AttemptId { thread: ThreadId::from_index(1), query, tag, position, ordinal: 0 }
 }
 
 fn tag(position: u32) -> ReplicaTag {
