--- a/crates/berylpin_core/src/replica/owner/tests/harness.rs
+++ b/crates/berylpin_core/src/replica/owner/tests/harness.rs
@@ -138,7 +138,8 @@
         let query = Slab::default().insert(());
         let thread = ThreadId::from_index(0);
         let position = attempt as u32;
-        Part { attempt: AttemptId { thread, query, position, ordinal: 0 }, replica }
+        let tag = QueryTag(position.into());
+        Part { attempt: AttemptId { thread, query, tag, position, ordinal: 0 }, replica }
     }
 
     pub(super) fn arrive(&mut self, replica: usize, rank: Rank, level: u16, time_left: Duration) {
--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -20,6 +20,7 @@
 const REFUSALS: &str = "berylpin_sub_query_refusals_total";
 const STALLS: &str = "berylpin_stalled_calls_total";
 const CHANGES: &str = "berylpin_replica_changes_total";
+const RESTARTS: &str = "berylpin_query_restarts_total";
 const EPOCH: &str = "berylpin_view_epoch";
 const MEMBERS: &str = "berylpin_members_live";
 const OWNED: &str = "berylpin_replicas_owned";
@@ -97,7 +98,9 @@
         Decision::Ejected { .. } => counter!(CHANGES, "change" => "ejected").increment(1),
         Decision::Returned { .. } => counter!(CHANGES, "change" => "returned").increment(1),
         Decision::Drained { .. } => counter!(CHANGES, "change" => "drained").increment(1),
-        Decision::Pinned { .. } | Decision::ShedLevel { .. } => {}
+        Decision::Restarted { .. } => counter!(RESTARTS).increment(1),
+        // Rejected queries are counted with the answers.
+        Decision::Pinned { .. } | Decision::Rejected { .. } | Decision::ShedLevel { .. } => {}
     }
 }
 
@@ -118,11 +121,12 @@
     describe_histogram!(LATENCY, "Time from request to answer, by rank and target");
     describe_counter!(ANSWERS, "Queries by rank, target and outcome");
     describe_histogram!(COVERAGE, "Share of shards that answers cover, by rank and target");
-    describe_counter!(ATTEMPTS, "Attempts at shards by cause: first, retry or hedge");
+    describe_counter!(ATTEMPTS, "Attempts at shards by cause: first, retry, hedge or reroute");
     describe_counter!(STARTS, "Calls to upstreams");
     describe_counter!(REFUSALS, "Sub-queries refused by their owner, by reason");
     describe_counter!(STALLS, "Calls that made no progress, with their connection replaced");
     describe_counter!(CHANGES, "Replicas that were ejected, drained or returned, by change");
+    describe_counter!(RESTARTS, "Queries that started again on a newer snapshot");
     describe_gauge!(EPOCH, "Epoch of the view in force");
     describe_gauge!(MEMBERS, "Daemons that take part in placement");
     describe_gauge!(OWNED, "Replicas that this daemon owns");
--- a/crates/berylpin_wire/tests/outside_input.rs
+++ b/crates/berylpin_wire/tests/outside_input.rs
@@ -152,7 +152,9 @@
 
 fn frames() -> Vec<Vec<u8>> {
     let query = Slab::default().insert(());
-    let attempt = AttemptId { thread: ThreadId::from_index(1), query, position: 3, ordinal: 0 };
+    let tag = QueryTag(7);
+    let attempt =
+        AttemptId { thread: ThreadId::from_index(1), query, tag, position: 3, ordinal: 0 };
     let replica = ReplicaTag(9);
     let batch = QueryMessage::Batch(Batch {
         query: QueryTag(5),
