--- a/crates/berylpin_core/src/control/topology.rs
+++ b/crates/berylpin_core/src/control/topology.rs
@@ -87,10 +87,15 @@
         Some(self.by_tag[at].1)
     }
 
+    /// Finds a service that has a document.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let service = find(&self.services_by_name, name).map(|id| &self.services[id]);
+        service.filter(|service| !service.shards.is_empty())
+    }
+
     /// Finds the shards of a service or, failing that, of a group.
     pub fn target(&self, name: &str) -> Option<(GroupId, &[ShardId])> {
-        let service = find(&self.services_by_name, name).map(|id| &self.services[id]);
-        if let Some(service) = service.filter(|service| !service.shards.is_empty()) {
+        if let Some(service) = self.service(name) {
             return Some((service.group, &service.shards));
         }
         let group = find(&self.groups_by_name, name)?;
--- a/crates/berylpin_core/src/decision.rs
+++ b/crates/berylpin_core/src/decision.rs
@@ -1,8 +1,10 @@
 //! Routing and placement decisions, for the log.
 
-use crate::ids::{QueryTag, ReplicaTag, Snapshot};
+use crate::execute::{KeyId, RefusalReason};
+use crate::ids::{MemberTag, QueryTag, ReplicaTag, Snapshot};
 use crate::message::FailReason;
 use crate::rank::Rank;
+use crate::verdict::Verdict;
 use std::fmt;
 
 /// One decision; the shell writes a log line for each.
@@ -46,6 +48,38 @@
         /// Why.
         reason: FailReason,
     },
+    /// A non-idempotent request was routed to the holder of its key.
+    KeyRouted {
+        /// The key.
+        key: KeyId,
+        /// The daemon that issued it.
+        holder: MemberTag,
+    },
+    /// An execution was routed to a replica.
+    ExecutionRouted {
+        /// The key.
+        key: KeyId,
+        /// The replica chosen.
+        replica: ReplicaTag,
+        /// Counts the attempts of this key from 1.
+        attempt: u32,
+    },
+    /// An owner started an execution.
+    ExecutionStarted {
+        /// The key.
+        key: KeyId,
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// A non-idempotent request got no result.
+    ExecutionRefused {
+        /// The key.
+        key: KeyId,
+        /// Whether the key ran.
+        verdict: Verdict,
+        /// Why.
+        reason: RefusalReason,
+    },
 }
 
 /// Why an attempt was made.
--- /dev/null
+++ b/crates/berylpin_core/src/execute/forward.rs
@@ -0,0 +1,185 @@
+//! The entry side: requests that wait for the holders of their keys.
+
+use super::Action;
+use super::answer::{Answer, Refusal, RefusalReason};
+use super::key::{ExecutionKey, KeyId};
+use super::message::{ExecuteMessage, RequestId, Submit};
+use crate::arena::{Slab, SlabKey};
+use crate::control::View;
+use crate::decision::Decision;
+use crate::ids::{MemberId, ThreadId};
+use crate::query::Ticket;
+use crate::rank::Rank;
+use crate::timers::Timers;
+use crate::verdict::Verdict;
+use bytes::Bytes;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How often a request is sent again while no answer came.
+///
+/// The key makes a repeated message harmless, so this covers every loss on a link.
+const RESEND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A checked request of a caller.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The key.
+    pub key: ExecutionKey,
+    /// The service.
+    pub service: String,
+    /// The shard; not needed for a service with only one.
+    pub shard: Option<String>,
+    /// How urgent it is.
+    pub rank: Rank,
+    /// How long the caller waits.
+    pub time_left: Duration,
+    /// What is to run.
+    pub body: Bytes,
+}
+
+/// What happens to the requests of a thread.
+#[derive(Debug)]
+pub enum Event {
+    /// Control state changed.
+    View(Arc<View>),
+    /// A caller sent a request.
+    Request(Ticket, Request),
+    /// The caller does not wait any more; the execution goes on.
+    CallerGone(Ticket),
+    /// A holder answered.
+    Answered(RequestId, KeyId, Answer),
+    /// A timer may be due.
+    Tick,
+}
+
+/// The requests that arrived at one traffic thread.
+#[derive(Debug)]
+pub struct Forwarder {
+    thread: ThreadId,
+    view: Arc<View>,
+    pending: Slab<Pending>,
+    /// Sorted by ticket; holds every pending request.
+    tickets: Vec<(Ticket, SlabKey)>,
+    timers: Timers<SlabKey>,
+    rng: SmallRng,
+}
+
+#[derive(Debug)]
+struct Pending {
+    ticket: Ticket,
+    holder: MemberId,
+    nonce: u64,
+    deadline: Instant,
+    /// `time_left` is that of the arrival.
+    request: Request,
+}
+
+impl Forwarder {
+    /// Makes the forwarder of one thread; `seed` drives its random choices.
+    pub fn new(thread: ThreadId, view: Arc<View>, seed: u64) -> Self {
+        Self {
+            thread,
+            view,
+            pending: Slab::default(),
+            tickets: Vec::new(),
+            timers: Timers::default(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns when the next `Tick` is due.
+    pub fn next_timer(&self) -> Option<Instant> {
+        self.timers.next()
+    }
+
+    /// Returns how many requests wait for an answer.
+    pub fn waiting(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Handles one event and appends what the shell is to do.
+    pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::View(view) => self.view = view,
+            Event::Request(ticket, request) => self.request(now, ticket, request, out),
+            Event::CallerGone(ticket) => {
+                if let Ok(at) = self.tickets.binary_search_by_key(&ticket, |(t, _)| *t) {
+                    self.remove(self.tickets[at].1);
+                }
+            }
+            Event::Answered(request, key, answer) => self.answered(request, key, answer, out),
+            Event::Tick => {
+                while let Some(place) = self.timers.pop_due(now) {
+                    self.due(now, place, out);
+                }
+            }
+        }
+    }
+
+    fn request(&mut self, now: Instant, ticket: Ticket, request: Request, out: &mut Vec<Action>) {
+        let key = &request.key;
+        let member = self.view.member(key.holder);
+        let Some(holder) = member.filter(|id| self.view.members[*id].live) else {
+            return out.push(Action::Answer(ticket, refuse(RefusalReason::HolderUnreachable)));
+        };
+        out.push(Action::Decided(Decision::KeyRouted { key: key.id, holder: key.holder }));
+        let deadline = now + request.time_left;
+        let nonce = self.rng.random();
+        let place = self.pending.insert(Pending { ticket, holder, nonce, deadline, request });
+        let at = self.tickets.partition_point(|(t, _)| *t < ticket);
+        self.tickets.insert(at, (ticket, place));
+        self.submit(now, place, out);
+    }
+
+    /// Sends a request to its holder, for the first time or again.
+    fn submit(&mut self, now: Instant, place: SlabKey, out: &mut Vec<Action>) {
+        let Some(pending) = self.pending.get(place) else { return };
+        let request = &pending.request;
+        let submit = Submit {
+            request: RequestId { thread: self.thread, place, nonce: pending.nonce },
+            key: request.key,
+            service: request.service.clone(),
+            shard: request.shard.clone(),
+            rank: request.rank,
+            time_left: pending.deadline - now,
+            body: request.body.clone(),
+        };
+        out.push(Action::Send(pending.holder, ExecuteMessage::Submit(submit)));
+        self.timers.set(pending.deadline.min(now + RESEND_INTERVAL), place);
+    }
+
+    fn due(&mut self, now: Instant, place: SlabKey, out: &mut Vec<Action>) {
+        let Some(pending) = self.pending.get(place) else { return };
+        if now < pending.deadline {
+            return self.submit(now, place, out);
+        }
+        let ticket = pending.ticket;
+        self.remove(place);
+        out.push(Action::Answer(ticket, refuse(RefusalReason::Deadline)));
+    }
+
+    fn answered(&mut self, id: RequestId, key: KeyId, answer: Answer, out: &mut Vec<Action>) {
+        let matches = |p: &Pending| p.nonce == id.nonce && p.request.key.id == key;
+        let Some(pending) = self.pending.get(id.place).filter(|p| matches(p)) else { return };
+        let ticket = pending.ticket;
+        self.remove(id.place);
+        out.push(Action::Answer(ticket, answer));
+    }
+
+    fn remove(&mut self, place: SlabKey) {
+        let Some(pending) = self.pending.remove(place) else { return };
+        if let Ok(at) = self.tickets.binary_search_by_key(&pending.ticket, |(t, _)| *t) {
+            self.tickets.remove(at);
+        }
+    }
+}
+
+/// Refuses a request without its holder.
+///
+/// Only the holder knows whether a key ran, because an earlier request may have carried it.
+fn refuse(reason: RefusalReason) -> Answer {
+    Err(Refusal { verdict: Verdict::MayHaveRun, reason })
+}
--- /dev/null
+++ b/crates/berylpin_core/src/execute/holder.rs
@@ -0,0 +1,393 @@
+//! The holder side: issues keys and starts each at most once.
+
+use super::Action;
+use super::answer::{Answer, Refusal, RefusalReason};
+use super::key::{ExecutionKey, Issuer, KEY_WINDOW};
+use super::message::{AttemptId, ExecuteMessage, Outcome, Run, Submit};
+use super::table::{KeyTable, Record, Running, State, TableLimits, Waiter};
+use crate::arena::SlabKey;
+use crate::control::{Topology, View};
+use crate::decision::Decision;
+use crate::ids::{MemberId, ReplicaId, ReplicaTag, ShardId};
+use crate::message::FailReason;
+use crate::timers::Timers;
+use crate::verdict::Verdict;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::Xxh3;
+
+/// How long a used key is remembered after its window; longer than any execution.
+const RETENTION_MARGIN: Duration = Duration::from_mins(2);
+
+/// Attempts at one key, each but the last proven not to have run.
+const ATTEMPT_LIMIT: usize = 3;
+
+/// Requests that may wait for one key.
+const WAITER_LIMIT: usize = 32;
+
+/// How long a stopping holder still starts keys, for requests that are on their way.
+const STOP_GRACE: Duration = Duration::from_secs(1);
+
+/// Used keys that one thread remembers, and the bytes of their results.
+const TABLE_LIMITS: TableLimits = TableLimits { keys: 64 * 1024, result_bytes: 32 * 1024 * 1024 };
+
+/// What happens to the keys of a thread.
+#[derive(Debug)]
+pub enum Event {
+    /// Control state changed.
+    View(Arc<View>),
+    /// A daemon sent a request.
+    Submit(MemberId, Submit),
+    /// An owner said what came of an attempt.
+    Ended(MemberId, AttemptId, ReplicaTag, Outcome),
+    /// An attempt was dropped before any of it was written.
+    Undelivered(AttemptId),
+    /// The daemon stops: soon no further key starts.
+    Stop,
+    /// A timer may be due.
+    Tick,
+}
+
+/// The keys that one traffic thread issued.
+#[derive(Debug)]
+pub struct Holder {
+    issuer: Issuer,
+    view: Arc<View>,
+    table: KeyTable,
+    /// Counts the attempts of this thread; never repeats.
+    attempts: u64,
+    /// Whether no further key starts.
+    stopped: bool,
+    /// Whether an `Expiry` timer is set; there is never more than one.
+    expiry_set: bool,
+    timers: Timers<Timer>,
+    rng: SmallRng,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Deadline(SlabKey),
+    Expiry,
+    Stop,
+}
+
+impl Holder {
+    /// Makes the holder of one thread; `seed` drives its random choices.
+    pub fn new(issuer: Issuer, view: Arc<View>, seed: u64) -> Self {
+        Self::with_limits(issuer, view, seed, TABLE_LIMITS)
+    }
+
+    pub(super) fn with_limits(
+        issuer: Issuer,
+        view: Arc<View>,
+        seed: u64,
+        limits: TableLimits,
+    ) -> Self {
+        Self {
+            issuer,
+            view,
+            table: KeyTable::new(limits),
+            attempts: 0,
+            stopped: false,
+            expiry_set: false,
+            timers: Timers::default(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Issues a key.
+    pub fn issue(&mut self, now: Instant) -> ExecutionKey {
+        self.issuer.issue(now)
+    }
+
+    /// Returns when the next `Tick` is due.
+    pub fn next_timer(&self) -> Option<Instant> {
+        self.timers.next()
+    }
+
+    /// Returns whether a stopped holder has nothing left to do.
+    pub fn is_done(&self) -> bool {
+        self.stopped && self.table.in_progress() == 0
+    }
+
+    /// Returns how many keys run or have requests that wait for them.
+    pub fn in_progress(&self) -> usize {
+        self.table.in_progress()
+    }
+
+    /// Returns how many used keys are remembered.
+    pub fn used_keys(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Handles one event and appends what the shell is to do.
+    pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::View(view) => self.view = view,
+            Event::Submit(from, submit) => self.submitted(now, from, submit, out),
+            Event::Ended(from, attempt, replica, outcome) => {
+                out.push(Action::Send(from, ExecuteMessage::Acknowledged { attempt, replica }));
+                self.ended(now, attempt, outcome, out);
+            }
+            Event::Undelivered(attempt) => {
+                let (verdict, reason) = (Verdict::NotRun, FailReason::Unreachable);
+                self.ended(now, attempt, Outcome::Failed { verdict, reason }, out);
+            }
+            Event::Stop => self.timers.set(now + STOP_GRACE, Timer::Stop),
+            Event::Tick => self.tick(now, out),
+        }
+    }
+
+    fn submitted(&mut self, now: Instant, from: MemberId, submit: Submit, out: &mut Vec<Action>) {
+        let (request, deadline) = (submit.request, now + submit.time_left);
+        let waiter = Waiter { from, request, deadline };
+        let key = submit.key;
+        let known = self.issuer.is_authentic(&key).then(|| self.table.find(key.id.sequence));
+        if let Some(Some(place)) = known {
+            return self.resent(place, &submit, waiter, out);
+        }
+        if let Some(refusal) = self.refusal(now, &key) {
+            return respond(waiter, &key, Err(refusal), out);
+        }
+        if self.table.is_full() {
+            // Closing keys that were never seen costs no memory and makes the refusal final.
+            self.table.close_below(self.issuer.next_sequence());
+            let refusal = Refusal { verdict: Verdict::NotRun, reason: RefusalReason::Overloaded };
+            return respond(waiter, &key, Err(refusal), out);
+        }
+        self.start(now, submit, waiter, out);
+    }
+
+    /// Returns why a key without a record does not start, if it does not.
+    fn refusal(&self, now: Instant, key: &ExecutionKey) -> Option<Refusal> {
+        let refuse = |verdict, reason| Some(Refusal { verdict, reason });
+        if !self.issuer.is_own(key) {
+            return refuse(Verdict::MayHaveRun, RefusalReason::HolderGone);
+        }
+        if !self.issuer.is_authentic(key) {
+            return refuse(Verdict::NotRun, RefusalReason::InvalidKey);
+        }
+        let window_end = self.issuer.issued_at(key) + KEY_WINDOW;
+        if window_end + RETENTION_MARGIN <= now {
+            return refuse(Verdict::MayHaveRun, RefusalReason::KeyExpired);
+        }
+        if window_end <= now {
+            return refuse(Verdict::NotRun, RefusalReason::KeyExpired);
+        }
+        if self.stopped {
+            return refuse(Verdict::NotRun, RefusalReason::Stopping);
+        }
+        if self.table.is_closed(key.id.sequence) {
+            return refuse(Verdict::NotRun, RefusalReason::KeyClosed);
+        }
+        None
+    }
+
+    fn resent(&mut self, place: SlabKey, submit: &Submit, waiter: Waiter, out: &mut Vec<Action>) {
+        let Some(record) = self.table.get_mut(place) else { return };
+        let refuse = |reason| Err(Refusal { verdict: record.verdict(), reason });
+        if record.fingerprint != fingerprint(submit) {
+            return respond(waiter, &submit.key, refuse(RefusalReason::Conflict), out);
+        }
+        if let Some(answer) = record.answer() {
+            return respond(waiter, &submit.key, answer, out);
+        }
+        if record.waiters.iter().any(|w| w.request == waiter.request) {
+            return;
+        }
+        if record.waiters.len() >= WAITER_LIMIT {
+            return respond(waiter, &submit.key, refuse(RefusalReason::Overloaded), out);
+        }
+        record.waiters.push(waiter);
+        self.timers.set(waiter.deadline, Timer::Deadline(place));
+    }
+
+    fn start(&mut self, now: Instant, submit: Submit, waiter: Waiter, out: &mut Vec<Action>) {
+        let expires = self.issuer.issued_at(&submit.key) + KEY_WINDOW + RETENTION_MARGIN;
+        let target = find_shard(&self.view.topology, &submit.service, submit.shard.as_deref());
+        let place = self.table.insert(Record {
+            id: submit.key.id,
+            expires,
+            fingerprint: fingerprint(&submit),
+            state: State::NotRun(RefusalReason::UnknownTarget),
+            waiters: vec![waiter],
+        });
+        self.set_expiry();
+        let Some(shard) = target else { return self.finish(place, out) };
+        let running = Running {
+            key: submit.key,
+            shard,
+            rank: submit.rank,
+            deadline: waiter.deadline,
+            body: submit.body,
+            tried: Vec::new(),
+            attempt: self.next_attempt(place),
+        };
+        self.timers.set(waiter.deadline, Timer::Deadline(place));
+        self.run(now, place, running, FailReason::Unreachable, out);
+    }
+
+    fn next_attempt(&mut self, place: SlabKey) -> AttemptId {
+        self.attempts += 1;
+        let (incarnation, thread) = self.issuer.identity();
+        AttemptId { incarnation, thread, place, number: self.attempts }
+    }
+
+    /// Sends an execution that is proven not to run anywhere to one more replica.
+    fn run(
+        &mut self,
+        now: Instant,
+        place: SlabKey,
+        mut running: Running,
+        last: FailReason,
+        out: &mut Vec<Action>,
+    ) {
+        let choice = self.choose(&running).filter(|_| now < running.deadline);
+        let Some((replica, owner)) = choice else {
+            let late = now >= running.deadline;
+            let reason = if late { FailReason::Deadline } else { last };
+            self.table.settle(place, State::NotRun(RefusalReason::Replica(reason)));
+            return self.finish(place, out);
+        };
+        running.tried.push(replica);
+        running.attempt = self.next_attempt(place);
+        let tag = self.view.topology.replicas[replica].settings.tag;
+        let attempt = running.tried.len() as u32;
+        let key = running.key.id;
+        out.push(Action::Decided(Decision::ExecutionRouted { key, replica: tag, attempt }));
+        let run = Run {
+            attempt: running.attempt,
+            key: running.key,
+            replica: tag,
+            rank: running.rank,
+            time_left: running.deadline - now,
+            body: running.body.clone(),
+        };
+        self.table.settle(place, State::Running(Box::new(running)));
+        out.push(Action::Send(owner, ExecuteMessage::Run(run)));
+    }
+
+    /// Chooses a replica that was not tried, of this data centre if there is one.
+    fn choose(&mut self, running: &Running) -> Option<(ReplicaId, MemberId)> {
+        if running.tried.len() >= ATTEMPT_LIMIT {
+            return None;
+        }
+        let view = &self.view;
+        let home = &view.members[view.own].data_centre;
+        let rng = &mut self.rng;
+        let shard = view.topology.shards.get(running.shard)?;
+        let candidates = shard.replicas.iter().copied().filter_map(|id| {
+            let replica = &view.topology.replicas[id];
+            let usable = replica.listed && !replica.settings.drain && !running.tried.contains(&id);
+            let owner = view.owner(id).filter(|_| usable)?;
+            Some((replica.settings.data_centre != *home, rng.random::<u32>(), id, owner))
+        });
+        candidates.min().map(|(_, _, id, owner)| (id, owner))
+    }
+
+    fn ended(&mut self, now: Instant, attempt: AttemptId, outcome: Outcome, out: &mut Vec<Action>) {
+        let place = attempt.place;
+        let Some(record) = self.table.get_mut(place).filter(|r| r.awaits(attempt)) else { return };
+        let state = match outcome {
+            Outcome::Ran(execution) => State::Ran(execution),
+            Outcome::Failed { verdict: Verdict::NotRun, reason } => {
+                let refused = State::NotRun(RefusalReason::Replica(reason));
+                match std::mem::replace(&mut record.state, refused) {
+                    State::Running(running) => return self.run(now, place, *running, reason, out),
+                    _ => State::NotRun(RefusalReason::Replica(reason)),
+                }
+            }
+            Outcome::Failed { reason, .. } => {
+                State::Unknown(attempt, RefusalReason::Replica(reason))
+            }
+        };
+        self.table.settle(place, state);
+        self.finish(place, out);
+    }
+
+    /// Answers all requests that wait for a key.
+    fn finish(&mut self, place: SlabKey, out: &mut Vec<Action>) {
+        let Some(record) = self.table.get_mut(place) else { return };
+        let Some(answer) = record.answer() else { return };
+        let key = record.id;
+        if let Err(Refusal { verdict, reason }) = answer {
+            out.push(Action::Decided(Decision::ExecutionRefused { key, verdict, reason }));
+        }
+        for waiter in record.waiters.drain(..) {
+            let (request, answer) = (waiter.request, answer.clone());
+            let message = ExecuteMessage::Answered { request, key, answer };
+            out.push(Action::Send(waiter.from, message));
+        }
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        while let Some(timer) = self.timers.pop_due(now) {
+            match timer {
+                Timer::Deadline(place) => self.deadline(now, place, out),
+                Timer::Stop => self.stopped = true,
+                Timer::Expiry => {
+                    self.expiry_set = false;
+                    self.table.expire(now);
+                    self.set_expiry();
+                }
+            }
+        }
+    }
+
+    fn set_expiry(&mut self) {
+        if self.expiry_set {
+            return;
+        }
+        if let Some(at) = self.table.next_expiry() {
+            self.expiry_set = true;
+            self.timers.set(at, Timer::Expiry);
+        }
+    }
+
+    /// Gives up waiting where a deadline passed; a late outcome is still stored.
+    fn deadline(&mut self, now: Instant, place: SlabKey, out: &mut Vec<Action>) {
+        let Some(record) = self.table.get_mut(place) else { return };
+        if let State::Running(running) = &record.state
+            && running.deadline <= now
+        {
+            record.state = State::Unknown(running.attempt, RefusalReason::Deadline);
+        }
+        let (key, verdict) = (record.id, record.verdict());
+        let refusal = Refusal { verdict, reason: RefusalReason::Deadline };
+        for waiter in record.waiters.extract_if(.., |waiter| waiter.deadline <= now) {
+            let (request, answer) = (waiter.request, Err(refusal));
+            let message = ExecuteMessage::Answered { request, key, answer };
+            out.push(Action::Send(waiter.from, message));
+        }
+    }
+}
+
+fn respond(waiter: Waiter, key: &ExecutionKey, answer: Answer, out: &mut Vec<Action>) {
+    if let Err(Refusal { verdict, reason }) = answer {
+        out.push(Action::Decided(Decision::ExecutionRefused { key: key.id, verdict, reason }));
+    }
+    let (request, key) = (waiter.request, key.id);
+    out.push(Action::Send(waiter.from, ExecuteMessage::Answered { request, key, answer }));
+}
+
+/// Finds the named shard of a service, or its only one.
+fn find_shard(topology: &Topology, service: &str, shard: Option<&str>) -> Option<ShardId> {
+    let service = topology.service(service)?;
+    let Some(name) = shard else {
+        return (service.shards.len() == 1).then(|| service.shards[0]);
+    };
+    service.shards.iter().copied().find(|id| topology.shards[*id].name == name)
+}
+
+/// Returns a hash of what a request asks for; rank and deadline may change in a resend.
+fn fingerprint(submit: &Submit) -> u128 {
+    let mut hasher = Xxh3::new();
+    let shard = submit.shard.as_deref().unwrap_or_default();
+    for part in [submit.service.as_bytes(), shard.as_bytes(), &submit.body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest128()
+}
--- /dev/null
+++ b/crates/berylpin_core/src/execute/key.rs
@@ -0,0 +1,174 @@
+//! Idempotency keys that name the process that issued them.
+
+use crate::ids::{Key, MemberTag, ThreadId};
+use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use std::fmt;
+use std::str::FromStr;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+
+/// How long after its issue a key may start an execution.
+pub const KEY_WINDOW: Duration = Duration::from_mins(10);
+
+const MAC_BYTES: usize = 16;
+const FIELD_BYTES: usize = 36;
+const KEY_BYTES: usize = FIELD_BYTES + MAC_BYTES;
+
+/// The text is not a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("a key has {} hexadecimal digits, as `POST /v1/keys` returned it", 2 * KEY_BYTES)]
+pub struct KeyError;
+
+/// Names a key among all keys of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct KeyId {
+    /// Drawn at random when the issuing thread started.
+    pub incarnation: u64,
+    /// The issuing thread of the holder.
+    pub thread: ThreadId,
+    /// Counts the keys of the thread; grows with the time of issue.
+    pub sequence: u64,
+}
+
+impl fmt::Display for KeyId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}.{}.{}", self.incarnation, self.thread.index(), self.sequence)
+    }
+}
+
+/// A key as a caller holds it.
+///
+/// Only its issuer can tell whether it is authentic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ExecutionKey {
+    /// The daemon that issued it.
+    pub holder: MemberTag,
+    /// Its name.
+    pub id: KeyId,
+    /// Milliseconds from the start of the issuing thread to the issue.
+    issued_ms: u64,
+    mac: [u8; MAC_BYTES],
+}
+
+impl ExecutionKey {
+    fn fields(&self) -> [u8; FIELD_BYTES] {
+        let mut bytes = [0; FIELD_BYTES];
+        bytes[..8].copy_from_slice(&self.holder.0.to_be_bytes());
+        bytes[8..16].copy_from_slice(&self.id.incarnation.to_be_bytes());
+        bytes[16..20].copy_from_slice(&(self.id.thread.index() as u32).to_be_bytes());
+        bytes[20..28].copy_from_slice(&self.id.sequence.to_be_bytes());
+        bytes[28..36].copy_from_slice(&self.issued_ms.to_be_bytes());
+        bytes
+    }
+}
+
+impl fmt::Display for ExecutionKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.fields().iter().chain(&self.mac).try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl FromStr for ExecutionKey {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        if text.len() != 2 * KEY_BYTES || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(KeyError);
+        }
+        let mut bytes = [0; KEY_BYTES];
+        for (byte, digits) in bytes.iter_mut().zip(text.as_bytes().chunks(2)) {
+            let digits = std::str::from_utf8(digits).map_err(|_| KeyError)?;
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| KeyError)?;
+        }
+        let number = |at: usize| {
+            let mut field = [0; 8];
+            field.copy_from_slice(&bytes[at..at + 8]);
+            u64::from_be_bytes(field)
+        };
+        let mut mac = [0; MAC_BYTES];
+        mac.copy_from_slice(&bytes[FIELD_BYTES..]);
+        let thread = ThreadId::from_index((number(16) >> 32) as usize);
+        let id = KeyId { incarnation: number(8), thread, sequence: number(20) };
+        Ok(Self { holder: MemberTag(number(0)), id, issued_ms: number(28), mac })
+    }
+}
+
+/// Issues the keys of one thread and recognises them.
+#[derive(Clone)]
+pub struct Issuer {
+    holder: MemberTag,
+    thread: ThreadId,
+    incarnation: u64,
+    mac: Hmac<Sha256>,
+    started: Instant,
+    /// The sequence number of the next key.
+    next: u64,
+}
+
+impl fmt::Debug for Issuer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Issuer").field("incarnation", &self.incarnation).finish_non_exhaustive()
+    }
+}
+
+impl Issuer {
+    /// Makes the issuer of a thread that starts now.
+    ///
+    /// `incarnation` has to be random and `secret` unknown to callers. The keys of an earlier
+    /// process are never recognised, whatever the secret.
+    pub fn new(
+        holder: MemberTag,
+        thread: ThreadId,
+        incarnation: u64,
+        secret: &[u8],
+        now: Instant,
+    ) -> Self {
+        let mac = Hmac::new_from_slice(secret).expect("HMAC takes a secret of any length");
+        Self { holder, thread, incarnation, mac, started: now, next: 0 }
+    }
+
+    /// Issues a key; nothing is remembered about it.
+    pub fn issue(&mut self, now: Instant) -> ExecutionKey {
+        let (incarnation, thread, sequence) = (self.incarnation, self.thread, self.next);
+        self.next += 1;
+        let issued_ms = now.saturating_duration_since(self.started).as_millis() as u64;
+        let id = KeyId { incarnation, thread, sequence };
+        let mut key = ExecutionKey { holder: self.holder, id, issued_ms, mac: [0; MAC_BYTES] };
+        let mac = self.mac.clone().chain_update(key.fields()).finalize().into_bytes();
+        key.mac.copy_from_slice(&mac[..MAC_BYTES]);
+        key
+    }
+
+    /// Returns the sequence number of the next key; all issued ones are lower.
+    pub fn next_sequence(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns the incarnation and the thread.
+    pub fn identity(&self) -> (u64, ThreadId) {
+        (self.incarnation, self.thread)
+    }
+
+    /// Returns whether the key names this thread of this process.
+    pub fn is_own(&self, key: &ExecutionKey) -> bool {
+        key.holder == self.holder
+            && key.id.incarnation == self.incarnation
+            && key.id.thread == self.thread
+    }
+
+    /// Returns whether this issuer issued the key.
+    pub fn is_authentic(&self, key: &ExecutionKey) -> bool {
+        let mac = self.mac.clone().chain_update(key.fields());
+        self.is_own(key) && mac.verify_truncated_left(&key.mac).is_ok()
+    }
+
+    /// Returns when an own key was issued.
+    pub fn issued_at(&self, key: &ExecutionKey) -> Instant {
+        self.started + Duration::from_millis(key.issued_ms)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/execute/table.rs
@@ -0,0 +1,204 @@
+//! The used keys of one holder thread.
+
+use super::answer::{Answer, Execution, Refusal, RefusalReason};
+use super::key::{ExecutionKey, KeyId};
+use super::message::{AttemptId, RequestId};
+use crate::arena::{Slab, SlabKey};
+use crate::ids::{MemberId, ReplicaId, ShardId};
+use crate::rank::Rank;
+use crate::verdict::Verdict;
+use bytes::Bytes;
+use std::time::Instant;
+
+/// How much a table may hold.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TableLimits {
+    /// Used keys.
+    pub(super) keys: usize,
+    /// Bytes of results; results of keys that run already may exceed it.
+    pub(super) result_bytes: usize,
+}
+
+/// A used key.
+#[derive(Debug)]
+pub(super) struct Record {
+    pub(super) id: KeyId,
+    /// When it may be forgotten; its window is over long before.
+    pub(super) expires: Instant,
+    /// A hash of the first request with the key.
+    pub(super) fingerprint: u128,
+    pub(super) state: State,
+    /// Requests that wait for the outcome.
+    pub(super) waiters: Vec<Waiter>,
+}
+
+/// What became of a used key.
+#[derive(Debug)]
+pub(super) enum State {
+    /// An attempt is in progress and its deadline has not passed.
+    Running(Box<Running>),
+    /// It ran.
+    Ran(Execution),
+    /// It may have run; a late outcome of the attempt still settles it.
+    Unknown(AttemptId, RefusalReason),
+    /// It did not run and never will.
+    NotRun(RefusalReason),
+}
+
+/// An execution in progress.
+#[derive(Debug)]
+pub(super) struct Running {
+    pub(super) key: ExecutionKey,
+    pub(super) shard: ShardId,
+    pub(super) rank: Rank,
+    pub(super) deadline: Instant,
+    pub(super) body: Bytes,
+    /// Replicas that were tried, the present one last; all others are proven not to have run it.
+    pub(super) tried: Vec<ReplicaId>,
+    pub(super) attempt: AttemptId,
+}
+
+/// A request that waits for the outcome of its key.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiter {
+    pub(super) from: MemberId,
+    pub(super) request: RequestId,
+    pub(super) deadline: Instant,
+}
+
+impl Record {
+    /// Returns what is known of the key.
+    pub(super) fn verdict(&self) -> Verdict {
+        match self.state {
+            State::Running(_) | State::Unknown(..) => Verdict::MayHaveRun,
+            State::Ran(_) => Verdict::Ran,
+            State::NotRun(_) => Verdict::NotRun,
+        }
+    }
+
+    /// Returns the answer to a request with the key; `None` while it runs.
+    pub(super) fn answer(&self) -> Option<Answer> {
+        let refuse = |reason| Err(Refusal { verdict: self.verdict(), reason });
+        match &self.state {
+            State::Running(_) => None,
+            State::Ran(execution) => Some(Ok(execution.clone())),
+            State::Unknown(_, reason) | State::NotRun(reason) => Some(refuse(*reason)),
+        }
+    }
+
+    /// Returns whether the attempt is the newest one of the key and not settled yet.
+    pub(super) fn awaits(&self, attempt: AttemptId) -> bool {
+        match &self.state {
+            State::Running(running) => running.attempt == attempt,
+            State::Unknown(last, _) => *last == attempt,
+            State::Ran(_) | State::NotRun(_) => false,
+        }
+    }
+}
+
+/// The used keys of one holder thread.
+#[derive(Debug)]
+pub(super) struct KeyTable {
+    limits: TableLimits,
+    records: Slab<Record>,
+    /// Sorted by sequence number; holds every record.
+    by_sequence: Vec<(u64, SlabKey)>,
+    /// Lower sequence numbers without a record, unless forgotten, never ran and never run.
+    closed_below: u64,
+    /// Bytes of all results.
+    result_bytes: usize,
+}
+
+impl KeyTable {
+    pub(super) fn new(limits: TableLimits) -> Self {
+        Self {
+            limits,
+            records: Slab::default(),
+            by_sequence: Vec::new(),
+            closed_below: 0,
+            result_bytes: 0,
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    pub(super) fn is_full(&self) -> bool {
+        self.records.len() >= self.limits.keys || self.result_bytes >= self.limits.result_bytes
+    }
+
+    pub(super) fn is_closed(&self, sequence: u64) -> bool {
+        sequence < self.closed_below
+    }
+
+    pub(super) fn find(&self, sequence: u64) -> Option<SlabKey> {
+        let at = self.by_sequence.binary_search_by_key(&sequence, |(s, _)| *s).ok()?;
+        Some(self.by_sequence[at].1)
+    }
+
+    pub(super) fn get_mut(&mut self, place: SlabKey) -> Option<&mut Record> {
+        self.records.get_mut(place)
+    }
+
+    pub(super) fn insert(&mut self, record: Record) -> SlabKey {
+        let sequence = record.id.sequence;
+        let place = self.records.insert(record);
+        let at = self.by_sequence.partition_point(|(s, _)| *s < sequence);
+        self.by_sequence.insert(at, (sequence, place));
+        place
+    }
+
+    /// Stores the outcome of a key.
+    pub(super) fn settle(&mut self, place: SlabKey, state: State) {
+        let Some(record) = self.records.get_mut(place) else { return };
+        if let State::Ran(execution) = &state {
+            self.result_bytes += execution.result.len();
+        }
+        record.state = state;
+    }
+
+    /// Closes all keys without a record below a sequence number.
+    ///
+    /// Records that say no more than that are dropped to make room.
+    pub(super) fn close_below(&mut self, sequence: u64) {
+        self.closed_below = self.closed_below.max(sequence);
+        let (records, closed_below) = (&mut self.records, self.closed_below);
+        self.by_sequence.retain(|(sequence, place)| {
+            let implied =
+                records.get(*place).is_none_or(|record| matches!(record.state, State::NotRun(_)));
+            let drop = implied && *sequence < closed_below;
+            if drop {
+                records.remove(*place);
+            }
+            !drop
+        });
+    }
+
+    /// Forgets the records that expired.
+    pub(super) fn expire(&mut self, now: Instant) {
+        // Sequence numbers grow with the time of issue, so the expired records come first.
+        let is_expired =
+            |place: SlabKey| self.records.get(place).is_none_or(|record| record.expires <= now);
+        let count = self.by_sequence.partition_point(|(_, place)| is_expired(*place));
+        for (_, place) in self.by_sequence.drain(..count) {
+            if let Some(Record { state: State::Ran(execution), .. }) = self.records.remove(place) {
+                self.result_bytes -= execution.result.len();
+            }
+        }
+    }
+
+    /// Returns when the next record expires.
+    pub(super) fn next_expiry(&self) -> Option<Instant> {
+        let (_, place) = self.by_sequence.first()?;
+        self.records.get(*place).map(|record| record.expires)
+    }
+
+    /// Returns how many keys run or have requests that wait for them.
+    pub(super) fn in_progress(&self) -> usize {
+        let busy = |record: &Record| {
+            matches!(record.state, State::Running(_)) || !record.waiters.is_empty()
+        };
+        self.records.iter().filter(|(_, record)| busy(record)).count()
+    }
+}
--- /dev/null
+++ b/crates/berylpin_core/src/execute/tests.rs
@@ -0,0 +1,61 @@
+//! Properties of all state machines together, in virtual time.
+
+mod world;
+
+use proptest::prelude::*;
+use world::{DAEMONS, Fault, Step, World};
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        (0..DAEMONS).prop_map(Fault::Kill),
+        (0..DAEMONS, 10_u64..4000).prop_map(|(daemon, ms)| Fault::Pause(daemon, ms)),
+        (0..DAEMONS, 0..DAEMONS, 10_u64..4000).prop_map(|(a, b, ms)| Fault::Cut(a, b, ms)),
+        (0..DAEMONS, 0..DAEMONS, 10_u64..4000).prop_map(|(a, b, ms)| Fault::Stall(a, b, ms)),
+        (0..DAEMONS, any::<u8>()).prop_map(|(daemon, live)| Fault::View(daemon, live)),
+        (0..DAEMONS).prop_map(Fault::Stop),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (0..DAEMONS, 0..DAEMONS, 20_u64..1500)
+            .prop_map(|(issuer, entry, ms)| Step::First(issuer, entry, ms)),
+        8 => (any::<prop::sample::Index>(), 0..DAEMONS, 20_u64..1500)
+            .prop_map(|(key, entry, ms)| Step::Resend(key, entry, ms)),
+        2 => (any::<prop::sample::Index>(), 0..DAEMONS).prop_map(|(key, entry)| {
+            Step::Conflict(key, entry)
+        }),
+        6 => (1_u64..900).prop_map(Step::Wait),
+        1 => (60_000_u64..500_000).prop_map(Step::Wait),
+        6 => fault().prop_map(Step::Fault),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn keys_run_at_most_once_and_refusals_are_true(
+        seed in any::<u64>(),
+        steps in prop::collection::vec(step(), 1..60),
+    ) {
+        let mut world = World::new(seed);
+        for step in &steps {
+            world.step(step);
+        }
+        world.heal();
+        world.check();
+    }
+}
+
+#[test]
+fn without_faults_every_key_runs_and_resends_get_its_result() {
+    let mut world = World::without_faults(7);
+    for number in 0..6 {
+        world.step(&Step::First(number % DAEMONS, (number + 1) % DAEMONS, 1000));
+        world.step(&Step::Wait(1500));
+    }
+    world.heal();
+    world.check();
+    assert_eq!(world.succeeded(), 6);
+}
--- a/crates/berylpin_core/src/lib.rs
+++ b/crates/berylpin_core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod control;
 pub mod decision;
+pub mod execute;
 pub mod ids;
 pub mod message;
 pub mod query;
--- a/crates/berylpin_daemon/src/http/caller.rs
+++ b/crates/berylpin_daemon/src/http/caller.rs
@@ -1,5 +1,6 @@
 //! The front end of callers.
 
+use super::execute::{execute, issue_keys};
 use super::reply::{json, refuse};
 use crate::traffic::{Mail, Mailbox};
 use berylpin_core::control::View;
@@ -34,7 +35,11 @@
 
 /// Returns the routes of callers.
 pub(crate) fn caller_routes(state: CallerState) -> impl IntoEndpoint {
-    Route::new().at("/v1/query", post(run_query)).data(state)
+    Route::new()
+        .at("/v1/query", post(run_query))
+        .at("/v1/keys", post(issue_keys))
+        .at("/v1/execute", post(execute))
+        .data(state)
 }
 
 /// Tells the thread that the caller went away, unless it was answered.
--- a/crates/berylpin_daemon/src/http/mod.rs
+++ b/crates/berylpin_daemon/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod caller;
+mod execute;
 mod reply;
 
 pub(crate) use admin::{AdminState, admin_routes};
--- a/crates/berylpin_daemon/src/logging.rs
+++ b/crates/berylpin_daemon/src/logging.rs
@@ -65,5 +65,19 @@
             debug!(log, "owner: sub-query refused"; "query" => %query, "replica" => %replica,
                 "reason" => reason.name());
         }
+        Decision::KeyRouted { key, holder } => {
+            debug!(log, "execute: request routed to holder"; "key" => %key, "holder" => %holder);
+        }
+        Decision::ExecutionRouted { key, replica, attempt } => {
+            debug!(log, "execute: attempt sent"; "key" => %key, "replica" => %replica,
+                "attempt" => attempt);
+        }
+        Decision::ExecutionStarted { key, replica } => {
+            debug!(log, "owner: execution started"; "key" => %key, "replica" => %replica);
+        }
+        Decision::ExecutionRefused { key, verdict, reason } => {
+            debug!(log, "execute: request refused"; "key" => %key, "verdict" => %verdict,
+                "reason" => reason.name());
+        }
     }
 }
--- /dev/null
+++ b/crates/berylpin_daemon/src/traffic/execute/mod.rs
@@ -0,0 +1,192 @@
+//! Non-idempotent requests of one traffic thread.
+
+mod upstream;
+
+use super::mailbox::Mailbox;
+use crate::logging::log_decision;
+use berylpin_core::control::View;
+use berylpin_core::execute::{
+    Action, Answer, AttemptId, CallKey, CallResult, ExecuteMessage, ExecutionKey, ForwardEvent,
+    Forwarder, Holder, HolderEvent, Issuer, Request, RunEvent, Runner,
+};
+use berylpin_core::ids::{MemberId, ThreadId};
+use berylpin_core::query::Ticket;
+use rand::Rng;
+use slog::Logger;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::sync::oneshot;
+use upstream::ExecutionClient;
+
+/// Bytes of the secret that authenticates keys.
+const SECRET_BYTES: usize = 32;
+
+/// What threads send to a traffic thread about non-idempotent requests.
+pub(crate) enum ExecuteMail {
+    /// A caller wants keys.
+    Issue { count: usize, reply: oneshot::Sender<Vec<ExecutionKey>> },
+    /// A caller sent a request.
+    Request { ticket: Ticket, request: Request, reply: oneshot::Sender<Answer> },
+    /// The caller does not wait any more.
+    CallerGone(Ticket),
+    /// A daemon, which may be this one, sent a message.
+    Message(MemberId, ExecuteMessage),
+    /// An attempt was dropped before any of it was written.
+    Undelivered(AttemptId),
+    /// A call to an upstream ended.
+    Called(CallKey, CallResult),
+}
+
+/// The non-idempotent requests of one traffic thread.
+pub(super) struct Executions {
+    forwarder: Forwarder,
+    holder: Holder,
+    runner: Runner,
+    client: ExecutionClient,
+    view: Arc<View>,
+    log: Logger,
+    /// Sorted by ticket, which only grow.
+    callers: Vec<(Ticket, oneshot::Sender<Answer>)>,
+    actions: Vec<Action>,
+    /// Messages to send, with their receivers.
+    outbox: Vec<(MemberId, ExecuteMessage)>,
+}
+
+/// What the executions of a thread are made of.
+pub(super) struct ExecutionContext {
+    pub(super) thread: ThreadId,
+    pub(super) threads: usize,
+    pub(super) own: Mailbox,
+    pub(super) log: Logger,
+    pub(super) seed: u64,
+}
+
+impl Executions {
+    pub(super) fn new(cx: ExecutionContext, view: Arc<View>, now: Instant) -> Self {
+        let mut rng = rand::rng();
+        let holder = view.members[view.own].tag;
+        // Only the issuing thread checks its keys, so no other process needs the secret.
+        let secret: [u8; SECRET_BYTES] = rng.random();
+        let issuer = Issuer::new(holder, cx.thread, rng.random(), &secret, now);
+        Self {
+            forwarder: Forwarder::new(cx.thread, view.clone(), cx.seed ^ 2),
+            holder: Holder::new(issuer, view.clone(), cx.seed ^ 3),
+            runner: Runner::new(cx.thread, cx.threads, view.clone(), cx.seed ^ 4),
+            client: ExecutionClient::new(cx.own),
+            view,
+            log: cx.log,
+            callers: Vec::new(),
+            actions: Vec::new(),
+            outbox: Vec::new(),
+        }
+    }
+
+    pub(super) fn handle(&mut self, now: Instant, mail: ExecuteMail) {
+        match mail {
+            ExecuteMail::Issue { count, reply } => {
+                let keys = (0..count).map(|_| self.holder.issue(now)).collect();
+                // A caller that went away does not need the keys.
+                let _ = reply.send(keys);
+            }
+            ExecuteMail::Request { ticket, request, reply } => {
+                let at = self.callers.partition_point(|(t, _)| *t < ticket);
+                self.callers.insert(at, (ticket, reply));
+                let event = ForwardEvent::Request(ticket, request);
+                self.forwarder.handle(now, event, &mut self.actions);
+            }
+            ExecuteMail::CallerGone(ticket) => {
+                self.take_caller(ticket);
+                let event = ForwardEvent::CallerGone(ticket);
+                self.forwarder.handle(now, event, &mut self.actions);
+            }
+            ExecuteMail::Message(from, message) => self.message(now, from, message),
+            ExecuteMail::Undelivered(attempt) => {
+                let event = HolderEvent::Undelivered(attempt);
+                self.holder.handle(now, event, &mut self.actions);
+            }
+            ExecuteMail::Called(key, result) => {
+                self.runner.handle(now, RunEvent::Called(key, result), &mut self.actions);
+            }
+        }
+        self.carry_out();
+    }
+
+    pub(super) fn install(&mut self, now: Instant, view: Arc<View>) {
+        self.view = view.clone();
+        self.forwarder.handle(now, ForwardEvent::View(view.clone()), &mut self.actions);
+        self.holder.handle(now, HolderEvent::View(view.clone()), &mut self.actions);
+        self.runner.handle(now, RunEvent::View(view), &mut self.actions);
+        self.carry_out();
+    }
+
+    pub(super) fn tick(&mut self, now: Instant) {
+        self.forwarder.handle(now, ForwardEvent::Tick, &mut self.actions);
+        self.holder.handle(now, HolderEvent::Tick, &mut self.actions);
+        self.runner.handle(now, RunEvent::Tick, &mut self.actions);
+        self.carry_out();
+    }
+
+    /// Soon starts no further key.
+    pub(super) fn stop(&mut self, now: Instant) {
+        self.holder.handle(now, HolderEvent::Stop, &mut self.actions);
+        self.carry_out();
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        let busy = self.forwarder.waiting() + self.runner.in_progress();
+        busy == 0 && self.holder.is_done()
+    }
+
+    pub(super) fn next_timer(&self) -> Option<Instant> {
+        let timers =
+            [self.forwarder.next_timer(), self.holder.next_timer(), self.runner.next_timer()];
+        timers.into_iter().flatten().min()
+    }
+
+    /// Takes the messages to send.
+    pub(super) fn take_outbox(&mut self) -> Vec<(MemberId, ExecuteMessage)> {
+        std::mem::take(&mut self.outbox)
+    }
+
+    fn message(&mut self, now: Instant, from: MemberId, message: ExecuteMessage) {
+        let out = &mut self.actions;
+        match message {
+            ExecuteMessage::Submit(submit) => {
+                self.holder.handle(now, HolderEvent::Submit(from, submit), out);
+            }
+            ExecuteMessage::Answered { request, key, answer } => {
+                self.forwarder.handle(now, ForwardEvent::Answered(request, key, answer), out);
+            }
+            ExecuteMessage::Run(run) => self.runner.handle(now, RunEvent::Run(from, run), out),
+            ExecuteMessage::Ended { attempt, replica, outcome } => {
+                self.holder.handle(now, HolderEvent::Ended(from, attempt, replica, outcome), out);
+            }
+            ExecuteMessage::Acknowledged { attempt, .. } => {
+                self.runner.handle(now, RunEvent::Acknowledged(attempt), out);
+            }
+        }
+    }
+
+    fn carry_out(&mut self) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Send(to, message) => self.outbox.push((to, message)),
+                Action::Answer(ticket, answer) => {
+                    if let Some(reply) = self.take_caller(ticket) {
+                        // A caller that went away does not need the answer.
+                        let _ = reply.send(answer);
+                    }
+                }
+                Action::Call(call) => self.client.call(&self.view, call),
+                Action::Decided(decision) => log_decision(&self.log, &decision),
+            }
+        }
+        self.actions = actions;
+    }
+
+    fn take_caller(&mut self, ticket: Ticket) -> Option<oneshot::Sender<Answer>> {
+        let at = self.callers.binary_search_by_key(&ticket, |(t, _)| *t).ok()?;
+        Some(self.callers.remove(at).1)
+    }
+}
--- a/crates/berylpin_daemon/src/traffic/link.rs
+++ b/crates/berylpin_daemon/src/traffic/link.rs
@@ -1,6 +1,7 @@
 //! The outgoing link to one daemon: one HTTP/2 stream that carries frames one way.
 
 use super::mailbox::{Mail, Mailboxes};
+use berylpin_core::execute::{AttemptId, ExecuteMessage};
 use berylpin_core::ids::{MemberId, MemberTag};
 use berylpin_core::message::QueryMessage;
 use berylpin_wire::frame::{self, Frame};
@@ -40,6 +41,18 @@
 pub(crate) enum LinkFrame {
     /// A message about queries.
     Query(QueryMessage),
+    /// A message about non-idempotent requests.
+    Execute(ExecuteMessage),
+}
+
+impl LinkFrame {
+    /// Returns the attempt at an execution that the frame asks for.
+    pub(super) fn run_attempt(&self) -> Option<AttemptId> {
+        match self {
+            Self::Query(_) => None,
+            Self::Execute(message) => message.run_attempt(),
+        }
+    }
 }
 
 #[derive(Debug, Error)]
@@ -66,10 +79,15 @@
     mut rx: mpsc::Receiver<LinkFrame>,
 ) {
     while let Some(first) = rx.recv().await {
-        let Err(e) = carry(own, address, first, &mut rx).await else { return };
+        let mut first = Some(first);
+        let Err(e) = carry(own, address, &mut first, &mut rx).await else { return };
         info!(log, "link: broken"; "peer" => %address, "error" => %e);
         // What was queued or written may be lost; the entries of this daemon retry it.
-        while rx.try_recv().is_ok() {}
+        // A frame that is written is never sent again: an attempt at an execution must not repeat.
+        let queued = std::iter::from_fn(|| rx.try_recv().ok());
+        for attempt in first.into_iter().chain(queued).filter_map(|frame| frame.run_attempt()) {
+            mailboxes.undelivered(attempt);
+        }
         for mailbox in mailboxes.iter() {
             mailbox.send(Mail::LinkDown(to));
         }
@@ -77,10 +95,11 @@
     }
 }
 
+/// Carries frames until the link breaks; takes `first` only once it can be written.
 async fn carry(
     own: MemberTag,
     address: SocketAddr,
-    first: LinkFrame,
+    first: &mut Option<LinkFrame>,
     rx: &mut mpsc::Receiver<LinkFrame>,
 ) -> Result<(), LinkError> {
     let tcp = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
@@ -102,7 +121,7 @@
     own: MemberTag,
     address: SocketAddr,
     client: SendRequest<Bytes>,
-    first: LinkFrame,
+    first: &mut Option<LinkFrame>,
     rx: &mut mpsc::Receiver<LinkFrame>,
 ) -> Result<(), LinkError> {
     let request = Request::post(format!("http://{address}/v1/link"))
@@ -112,7 +131,7 @@
     let mut client = client.ready().await?;
     let (_response, mut stream) = client.send_request(request, false)?;
     let mut buf = BytesMut::new();
-    let mut next = Some(first);
+    let mut next = first.take();
     while let Some(frame) = next {
         append(frame, &mut buf);
         while buf.len() < WRITE_SIZE {
@@ -127,8 +146,11 @@
 }
 
 fn append(frame: LinkFrame, buf: &mut BytesMut) {
-    let LinkFrame::Query(message) = frame;
-    frame::encode(&Frame::Query(message), buf);
+    let frame = match frame {
+        LinkFrame::Query(message) => Frame::Query(message),
+        LinkFrame::Execute(message) => Frame::Execute(message),
+    };
+    frame::encode(&frame, buf);
 }
 
 async fn write(stream: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), LinkError> {
--- a/crates/berylpin_daemon/src/traffic/mailbox.rs
+++ b/crates/berylpin_daemon/src/traffic/mailbox.rs
@@ -1,7 +1,9 @@
 //! What threads send to a traffic thread.
 
+use super::execute::ExecuteMail;
 use super::link::LinkFrame;
 use berylpin_core::control::View;
+use berylpin_core::execute::{AttemptId, ExecuteMessage};
 use berylpin_core::ids::{Key, MemberId, ReplicaId, ThreadId};
 use berylpin_core::message::{Batch, Part, QueryMessage};
 use berylpin_core::query::{Answer, Refusal, Request, Ticket};
@@ -28,6 +30,8 @@
     Probed(ReplicaId, ProbeResult),
     /// The link to a daemon broke.
     LinkDown(MemberId),
+    /// Something happened to a non-idempotent request.
+    Execute(ExecuteMail),
     /// The thread is to end once it has no work left.
     Stop,
 }
@@ -44,6 +48,12 @@
         (Self { tx }, rx)
     }
 
+    /// Sends a message that must not be lost, once there is room for it.
+    pub(crate) async fn send_when_room(&self, mail: Mail) {
+        // An error means that the thread has ended.
+        let _ = self.tx.send(mail).await;
+    }
+
     /// Sends a message and returns whether it fitted.
     pub(crate) fn send(&self, mail: Mail) -> bool {
         let sent = self.tx.try_send(mail).is_ok();
@@ -74,6 +84,25 @@
         self.boxes.get(thread.index())
     }
 
+    /// Hands a message about a non-idempotent request to its thread.
+    pub(crate) fn deliver_execute(&self, from: MemberId, message: ExecuteMessage) {
+        let thread = message.thread(self.boxes.len());
+        let attempt = message.run_attempt();
+        // The key may come from a process with more threads; any thread refuses it.
+        let Some(mailbox) = self.get(thread).or_else(|| self.boxes.first()) else { return };
+        let sent = mailbox.send(Mail::Execute(ExecuteMail::Message(from, message)));
+        if !sent && let Some(attempt) = attempt {
+            self.undelivered(attempt);
+        }
+    }
+
+    /// Tells the thread of a holder that an attempt was dropped before any of it was written.
+    pub(crate) fn undelivered(&self, attempt: AttemptId) {
+        if let Some(mailbox) = self.get(attempt.thread) {
+            mailbox.send(Mail::Execute(ExecuteMail::Undelivered(attempt)));
+        }
+    }
+
     /// Hands a message from a daemon to the threads that it concerns.
     pub(crate) fn deliver(&self, from: MemberId, message: QueryMessage) {
         match message {
--- a/crates/berylpin_daemon/src/traffic/mod.rs
+++ b/crates/berylpin_daemon/src/traffic/mod.rs
@@ -1,11 +1,13 @@
 //! Traffic threads: queries, replicas and links.
 
+mod execute;
 mod link;
 mod mailbox;
 mod peers;
 mod thread;
 mod upstream;
 
+pub(crate) use execute::ExecuteMail;
 pub(crate) use link::{LinkFrame, run_link};
 pub(crate) use mailbox::{Mail, Mailbox, Mailboxes};
 pub(crate) use peers::serve_peers;
--- a/crates/berylpin_daemon/src/traffic/peers.rs
+++ b/crates/berylpin_daemon/src/traffic/peers.rs
@@ -75,6 +75,7 @@
         loop {
             match decoder.next_frame() {
                 Ok(Some(Frame::Query(message))) => mailboxes.deliver(from, message),
+                Ok(Some(Frame::Execute(message))) => mailboxes.deliver_execute(from, message),
                 Ok(None) => break,
                 Err(_) => return respond.send_reset(h2::Reason::PROTOCOL_ERROR),
             }
--- a/crates/berylpin_daemon/src/traffic/thread.rs
+++ b/crates/berylpin_daemon/src/traffic/thread.rs
@@ -1,5 +1,6 @@
 //! The loop of one traffic thread.
 
+use super::execute::{ExecutionContext, Executions};
 use super::link::LinkFrame;
 use super::mailbox::{Mail, Mailbox, Mailboxes};
 use super::upstream::Upstreams;
@@ -37,6 +38,7 @@
     links: Vec<Option<mpsc::Sender<LinkFrame>>>,
     coordinator: Coordinator,
     owner: Owner,
+    executions: Executions,
     upstreams: Upstreams,
     /// Sorted by ticket, which only grow.
     callers: Vec<(Ticket, oneshot::Sender<Result<Answer, Refusal>>)>,
@@ -50,7 +52,15 @@
     let Some(own) = cx.mailboxes.get(cx.id).cloned() else { return };
     let now = cx.clock.now();
     let threads = cx.mailboxes.iter().count();
+    let executions = ExecutionContext {
+        thread: cx.id,
+        threads,
+        own: own.clone(),
+        log: cx.log.clone(),
+        seed: cx.seed,
+    };
     let mut thread = TrafficThread {
+        executions: Executions::new(executions, view.clone(), now),
         coordinator: Coordinator::new(cx.id, view.clone(), cx.seed),
         owner: Owner::new(cx.id, threads, view.clone(), cx.seed ^ 1, now),
         upstreams: Upstreams::new(own.clone()),
@@ -82,11 +92,15 @@
 
 impl TrafficThread {
     fn is_done(&self) -> bool {
-        self.stopping && self.coordinator.running() == 0 && self.owner.jobs() == 0
+        self.stopping
+            && self.coordinator.running() == 0
+            && self.owner.jobs() == 0
+            && self.executions.is_done()
     }
 
     fn next_timer(&self) -> Instant {
-        let timers = [self.coordinator.next_timer(), self.owner.next_timer()];
+        let timers =
+            [self.coordinator.next_timer(), self.owner.next_timer(), self.executions.next_timer()];
         let idle = self.cx.clock.now() + IDLE_SLEEP;
         timers.into_iter().flatten().min().unwrap_or(idle)
     }
@@ -98,7 +112,8 @@
                 self.upstreams.retain(&view);
                 self.view = view.clone();
                 self.query_event(query::Event::View(view.clone()));
-                self.replica_event(replica::Event::View(view));
+                self.replica_event(replica::Event::View(view.clone()));
+                self.execution_event(|executions, now| executions.install(now, view));
             }
             Mail::Request { ticket, request, reply } => {
                 self.callers.push((ticket, reply));
@@ -112,7 +127,13 @@
             Mail::Called(key, result) => self.replica_event(replica::Event::Called(key, result)),
             Mail::Probed(id, result) => self.replica_event(replica::Event::Probed(id, result)),
             Mail::LinkDown(member) => self.query_event(query::Event::LinkDown(member)),
-            Mail::Stop => self.stopping = true,
+            Mail::Execute(mail) => {
+                self.execution_event(|executions, now| executions.handle(now, mail));
+            }
+            Mail::Stop => {
+                self.stopping = true;
+                self.execution_event(Executions::stop);
+            }
         }
     }
 
@@ -131,6 +152,7 @@
     fn tick(&mut self) {
         self.query_event(query::Event::Tick);
         self.replica_event(replica::Event::Tick);
+        self.execution_event(Executions::tick);
     }
 
     fn query_event(&mut self, event: query::Event) {
@@ -168,6 +190,24 @@
         self.replica_actions = actions;
     }
 
+    fn execution_event<F>(&mut self, handle: F)
+    where
+        F: FnOnce(&mut Executions, Instant),
+    {
+        handle(&mut self.executions, self.cx.clock.now());
+        for (to, message) in self.executions.take_outbox() {
+            let link = self.links.get(to.index()).and_then(Option::as_ref);
+            let attempt = message.run_attempt();
+            if to == self.view.own {
+                self.cx.mailboxes.deliver_execute(to, message);
+            } else if link.is_none_or(|link| link.try_send(LinkFrame::Execute(message)).is_err())
+                && let Some(attempt) = attempt
+            {
+                self.cx.mailboxes.undelivered(attempt);
+            }
+        }
+    }
+
     /// Sends a message to a daemon; one to this daemon goes through the mailboxes as well.
     fn send(&self, to: MemberId, message: QueryMessage) {
         if to == self.view.own {
--- /dev/null
+++ b/crates/berylpin_standin/src/ledger.rs
@@ -0,0 +1,92 @@
+//! The record of non-idempotent requests that a replica ran.
+
+use crate::upstream::{Shared, header};
+use berylpin_wire::upstream::{ExecuteReply, IDEMPOTENCY_KEY, REQUEST_ID};
+use poem::http::{HeaderMap, StatusCode};
+use poem::web::{Data, Json, Path, RemoteAddr};
+use poem::{Endpoint, EndpointExt, IntoResponse, Response, handler, post};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::time::sleep;
+
+/// One execution that had its effect.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LedgerEntry {
+    /// The idempotency key.
+    pub key: String,
+    /// The request id of the attempt.
+    pub request: String,
+    /// What ran.
+    pub body: String,
+}
+
+/// The record of a replica; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    entries: Vec<LedgerEntry>,
+    lose_replies: bool,
+}
+
+impl Ledger {
+    /// Returns all executions in the order of their effect.
+    pub fn entries(&self) -> Vec<LedgerEntry> {
+        self.inner().entries.clone()
+    }
+
+    /// Returns how often a key ran.
+    pub fn runs(&self, key: &str) -> usize {
+        self.inner().entries.iter().filter(|entry| entry.key == key).count()
+    }
+
+    /// Sets whether executions have their effect and then end with an error status.
+    pub fn set_lose_replies(&self, lose_replies: bool) {
+        self.inner().lose_replies = lose_replies;
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the endpoint of executions.
+pub(crate) fn execute_route(ledger: Ledger) -> impl Endpoint {
+    post(execute).data(ledger)
+}
+
+#[handler]
+async fn execute(
+    state: Data<&Arc<Shared>>,
+    ledger: Data<&Ledger>,
+    Path((_service, shard)): Path<(String, String)>,
+    peer: &RemoteAddr,
+    headers: &HeaderMap,
+    body: String,
+) -> Response {
+    let request = header(headers, REQUEST_ID).to_owned();
+    let key = header(headers, IDEMPOTENCY_KEY).to_owned();
+    sleep(state.shape.network_delay + state.connection_cost(&peer.0)).await;
+    if let Some(response) = state.execution_refusal() {
+        return response;
+    }
+    let entry = LedgerEntry { key, request: request.clone(), body: body.clone() };
+    let (upstream, record) = (state.clone(), ledger.clone());
+    // The effect does not depend on whether the client still waits.
+    let run = tokio::spawn(async move {
+        let ran = upstream.run(&entry.request).await;
+        if ran {
+            record.inner().entries.push(entry);
+        }
+        ran
+    });
+    let ran = run.await.unwrap_or(false);
+    sleep(state.shape.network_delay).await;
+    if !ran || ledger.inner().lose_replies {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    }
+    let result = format!("executed: {body}");
+    Json(ExecuteReply { request, shard, result }).into_response()
+}
--- a/crates/berylpin_standin/src/upstream.rs
+++ b/crates/berylpin_standin/src/upstream.rs
@@ -1,5 +1,6 @@
 //! One replica: slots, connection set-up cost, snapshots, shedding, drain and a record of its work.
 
+use crate::ledger::{Ledger, execute_route};
 use crate::service::HttpService;
 use berylpin_core::ids::Snapshot;
 use berylpin_core::message::{Row, SnapshotRange};
@@ -70,11 +71,12 @@
 pub struct Upstream {
     service: HttpService,
     state: Arc<Shared>,
+    ledger: Ledger,
 }
 
 #[derive(Debug)]
-struct Shared {
-    shape: UpstreamShape,
+pub(crate) struct Shared {
+    pub(crate) shape: UpstreamShape,
     slots: Semaphore,
     inner: Mutex<Inner>,
 }
@@ -110,12 +112,14 @@
         };
         let slots = Semaphore::new(shape.slots.into());
         let state = Arc::new(Shared { shape, slots, inner: Mutex::new(inner) });
+        let ledger = Ledger::default();
         let routes = Route::new()
             .at("/v1/:service/:shard/lookup", post(lookup))
+            .at("/v1/:service/:shard/execute", execute_route(ledger.clone()))
             .at("/v1/:service/:shard/snapshots", get(snapshots))
             .at("/v1/requests/:id", delete(cancel))
             .data(state.clone());
-        Ok(Self { service: HttpService::start(routes).await?, state })
+        Ok(Self { service: HttpService::start(routes).await?, state, ledger })
     }
 
     /// Returns where it listens.
@@ -133,6 +137,11 @@
         self.state.inner().serves = serves;
     }
 
+    /// Returns the record of its executions.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
     /// Returns what it did.
     pub fn work(&self) -> Work {
         self.state.inner().work
@@ -144,6 +153,12 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns why an execution is refused, if it is.
+    pub(crate) fn execution_refusal(&self) -> Option<Response> {
+        let newest = self.inner().serves.newest;
+        self.refusal(newest)
+    }
+
     /// Returns why a lookup is refused, if it is.
     fn refusal(&self, snapshot: Snapshot) -> Option<Response> {
         let mut inner = self.inner();
@@ -164,7 +179,7 @@
     }
 
     /// Returns what the first request on a connection has to wait for it.
-    fn connection_cost(&self, peer: &Addr) -> Duration {
+    pub(crate) fn connection_cost(&self, peer: &Addr) -> Duration {
         let new = peer.as_socket_addr().is_some_and(|peer| self.inner().connections.insert(*peer));
         if new { self.shape.connect_cost } else { Duration::ZERO }
     }
@@ -178,7 +193,7 @@
     }
 
     /// Holds a slot for the service time and returns whether the request ran to its end.
-    async fn run(&self, request: &str) -> bool {
+    pub(crate) async fn run(&self, request: &str) -> bool {
         self.inner().waiting += 1;
         let permit = self.slots.acquire().await;
         let service_time = self.service_time();
@@ -202,7 +217,7 @@
     }
 }
 
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+pub(crate) fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
 }
 
--- a/crates/berylpin_wire/src/lib.rs
+++ b/crates/berylpin_wire/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod caller;
+pub mod execute;
 pub mod frame;
 pub mod platform;
 pub mod upstream;
--- a/crates/berylpin_wire/src/upstream.rs
+++ b/crates/berylpin_wire/src/upstream.rs
@@ -1,7 +1,8 @@
 //! The HTTP protocol of upstreams.
 //!
 //! `POST /v1/{service}/{shard}/lookup` runs a sub-query: its body is what the caller asked, the
-//! headers below carry the rest. `GET /v1/{service}/{shard}/snapshots` tells what a replica
+//! headers below carry the rest. `POST /v1/{service}/{shard}/execute` runs a non-idempotent request.
+//! `GET /v1/{service}/{shard}/snapshots` tells what a replica
 //! serves. `DELETE /v1/requests/{id}` cancels a request.
 
 use berylpin_core::ids::Snapshot;
@@ -16,6 +17,8 @@
 pub const RANK: &str = "x-rank";
 /// Header: time left until the deadline, in milliseconds.
 pub const DEADLINE_MS: &str = "x-deadline-ms";
+/// Header of an execution: its idempotency key.
+pub const IDEMPOTENCY_KEY: &str = "x-idempotency-key";
 /// Header of a refusal: the request was not run.
 pub const NOT_RUN: &str = "x-not-run";
 /// Header of a refusal: the replica is leaving.
@@ -35,3 +38,14 @@
     /// The rows.
     pub rows: Vec<Row>,
 }
+
+/// Body of a status 200 to an execution.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExecuteReply {
+    /// The request id echoed.
+    pub request: String,
+    /// The shard echoed.
+    pub shard: String,
+    /// What came of it.
+    pub result: String,
+}
