--- a/crates/berylpin_core/src/decision.rs
+++ b/crates/berylpin_core/src/decision.rs
@@ -90,6 +90,10 @@
             | Self::Routed { query, .. }
             | Self::Started { query, .. }
             | Self::Refused { query, .. } => Some(*query),
+            Self::KeyRouted { .. }
+            | Self::ExecutionRouted { .. }
+            | Self::ExecutionStarted { .. }
+            | Self::ExecutionRefused { .. } => None,
         }
     }
 }
--- a/crates/berylpin_core/src/execute/key.rs
+++ b/crates/berylpin_core/src/execute/key.rs
@@ -12,6 +12,9 @@
 /// How long after its issue a key may start an execution.
 pub const KEY_WINDOW: Duration = Duration::from_mins(10);
 
+/// Keeps codes apart from those that the same secret gives elsewhere.
+const MAC_CONTEXT: &[u8] = b"berylpin execution key";
+
 const MAC_BYTES: usize = 16;
 const FIELD_BYTES: usize = 36;
 const KEY_BYTES: usize = FIELD_BYTES + MAC_BYTES;
@@ -126,6 +129,7 @@
         now: Instant,
     ) -> Self {
         let mac = Hmac::new_from_slice(secret).expect("HMAC takes a secret of any length");
+        let mac = mac.chain_update(MAC_CONTEXT);
         Self { holder, thread, incarnation, mac, started: now, next: 0 }
     }
 
--- a/crates/berylpin_core/src/execute/tests/world.rs
+++ b/crates/berylpin_core/src/execute/tests/world.rs
@@ -19,6 +19,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+mod check;
+
 pub(super) const DAEMONS: usize = 3;
 const THREADS: usize = 2;
 const LIMITS: TableLimits = TableLimits { keys: 6, result_bytes: 10_000 };
@@ -97,7 +99,8 @@
     key: ExecutionKey,
     body: Bytes,
     holder: (usize, u32),
-    answers: Vec<Answer>,
+    /// With the body of the request that each answers.
+    answers: Vec<(Bytes, Answer)>,
     /// The bodies that the upstream ran.
     runs: Vec<Bytes>,
 }
@@ -114,8 +117,8 @@
     cuts: Vec<(usize, usize, Instant)>,
     stalls: Vec<(usize, usize, Instant)>,
     keys: Vec<Issued>,
-    /// The key of each ticket.
-    tickets: Vec<usize>,
+    /// The key and the body of each request, indexed by ticket.
+    requests: Vec<(usize, Bytes)>,
 }
 
 impl World {
@@ -138,7 +141,7 @@
             cuts: Vec::new(),
             stalls: Vec::new(),
             keys: Vec::new(),
-            tickets: Vec::new(),
+            requests: Vec::new(),
         };
         for index in 0..DAEMONS {
             let process = world.process(index, 0);
@@ -221,10 +224,10 @@
             shard: None,
             rank: Rank::Urgent,
             time_left: Duration::from_millis(ms),
-            body,
+            body: body.clone(),
         };
-        let ticket = Ticket(self.tickets.len() as u64);
-        self.tickets.push(key);
+        let ticket = Ticket(self.requests.len() as u64);
+        self.requests.push((key, body));
         let thread = self.rng.random_range(0..THREADS);
         self.schedule(self.now, Job::Request { to, thread, ticket, request });
     }
@@ -395,7 +398,8 @@
             match action {
                 Action::Send(to, message) => self.transmit(index, thread, to.index(), message),
                 Action::Answer(ticket, answer) => {
-                    self.keys[self.tickets[ticket.0 as usize]].answers.push(answer);
+                    let (key, body) = self.requests[ticket.0 as usize].clone();
+                    self.keys[key].answers.push((body, answer));
                 }
                 Action::Call(call) => {
                     let generation = self.daemons[index].generation;
@@ -443,55 +447,6 @@
         }
         self.run_until(self.now + Duration::from_secs(30));
     }
-
-    /// Checks all answers against the record of the upstream.
-    pub(super) fn check(&mut self) {
-        for issued in &self.keys {
-            assert!(issued.runs.len() <= 1, "{} ran {:?}", issued.key.id, issued.runs);
-            for answer in &issued.answers {
-                match answer {
-                    Ok(execution) => {
-                        assert_eq!(issued.runs, [execution.result.as_bytes()]);
-                    }
-                    Err(Refusal { verdict: Verdict::NotRun, .. }) => {
-                        assert!(issued.runs.is_empty());
-                    }
-                    Err(Refusal { verdict: Verdict::Ran, .. }) => assert!(!issued.runs.is_empty()),
-                    Err(_) => {}
-                }
-            }
-        }
-        self.check_resends();
-        for thread in self.daemons.iter().flat_map(|daemon| &daemon.threads) {
-            assert_eq!(thread.forwarder.waiting(), 0);
-            assert_eq!(thread.holder.in_progress(), 0);
-            assert_eq!(thread.runner.in_progress(), 0);
-        }
-    }
-
-    /// Checks that a key that ran keeps its result while its holder lives and its window lasts.
-    fn check_resends(&mut self) {
-        let in_window = self.now < self.start + KEY_WINDOW;
-        let lives = |k: &Issued| self.daemons[k.holder.0].generation == k.holder.1;
-        let succeeded = |k: &Issued| k.answers.iter().any(Result::is_ok);
-        let kept: Vec<usize> = (0..self.keys.len())
-            .filter(|k| in_window && succeeded(&self.keys[*k]) && lives(&self.keys[*k]))
-            .collect();
-        for key in kept {
-            let body = self.keys[key].runs[0].clone();
-            self.send(key, key % DAEMONS, 1000, body.clone());
-            self.run_until(self.now + Duration::from_secs(2));
-            let answer = self.keys[key].answers.last().unwrap();
-            assert_eq!(answer.as_ref().unwrap().result.as_bytes(), body);
-        }
-    }
-
-    pub(super) fn succeeded(&self) -> usize {
-        self.keys
-            .iter()
-            .filter(|k| k.runs.len() == 1 && k.answers.iter().all(Result::is_ok))
-            .count()
-    }
 }
 
 impl Process {
--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -97,6 +97,7 @@
                 mailboxes: mailboxes.clone(),
                 clock: clock.clone(),
                 log: log.clone(),
+                fleet_key: settings.fleet_key.clone(),
                 seed: rand::rng().random(),
             };
             let callers = listen("caller_address", settings.caller_address)?;
--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -18,6 +18,8 @@
 const ATTEMPTS: &str = "berylpin_attempts_total";
 const STARTS: &str = "berylpin_upstream_calls_total";
 const REFUSALS: &str = "berylpin_sub_query_refusals_total";
+const EXECUTION_ATTEMPTS: &str = "berylpin_execution_attempts_total";
+const EXECUTION_REFUSALS: &str = "berylpin_execution_refusals_total";
 const EPOCH: &str = "berylpin_view_epoch";
 const MEMBERS: &str = "berylpin_members_live";
 const OWNED: &str = "berylpin_replicas_owned";
@@ -91,7 +93,14 @@
         Decision::Refused { reason, .. } => {
             counter!(REFUSALS, "reason" => reason.name()).increment(1);
         }
-        Decision::Pinned { .. } => {}
+        Decision::ExecutionRouted { .. } => counter!(EXECUTION_ATTEMPTS).increment(1),
+        Decision::ExecutionRefused { verdict, reason, .. } => {
+            let labels = [("verdict", verdict.name()), ("reason", reason.name())];
+            counter!(EXECUTION_REFUSALS, &labels).increment(1);
+        }
+        Decision::Pinned { .. }
+        | Decision::KeyRouted { .. }
+        | Decision::ExecutionStarted { .. } => {}
     }
 }
 
@@ -115,6 +124,8 @@
     describe_counter!(ATTEMPTS, "Attempts at shards by cause: first, retry or hedge");
     describe_counter!(STARTS, "Calls to upstreams");
     describe_counter!(REFUSALS, "Sub-queries refused by their owner, by reason");
+    describe_counter!(EXECUTION_ATTEMPTS, "Attempts at non-idempotent requests");
+    describe_counter!(EXECUTION_REFUSALS, "Refusals by holders of keys, by verdict and reason");
     describe_gauge!(EPOCH, "Epoch of the view in force");
     describe_gauge!(MEMBERS, "Daemons that take part in placement");
     describe_gauge!(OWNED, "Replicas that this daemon owns");
--- a/crates/berylpin_daemon/src/traffic/execute/mod.rs
+++ b/crates/berylpin_daemon/src/traffic/execute/mod.rs
@@ -3,7 +3,9 @@
 mod upstream;
 
 use super::mailbox::Mailbox;
-use crate::logging::log_decision;
+use crate::logging::{Log, log_decision};
+use crate::metrics::count_decision;
+use crate::settings::Secret;
 use berylpin_core::control::View;
 use berylpin_core::execute::{
     Action, Answer, AttemptId, CallKey, CallResult, ExecuteMessage, ExecutionKey, ForwardEvent,
@@ -12,15 +14,11 @@
 use berylpin_core::ids::{MemberId, ThreadId};
 use berylpin_core::query::Ticket;
 use rand::Rng;
-use slog::Logger;
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::oneshot;
 use upstream::ExecutionClient;
 
-/// Bytes of the secret that authenticates keys.
-const SECRET_BYTES: usize = 32;
-
 /// What threads send to a traffic thread about non-idempotent requests.
 pub(crate) enum ExecuteMail {
     /// A caller wants keys.
@@ -44,7 +42,7 @@
     runner: Runner,
     client: ExecutionClient,
     view: Arc<View>,
-    log: Logger,
+    log: Log,
     /// Sorted by ticket, which only grow.
     callers: Vec<(Ticket, oneshot::Sender<Answer>)>,
     actions: Vec<Action>,
@@ -57,7 +55,9 @@
     pub(super) thread: ThreadId,
     pub(super) threads: usize,
     pub(super) own: Mailbox,
-    pub(super) log: Logger,
+    pub(super) log: Log,
+    /// Authenticates keys.
+    pub(super) fleet_key: Secret,
     pub(super) seed: u64,
 }
 
@@ -65,9 +65,7 @@
     pub(super) fn new(cx: ExecutionContext, view: Arc<View>, now: Instant) -> Self {
         let mut rng = rand::rng();
         let holder = view.members[view.own].tag;
-        // Only the issuing thread checks its keys, so no other process needs the secret.
-        let secret: [u8; SECRET_BYTES] = rng.random();
-        let issuer = Issuer::new(holder, cx.thread, rng.random(), &secret, now);
+        let issuer = Issuer::new(holder, cx.thread, rng.random(), cx.fleet_key.bytes(), now);
         Self {
             forwarder: Forwarder::new(cx.thread, view.clone(), cx.seed ^ 2),
             holder: Holder::new(issuer, view.clone(), cx.seed ^ 3),
@@ -179,7 +177,10 @@
                     }
                 }
                 Action::Call(call) => self.client.call(&self.view, call),
-                Action::Decided(decision) => log_decision(&self.log, &decision),
+                Action::Decided(decision) => {
+                    log_decision(&self.log, &decision);
+                    count_decision(&decision);
+                }
             }
         }
         self.actions = actions;
--- a/crates/berylpin_daemon/src/traffic/thread.rs
+++ b/crates/berylpin_daemon/src/traffic/thread.rs
@@ -6,6 +6,7 @@
 use super::upstream::Upstreams;
 use crate::logging::{Log, log_decision};
 use crate::metrics::count_decision;
+use crate::settings::Secret;
 use berylpin_core::clock::Clock;
 use berylpin_core::control::View;
 use berylpin_core::decision::Decision;
@@ -29,6 +30,7 @@
     pub(crate) mailboxes: Mailboxes,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) log: Log,
+    pub(crate) fleet_key: Secret,
     pub(crate) seed: u64,
 }
 
@@ -58,6 +60,7 @@
         threads,
         own: own.clone(),
         log: cx.log.clone(),
+        fleet_key: cx.fleet_key.clone(),
         seed: cx.seed,
     };
     let mut thread = TrafficThread {
--- a/crates/berylpin_wire/src/upstream.rs
+++ b/crates/berylpin_wire/src/upstream.rs
@@ -2,8 +2,8 @@
 //!
 //! `POST /v1/{service}/{shard}/lookup` runs a sub-query: its body is what the caller asked, the
 //! headers below carry the rest. `POST /v1/{service}/{shard}/execute` runs a non-idempotent request.
-//! `GET /v1/{service}/{shard}/snapshots` tells what a replica
-//! serves. `DELETE /v1/requests/{id}` cancels a request.
+//! `GET /v1/{service}/{shard}/snapshots` tells what a replica serves. `DELETE /v1/requests/{id}`
+//! cancels a request.
 
 use berylpin_core::ids::Snapshot;
 use berylpin_core::message::{Row, SnapshotRange};
