Test the replacement of silent connections and the bound of sockets

Both promises of the shell stood without a test: that a call without progress closes its connection while the next one gets a fresh one, and that calls, probes and cancellations together never open more sockets than the document allows. Both hold; nothing in the shell changed.

--- a/crates/berylpin_daemon/src/traffic/upstream/tests.rs
+++ b/crates/berylpin_daemon/src/traffic/upstream/tests.rs
@@ -1,7 +1,12 @@
 use super::super::connections::new_client;
 use super::*;
-use berylpin_core::ids::Snapshot;
+use berylpin_core::arena::{Arena, Slab};
+use berylpin_core::config::ServiceSettings;
+use berylpin_core::control::{Member, Topology};
+use berylpin_core::ids::{Key, MemberId, MemberTag, Snapshot};
+use berylpin_core::rank::Rank;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -107,3 +112,94 @@
     assert_eq!(accepted.await.expect("a peer").ip().to_string(), "127.0.0.9");
     asked.abort();
 }
+
+fn view(address: SocketAddr, slots: u16, connections: u16) -> View {
+    let text = format!(
+        "service = \"t\"\n[[shard]]\nname = \"s\"\n[[shard.replica]]\naddress = \"{address}\"\n\
+         data_centre = \"d\"\nslots = {slots}\nconnections = {connections}\n"
+    );
+    let settings = ServiceSettings::parse(&text).expect("the document is valid");
+    let topology = Topology::default().with_documents(&[Arc::new(settings)]);
+    let mut members = Arena::default();
+    members.push(Member {
+        tag: MemberTag::of(["own"]),
+        name: "own".to_owned(),
+        data_centre: "d".to_owned(),
+        peer_address: "127.0.0.1:1".parse().expect("an address"),
+        live: true,
+    });
+    View::new(1, MemberId::from_index(0), members, Arc::new(topology))
+}
+
+fn call(key: CallKey) -> Call {
+    Call {
+        key,
+        replica: ReplicaId::from_index(0),
+        request: QueryTag(7),
+        snapshot: Snapshot(5),
+        rank: Rank::Urgent,
+        time_left: Duration::from_secs(5),
+        body: bytes::Bytes::new(),
+    }
+}
+
+#[tokio::test]
+async fn silent_connection_is_closed_and_the_next_call_uses_a_fresh_one() {
+    let (listener, address) = listen().await;
+    let view = view(address, 1, 2);
+    let (own, mut rx) = Mailbox::new();
+    let mut upstreams = Upstreams::new(own);
+    upstreams.retain(&view);
+    let mut keys = Slab::default();
+    let first = keys.insert(());
+    upstreams.call(&view, call(first));
+    let (mut silent, _) = listener.accept().await.expect("a connection");
+    read_request(&mut silent).await;
+    upstreams.reconnect(ReplicaId::from_index(0), first);
+    let Some(Mail::Called(key, result)) = rx.recv().await else { panic!("the call ends") };
+    assert_eq!(key, first);
+    assert_eq!(verdict(&result), Some((Verdict::MayHaveRun, FailReason::Connection)));
+    assert_eq!(silent.read(&mut [0]).await.expect("a closed connection"), 0);
+
+    let server = tokio::spawn(serve(listener, vec![http("200 OK", "", REPLY)]));
+    upstreams.call(&view, call(keys.insert(())));
+    let Some(Mail::Called(_, result)) = rx.recv().await else { panic!("the call ends") };
+    assert_eq!(verdict(&result), None);
+    server.abort();
+}
+
+#[tokio::test]
+async fn sockets_never_exceed_the_connections_of_the_document() {
+    let (listener, address) = listen().await;
+    let view = view(address, 2, 3);
+    let (own, mut rx) = Mailbox::new();
+    let mut upstreams = Upstreams::new(own);
+    upstreams.retain(&view);
+    let replica = ReplicaId::from_index(0);
+    let mut keys = Slab::default();
+    for _ in 0..3 {
+        upstreams.probe(&view, Probe { replica });
+        upstreams.abort(&view, replica, QueryTag(1));
+        upstreams.call(&view, call(keys.insert(())));
+    }
+    // One probe, two calls; whatever came beyond ends without a byte on the network.
+    for _ in 0..3 {
+        match rx.recv().await {
+            Some(Mail::Called(_, result)) => {
+                assert_eq!(
+                    verdict(&result),
+                    Some((Verdict::NotRun, FailReason::Overloaded)),
+                    "only the call without a connection ends"
+                );
+            }
+            Some(Mail::Probed(_, result)) => assert_eq!(result, ProbeResult::Failed),
+            _ => panic!("mail is of a call or a probe"),
+        }
+    }
+    let mut accepted = Vec::new();
+    for _ in 0..3 {
+        accepted.push(listener.accept().await.expect("a connection"));
+    }
+    let more = tokio::time::timeout(Duration::from_millis(50), listener.accept()).await;
+    assert!(more.is_err(), "a fourth connection was made");
+}
