--- a/crates/berylpin_core/src/decision.rs
+++ b/crates/berylpin_core/src/decision.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{QueryTag, ReplicaTag, Snapshot};
 use crate::message::FailReason;
+use crate::query::RefusalReason;
 use crate::rank::Rank;
 use std::fmt;
 
@@ -77,6 +78,22 @@
         /// The replica.
         replica: ReplicaTag,
     },
+    /// A query was refused before any sub-query was sent.
+    Rejected {
+        /// The query.
+        query: QueryTag,
+        /// Its rank.
+        rank: Rank,
+        /// Why.
+        reason: RefusalReason,
+    },
+    /// A query starts again, as its snapshot is not served any more.
+    Restarted {
+        /// The query.
+        query: QueryTag,
+        /// The snapshot that is given up.
+        from: Snapshot,
+    },
 }
 
 impl Decision {
@@ -87,7 +104,9 @@
             | Self::Routed { query, .. }
             | Self::Started { query, .. }
             | Self::Refused { query, .. }
-            | Self::Stalled { query, .. } => Some(*query),
+            | Self::Stalled { query, .. }
+            | Self::Rejected { query, .. }
+            | Self::Restarted { query, .. } => Some(*query),
             Self::ShedLevel { .. }
             | Self::Ejected { .. }
             | Self::Returned { .. }
@@ -105,6 +124,8 @@
     Retry,
     /// The earlier attempt is slow.
     Hedge,
+    /// The owner of the earlier attempt was lost or changed.
+    Reroute,
 }
 
 impl AttemptCause {
@@ -114,6 +135,7 @@
             Self::First => "first",
             Self::Retry => "retry",
             Self::Hedge => "hedge",
+            Self::Reroute => "reroute",
         }
     }
 }
--- a/crates/berylpin_daemon/src/logging.rs
+++ b/crates/berylpin_daemon/src/logging.rs
@@ -117,5 +117,13 @@
         Decision::Drained { replica } => {
             info!(log, "owner: replica is leaving and gets no new work"; "replica" => %replica);
         }
+        Decision::Rejected { query, rank, reason } => {
+            debug!(log, "query: rejected before any sub-query"; "query" => %query,
+                "rank" => rank.name(), "reason" => reason.name());
+        }
+        Decision::Restarted { query, from } => {
+            debug!(log, "query: starts again on a newer snapshot"; "query" => %query,
+                "from" => from.0);
+        }
     }
 }
