Allow for the spread of arrivals within a minimum share

Shedding within the share began as soon as the mean of a few arrivals an interval lay above it; now two deviations of that mean are let through.

--- a/crates/berylpin_core/src/replica/shedding.rs
+++ b/crates/berylpin_core/src/replica/shedding.rs
@@ -140,8 +140,9 @@
 impl RankLoad {
     /// Lowers the level to what was completed, but not below what the minimum share can serve.
     fn cut(&mut self, kept: f64) {
-        // Half a query absorbs rounding.
-        if self.admitted < kept + 0.5 {
+        // Arrivals spread like Poisson counts; two deviations of their mean are no excess yet.
+        let spread = 2.0 * (kept / (2.0 * SMOOTHING - 1.0)).sqrt();
+        if self.admitted < kept + spread {
             return;
         }
         let served = self.completed.max(kept) / self.admitted;
