--- a/crates/berylpin_standin/src/lib.rs
+++ b/crates/berylpin_standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins for what surrounds the system: the platform, upstreams and callers.
 
 pub mod checker;
+pub mod ledger;
 pub mod load;
 pub mod net;
 pub mod platform;
