--- a/crates/berylpin/src/experiment/report.rs
+++ b/crates/berylpin/src/experiment/report.rs
@@ -135,17 +135,12 @@
     (facts.samples.iter().filter(move |sample| sample.start >= *from), *to - *from)
 }
 
+/// Returns the work without a merged result as a share of the work with one.
 fn extra_load(facts: &Facts<'_>) -> f64 {
     let (samples, _) = settled(facts);
-    // Whoever gets no answer, and no refusal before any work, still asked every shard once.
-    let asked = |sample: &Sample| match sample.seen {
-        Seen::Complete | Seen::Partial => sample.asked,
-        Seen::Refused(Verdict::NotRun) => 0,
-        _ => facts.streams[sample.stream].layouts[0].len() as u64,
-    };
-    let asked: u64 = samples.map(asked).sum();
+    let merged: u64 = samples.map(|sample| sample.answered).sum();
     let ran = facts.works[2].1.ran - facts.works[1].1.ran;
-    ran as f64 / asked.max(1) as f64 - 1.0
+    ran as f64 / merged.max(1) as f64 - 1.0
 }
 
 /// Returns the slot time of merged results as a share of all slot time.
--- a/crates/berylpin_standin/src/upstream.rs
+++ b/crates/berylpin_standin/src/upstream.rs
@@ -99,6 +99,8 @@
     pub ran: u64,
     /// Requests that were cancelled while they ran.
     pub cancelled: u64,
+    /// Requests that failed at a dead replica.
+    pub failed: u64,
     /// Requests refused before execution.
     pub refused: u64,
     /// How long slots were held.
@@ -225,6 +227,7 @@
             inner.work.after_drain += u64::from(since.elapsed() > DRAIN_LIMIT);
         }
         if inner.faults.dead {
+            inner.work.failed += 1;
             return Some(StatusCode::INTERNAL_SERVER_ERROR.into_response());
         }
         let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
