--- a/crates/berylpin_core/src/decision.rs
+++ b/crates/berylpin_core/src/decision.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{QueryTag, ReplicaTag, Snapshot};
 use crate::message::FailReason;
+use crate::query::RefusalReason;
 use crate::rank::Rank;
 use std::fmt;
 
@@ -46,6 +47,53 @@
         /// Why.
         reason: FailReason,
     },
+    /// A call made no progress and its connection was replaced.
+    Stalled {
+        /// The query.
+        query: QueryTag,
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// An owner changed which queries a replica sheds.
+    ShedLevel {
+        /// The replica.
+        replica: ReplicaTag,
+        /// The rank.
+        rank: Rank,
+        /// Queries at or above this level are refused.
+        level: u16,
+    },
+    /// A replica was ejected because its calls failed.
+    Ejected {
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// A replica that was ejected or drained takes work again.
+    Returned {
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// A replica said that it is leaving and gets nothing new.
+    Drained {
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// A query was refused before any sub-query was sent.
+    Rejected {
+        /// The query.
+        query: QueryTag,
+        /// Its rank.
+        rank: Rank,
+        /// Why.
+        reason: RefusalReason,
+    },
+    /// A query starts again, as its snapshot is not served any more.
+    Restarted {
+        /// The query.
+        query: QueryTag,
+        /// The snapshot that is given up.
+        from: Snapshot,
+    },
 }
 
 impl Decision {
@@ -55,7 +103,14 @@
             Self::Pinned { query, .. }
             | Self::Routed { query, .. }
             | Self::Started { query, .. }
-            | Self::Refused { query, .. } => Some(*query),
+            | Self::Refused { query, .. }
+            | Self::Stalled { query, .. }
+            | Self::Rejected { query, .. }
+            | Self::Restarted { query, .. } => Some(*query),
+            Self::ShedLevel { .. }
+            | Self::Ejected { .. }
+            | Self::Returned { .. }
+            | Self::Drained { .. } => None,
         }
     }
 }
@@ -69,6 +124,8 @@
     Retry,
     /// The earlier attempt is slow.
     Hedge,
+    /// The owner of the earlier attempt was lost or changed.
+    Reroute,
 }
 
 impl AttemptCause {
@@ -78,6 +135,7 @@
             Self::First => "first",
             Self::Retry => "retry",
             Self::Hedge => "hedge",
+            Self::Reroute => "reroute",
         }
     }
 }
--- a/crates/berylpin_core/src/message.rs
+++ b/crates/berylpin_core/src/message.rs
@@ -20,6 +20,8 @@
     pub thread: ThreadId,
     /// The query on that thread.
     pub query: SlabKey,
+    /// The tag of the query; an entry that was restarted reuses the other keys, but not this one.
+    pub tag: QueryTag,
     /// The position of the shard within the query.
     pub position: u32,
     /// Counts the attempts at this shard from 0.
@@ -151,7 +153,7 @@
 pub struct Hint {
     /// The snapshots that the replica serves; `None` until the owner knows.
     pub snapshots: Option<SnapshotRange>,
-    /// How long a new sub-query would wait for a slot, in microseconds on the wire.
+    /// How long a new urgent sub-query would wait for a slot, in microseconds on the wire.
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     pub queue_delay: Duration,
     /// Levels at or above this one are refused, for each rank; see [`QueryTag::level`].
