--- a/crates/berylpin/src/args.rs
+++ b/crates/berylpin/src/args.rs
@@ -1,7 +1,7 @@
 //! Subcommands and exit codes.
 
 use crate::commands::{
-    apply, check, delete, demo, diff, drain, edit, experiment, get, list, query, status,
+    apply, check, delete, demo, diff, drain, edit, execute, experiment, get, list, query, status,
 };
 use pico_args::Arguments;
 use std::process::ExitCode;
@@ -31,6 +31,7 @@
     drain::COMMAND,
     status::COMMAND,
     query::COMMAND,
+    execute::COMMAND,
     experiment::COMMAND,
 ];
 
--- a/crates/berylpin/src/commands/mod.rs
+++ b/crates/berylpin/src/commands/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod diff;
 pub(crate) mod drain;
 pub(crate) mod edit;
+pub(crate) mod execute;
 pub(crate) mod experiment;
 pub(crate) mod get;
 pub(crate) mod list;
--- a/crates/berylpin/src/commands/query.rs
+++ b/crates/berylpin/src/commands/query.rs
@@ -1,9 +1,10 @@
 //! `berylpin query`: sends one query, as a caller would.
 
 use crate::args::{Command, CommandError, finish};
+use crate::caller_client::CallerClient;
 use crate::client::{block_on, print_json};
 use berylpin_core::rank::Rank;
-use berylpin_wire::caller::{AnswerBody, QueryBody, RefusalBody};
+use berylpin_wire::caller::{AnswerBody, QueryBody};
 use pico_args::Arguments;
 use std::net::SocketAddr;
 
@@ -35,21 +36,8 @@
     finish(args)?;
     let body = QueryBody { target, rank, deadline_ms, limit, lookup };
     block_on(async {
-        let request = reqwest::Client::new().post(format!("http://{to}/v1/query")).json(&body);
-        let response = request
-            .send()
-            .await
-            .map_err(|e| CommandError::Failed(format!("the daemon at {to} did not answer: {e}")))?;
-        let malformed = |e| CommandError::Failed(format!("malformed answer: {e}"));
-        if !response.status().is_success() {
-            let refusal: RefusalBody = response.json().await.map_err(malformed)?;
-            if json {
-                print_json(&refusal);
-            }
-            let RefusalBody { verdict, message, .. } = refusal;
-            return Err(CommandError::Incomplete(format!("{message} (verdict: {verdict})")));
-        }
-        report(&response.json().await.map_err(malformed)?, json)
+        let answer = CallerClient::new(to, json).post("/v1/query", &body).await?;
+        report(&answer, json)
     })
 }
 
--- a/crates/berylpin/src/main.rs
+++ b/crates/berylpin/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod base_line;
 mod bench;
+mod caller_client;
 mod client;
 mod commands;
 mod document_file;
