--- a/crates/berylpin/src/bench.rs
+++ b/crates/berylpin/src/bench.rs
@@ -265,7 +265,7 @@
     pub(crate) async fn wait_ready(&self) -> Result<(), BenchError> {
         let client = reqwest::Client::new();
         let limit = Instant::now() + READY_LIMIT;
-        for entry in &self.entries {
+        for entry in self.entries.iter().filter(|entry| entry.daemon.is_some()) {
             let url = format!("http://{}/ready", entry.admin_address);
             loop {
                 let response = client.get(&url).send().await;
--- a/crates/berylpin/src/experiment/report.rs
+++ b/crates/berylpin/src/experiment/report.rs
@@ -71,6 +71,9 @@
     pub(crate) control: ControlCost,
     pub(crate) memory_mb: f64,
     pub(crate) violations: Violations,
+    /// Each reason of a refusal and how often it was given, by rank.
+    #[serde(skip)]
+    pub(crate) refusals: Vec<(Rank, String, usize)>,
     #[serde(skip)]
     pub(crate) points: Vec<Point>,
     /// Where the part with faults begins in the plot.
@@ -93,6 +96,7 @@
             control: facts.control,
             memory_mb: facts.memory_mb,
             violations: violations(facts, bench),
+            refusals: refusals(facts),
             points: facts.samples.iter().map(|sample| point(facts, sample)).collect(),
             fault_second: (facts.fault_start - facts.start).as_secs_f64(),
         }
@@ -120,6 +124,15 @@
     Rank::ALL.into_iter().map(report).collect()
 }
 
+fn refusals(facts: &Facts<'_>) -> Vec<(Rank, String, usize)> {
+    let refused = facts.samples.iter().filter(|sample| !sample.reason.is_empty());
+    let mut reasons: Vec<(Rank, &str)> =
+        refused.map(|sample| (facts.streams[sample.stream].rank, sample.reason.as_str())).collect();
+    reasons.sort_unstable();
+    let runs = reasons.chunk_by(|a, b| a == b);
+    runs.map(|run| (run[0].0, run[0].1.to_owned(), run.len())).collect()
+}
+
 fn point(facts: &Facts<'_>, sample: &Sample) -> Point {
     Point {
         second: (sample.start - facts.start).as_secs_f64(),
@@ -241,12 +254,16 @@
     }
     let recovery = report.recovery_ms.map_or("none".to_owned(), |time| format!("{time:.0} ms"));
     let control = report.control;
+    let refusal =
+        |(rank, reason, count): &(Rank, String, usize)| format!("{rank} {reason} {count}");
+    let refusals: Vec<String> = report.refusals.iter().map(refusal).collect();
     format!(
-        "{}, seed {}\n{table}\nextra load {:.2}%, useful work {:.1}%, recovery {recovery}\n\
+        "{}, seed {}\n{table}\nrefusals: {}\nextra load {:.2}%, useful work {:.1}%, recovery {recovery}\n\
          control: {:.2}% of a core and {:.0} bytes/s a daemon, {:.1} platform calls/s in all\n\
          memory of the whole process: {:.0} MB\n{:?}",
         report.experiment,
         report.seed,
+        refusals.join(", "),
         report.extra_load * 100.0,
         report.useful_work * 100.0,
         control.cpu_share * 100.0,
--- a/crates/berylpin_standin/src/load.rs
+++ b/crates/berylpin_standin/src/load.rs
@@ -102,6 +102,8 @@
     pub asked: u64,
     /// Shards that the answer covers.
     pub answered: u64,
+    /// Why it was refused; empty if it was not.
+    pub reason: String,
     /// What is wrong with the answer.
     pub violations: Violations,
 }
@@ -214,6 +216,7 @@
             seen: Seen::Failed,
             asked: 0,
             answered: 0,
+            reason: String::new(),
             violations: Violations::default(),
         };
         callers.spawn(call(client.clone(), address, stream.clone(), sample));
@@ -254,6 +257,7 @@
         Ok(response) => {
             if let Ok(refusal) = response.json::<RefusalBody>().await {
                 sample.seen = Seen::Refused(refusal.verdict);
+                sample.reason = refusal.reason;
             }
         }
         Err(e) if e.is_timeout() => sample.seen = Seen::Late,
