--- a/crates/berylpin/src/bench.rs
+++ b/crates/berylpin/src/bench.rs
@@ -92,7 +92,7 @@
 /// Work of all upstreams.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct TotalWork {
-    /// Sub-queries that ran to their end, were cancelled or failed.
+    /// Sub-queries, without executions, that ran to their end, were cancelled or failed.
     pub(crate) ran: u64,
     pub(crate) busy: Duration,
     pub(crate) after_drain: u64,
@@ -297,7 +297,8 @@
         let mut total = TotalWork::default();
         for replica in self.replicas.iter().filter(|replica| replica.group != CANARY) {
             let work = replica.upstream.work();
-            total.ran += work.ran + work.cancelled + work.failed;
+            let executions = replica.upstream.ledger().entries().len() as u64;
+            total.ran += work.ran + work.cancelled + work.failed - executions;
             total.busy += work.busy;
             total.after_drain += work.after_drain;
             total.last_drained_arrival = total.last_drained_arrival.max(work.last_drained_arrival);
--- a/crates/berylpin/src/experiment/faults.rs
+++ b/crates/berylpin/src/experiment/faults.rs
@@ -46,6 +46,11 @@
 ) -> Result<(), BenchError> {
     match &fault.what {
         Action::Upstream(action) => set_upstreams(bench, action, apply),
+        Action::LoseReplies(pick) => {
+            for replica in bench.replicas.iter().filter(|r| pick.names(&r.service, r.number)) {
+                replica.upstream.ledger().set_lose_replies(apply);
+            }
+        }
         Action::DrainByDocument(pick) => drain_by_document(bench, pick, apply),
         Action::Platform(action) => bench.platform.set_faults(platform_faults(action, apply)),
         Action::Cut { between: [a, b] } => bench.net.set_cut(Zone(*a), Zone(*b), apply),
--- a/crates/berylpin/src/experiment/report.rs
+++ b/crates/berylpin/src/experiment/report.rs
@@ -6,7 +6,8 @@
 use crate::bench::{Bench, CANARY};
 use berylpin_core::rank::Rank;
 use berylpin_core::verdict::Verdict;
-use berylpin_standin::checker::{Violations, false_not_run, reverted};
+use berylpin_standin::charges::Charge;
+use berylpin_standin::checker::{Violations, false_not_run, ran_twice, reverted};
 use berylpin_standin::load::{Sample, Seen, Stream, Tally};
 use comfy_table::Table;
 use serde::Serialize;
@@ -22,6 +23,7 @@
     pub(super) seed: u64,
     pub(super) streams: &'a [Stream],
     pub(super) samples: &'a [Sample],
+    pub(super) charges: &'a [Charge],
     pub(super) observations: &'a [Observation],
     /// At the start, where the settled part begins, and at the end.
     pub(super) works: &'a [WorkAt],
@@ -74,6 +76,9 @@
     /// Each reason of a refusal and how often it was given, by rank.
     #[serde(skip)]
     pub(crate) refusals: Vec<(Rank, String, usize)>,
+    /// Non-idempotent requests: sent, told to have run, and run by the record of the replicas.
+    #[serde(skip)]
+    pub(crate) charges: [usize; 3],
     #[serde(skip)]
     pub(crate) points: Vec<Point>,
     /// Where the part with faults begins in the plot.
@@ -97,6 +102,11 @@
             memory_mb: facts.memory_mb,
             violations: violations(facts, bench),
             refusals: refusals(facts),
+            charges: [
+                facts.charges.len(),
+                facts.charges.iter().filter(|charge| charge.executed).count(),
+                executions(bench).len(),
+            ],
             points: facts.samples.iter().map(|sample| point(facts, sample)).collect(),
             fault_second: (facts.fault_start - facts.start).as_secs_f64(),
         }
@@ -204,8 +214,31 @@
     Some(latest)
 }
 
+/// Returns the key and the body of every execution, from the replicas' own record.
+fn executions(bench: &Bench) -> Vec<(String, String)> {
+    let ledgers = bench.replicas.iter().flat_map(|replica| replica.upstream.ledger().entries());
+    ledgers.map(|entry| (entry.key, entry.body)).collect()
+}
+
+/// Checks what callers of non-idempotent requests were told against what ran.
+fn charge_violations(charges: &[Charge], executions: &[(String, String)]) -> Violations {
+    let ran = |key: &&String| executions.iter().any(|(executed, _)| executed == *key);
+    let bodies = executions.iter().map(|(_, body)| body.clone()).collect();
+    let unfounded = |charge: &&Charge| {
+        charge.crossed
+            || (charge.executed && !executions.iter().any(|(_, body)| *body == charge.body))
+    };
+    let not_run = charges.iter().flat_map(|charge| &charge.not_run);
+    Violations {
+        ran_twice: ran_twice(bodies),
+        false_not_run: not_run.filter(ran).count() as u64,
+        crossed_answer: charges.iter().filter(unfounded).count() as u64,
+        ..Violations::default()
+    }
+}
+
 fn violations(facts: &Facts<'_>, bench: &Bench) -> Violations {
-    let mut all = Violations::default();
+    let mut all = charge_violations(facts.charges, &executions(bench));
     facts.samples.iter().for_each(|sample| all += sample.violations);
     let refused = facts.samples.iter().filter(|s| s.seen == Seen::Refused(Verdict::NotRun));
     let mut ran: Vec<u64> = bench.replicas.iter().flat_map(|r| r.upstream.questions()).collect();
@@ -258,12 +291,15 @@
         |(rank, reason, count): &(Rank, String, usize)| format!("{rank} {reason} {count}");
     let refusals: Vec<String> = report.refusals.iter().map(refusal).collect();
     format!(
-        "{}, seed {}\n{table}\nrefusals: {}\nextra load {:.2}%, useful work {:.1}%, recovery {recovery}\n\
+        "{}, seed {}\n{table}\nrefusals: {}\ncharges: {} sent, {} told to have run, {} ran\nextra load {:.2}%, useful work {:.1}%, recovery {recovery}\n\
          control: {:.2}% of a core and {:.0} bytes/s a daemon, {:.1} platform calls/s in all\n\
          memory of the whole process: {:.0} MB\n{:?}",
         report.experiment,
         report.seed,
         refusals.join(", "),
+        report.charges[0],
+        report.charges[1],
+        report.charges[2],
         report.extra_load * 100.0,
         report.useful_work * 100.0,
         control.cpu_share * 100.0,
--- a/crates/berylpin/src/experiment/run.rs
+++ b/crates/berylpin/src/experiment/run.rs
@@ -3,9 +3,10 @@
 use super::canary::{self, Observation, Observations};
 use super::faults::{FaultLog, carry_out, split};
 use super::report::{Facts, Report};
-use super::scenario::{Action, Scenario};
+use super::scenario::{Action, Charges, Scenario};
 use super::usage::{control_cpu_s, memory_mb};
 use crate::bench::{Bench, BenchError, TotalWork};
+use berylpin_standin::charges::{Charge, drive_charges};
 use berylpin_standin::checker::Layout;
 use berylpin_standin::load::{Sample, Stream, caller_client, drive};
 use berylpin_standin::sites::{Document, Site, TARGETS};
@@ -49,6 +50,7 @@
     let end = fault_start + Duration::from_secs_f64(scenario.fault_s);
     let streams = streams(&bench, &scenario, &site);
     let drivers = start_load(&bench, &scenario, &streams, seed, (fault_start, end));
+    let charges = start_charges(&bench, &scenario, seed, end);
     let observed = Observations::default();
     let mut watchers = watch_canary(&bench, &observed);
 
@@ -67,6 +69,7 @@
     }
     let samples = drivers.join_all().await.concat();
     works.push((end, bench.work()));
+    let charges = charges.join_all().await.concat();
     log.settle().await;
     let mut edits = Vec::new();
     for edit in log.edits.drain(..) {
@@ -80,6 +83,7 @@
         seed,
         streams: &streams,
         samples: &samples,
+        charges: &charges,
         observations: &observations,
         works: &works,
         stops: &log.stops,
@@ -168,6 +172,20 @@
     drivers
 }
 
+fn start_charges(
+    bench: &Bench,
+    scenario: &Scenario,
+    seed: u64,
+    end: Instant,
+) -> JoinSet<Vec<Charge>> {
+    let mut drivers = JoinSet::new();
+    for Charges { service, rate } in scenario.charges.iter().cloned() {
+        let caller = (bench.balancer.clone(), caller_client());
+        drivers.spawn(drive_charges(caller, (service, rate), end, seed));
+    }
+    drivers
+}
+
 fn watch_canary(bench: &Bench, seen: &Observations) -> JoinSet<()> {
     let client = caller_client();
     let mut watchers = JoinSet::new();
--- a/crates/berylpin/src/experiment/scenario.rs
+++ b/crates/berylpin/src/experiment/scenario.rs
@@ -56,6 +56,8 @@
     /// How many of the faults happen, chosen by the seed; all if absent.
     pub(crate) choose: Option<usize>,
     pub(crate) load: Vec<Load>,
+    /// Non-idempotent requests; none if absent.
+    pub(crate) charges: Option<Charges>,
     #[serde(default)]
     pub(crate) fault: Vec<Fault>,
 }
@@ -88,6 +90,15 @@
     pub(crate) rate: f64,
 }
 
+/// A stream of non-idempotent requests that callers send again when in doubt.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Charges {
+    pub(crate) service: String,
+    /// Requests a second.
+    pub(crate) rate: f64,
+}
+
 /// One fault on the timeline.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -105,6 +116,8 @@
 pub(crate) enum Action {
     /// Something is wrong at replicas.
     Upstream(UpstreamAction),
+    /// Executions have their effect and then end with an error status.
+    LoseReplies(Pick),
     /// A document drains replicas.
     DrainByDocument(Pick),
     /// Rates of streams are multiplied.
--- /dev/null
+++ b/crates/berylpin_standin/src/charges.rs
@@ -0,0 +1,158 @@
+//! An open-loop load of non-idempotent requests whose callers send them again.
+
+use crate::load::Balancer;
+use berylpin_core::rank::Rank;
+use berylpin_core::verdict::Verdict;
+use berylpin_wire::caller::RefusalBody;
+use berylpin_wire::execute::{ExecuteBody, ExecutedBody, KeyList, KeysBody};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp1};
+use reqwest::{Client, StatusCode};
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Times that a caller sends a request whose fate it does not know.
+const SENDS: usize = 6;
+
+/// Time between two of them.
+const RESEND_PAUSE: Duration = Duration::from_millis(400);
+
+/// The share of callers that send a request to two daemons at once.
+const DOUBLE_SHARE: f64 = 0.3;
+
+/// Deadline of a request.
+const DEADLINE: Duration = Duration::from_secs(1);
+
+/// Time that a caller gives an answer beyond the deadline.
+const CALLER_GRACE: Duration = Duration::from_millis(500);
+
+/// What a caller knows of its request in the end.
+#[derive(Clone, Debug)]
+pub struct Charge {
+    /// What was to run; its own text for each charge.
+    pub body: String,
+    /// Keys that the system says never run.
+    pub not_run: Vec<String>,
+    /// Whether it ran, as the caller was told.
+    pub executed: bool,
+    /// Whether the result of another request came back.
+    pub crossed: bool,
+}
+
+enum Told {
+    Result(String),
+    Refused(Verdict),
+    Nothing,
+}
+
+/// Sends charges to a service until the end and returns what callers were told.
+pub async fn drive_charges(
+    (balancer, client): (Balancer, Client),
+    (service, rate): (String, f64),
+    end: Instant,
+    seed: u64,
+) -> Vec<Charge> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut callers = JoinSet::new();
+    let mut at = Instant::now();
+    for number in 0.. {
+        let gap: f64 = Exp1.sample(&mut rng);
+        at += Duration::from_secs_f64(gap / rate);
+        if at >= end {
+            break;
+        }
+        sleep_until(at).await;
+        let caller = Caller {
+            balancer: balancer.clone(),
+            client: client.clone(),
+            service: service.clone(),
+            rng: SmallRng::seed_from_u64(rng.random()),
+        };
+        callers.spawn(caller.charge(format!("charge-{number}")));
+    }
+    callers.join_all().await
+}
+
+struct Caller {
+    balancer: Balancer,
+    client: Client,
+    service: String,
+    rng: SmallRng,
+}
+
+impl Caller {
+    /// Sends a charge until its fate is known; after "not run" once more with a new key.
+    async fn charge(mut self, body: String) -> Charge {
+        let mut charge =
+            Charge { body: body.clone(), not_run: Vec::new(), executed: false, crossed: false };
+        for _ in 0..2 {
+            let Some(key) = self.key().await else { continue };
+            match self.run_key(&key, &body).await {
+                Told::Result(result) => {
+                    charge.executed = true;
+                    charge.crossed = !result.ends_with(&body);
+                    break;
+                }
+                Told::Refused(Verdict::NotRun) => charge.not_run.push(key),
+                // A new key could run it twice.
+                _ => break,
+            }
+        }
+        charge
+    }
+
+    async fn run_key(&mut self, key: &str, body: &str) -> Told {
+        for _ in 0..SENDS {
+            let told = if self.rng.random_bool(DOUBLE_SHARE) {
+                let (first, second) = (self.send(key, body), self.send(key, body));
+                match tokio::join!(first, second) {
+                    (Told::Result(result), _) | (_, Told::Result(result)) => Told::Result(result),
+                    (told, _) => told,
+                }
+            } else {
+                self.send(key, body).await
+            };
+            match told {
+                Told::Refused(Verdict::MayHaveRun | Verdict::Ran) | Told::Nothing => {}
+                told => return told,
+            }
+            sleep(RESEND_PAUSE).await;
+        }
+        Told::Nothing
+    }
+
+    async fn key(&mut self) -> Option<String> {
+        let (_, entry) = self.balancer.pick(&mut self.rng)?;
+        let request = self.client.post(format!("http://{entry}/v1/keys")).timeout(DEADLINE);
+        let response = request.json(&KeysBody { count: 1 }).send().await.ok()?;
+        response.json::<KeyList>().await.ok()?.keys.pop()
+    }
+
+    /// Sends a request to a daemon; which one is chosen at once.
+    fn send(&mut self, key: &str, body: &str) -> impl Future<Output = Told> + use<> {
+        let body = ExecuteBody {
+            key: key.to_owned(),
+            service: self.service.clone(),
+            shard: None,
+            rank: Rank::Urgent,
+            deadline_ms: Some(DEADLINE.as_millis() as u64),
+            request: body.to_owned(),
+        };
+        let entry = self.balancer.pick(&mut self.rng);
+        let client = self.client.clone();
+        async move {
+            let Some((_, entry)) = entry else { return Told::Nothing };
+            let request = client.post(format!("http://{entry}/v1/execute"));
+            let request = request.timeout(DEADLINE + CALLER_GRACE).json(&body);
+            let Ok(response) = request.send().await else { return Told::Nothing };
+            if response.status() == StatusCode::OK {
+                let body = response.json::<ExecutedBody>().await;
+                return body.map_or(Told::Nothing, |body| Told::Result(body.result));
+            }
+            let body = response.json::<RefusalBody>().await;
+            body.map_or(Told::Nothing, |body| Told::Refused(body.verdict))
+        }
+    }
+}
--- a/crates/berylpin_standin/src/lib.rs
+++ b/crates/berylpin_standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins for what surrounds the system: the platform, upstreams and callers.
 
+pub mod charges;
 pub mod checker;
 pub mod ledger;
 pub mod load;
--- a/crates/berylpin_standin/src/load.rs
+++ b/crates/berylpin_standin/src/load.rs
@@ -43,7 +43,7 @@
     }
 
     /// Picks one of the daemons.
-    fn pick(&self, rng: &mut SmallRng) -> Option<(usize, SocketAddr)> {
+    pub(crate) fn pick(&self, rng: &mut SmallRng) -> Option<(usize, SocketAddr)> {
         let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         let ready = entries.iter().enumerate().filter_map(|(at, entry)| Some((at, (*entry)?)));
         let ready: Vec<(usize, SocketAddr)> = ready.collect();
