--- a/crates/berylpin/src/experiment/usage.rs
+++ b/crates/berylpin/src/experiment/usage.rs
@@ -34,3 +34,6 @@
     let kilobytes = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<f64>().ok());
     kilobytes.unwrap_or_default() / 1024.0
 }
+
+#[cfg(test)]
+mod tests;
