--- a/crates/berylpin_core/src/decision.rs
+++ b/crates/berylpin_core/src/decision.rs
@@ -1,9 +1,11 @@
 //! Routing and placement decisions, for the log.
 
-use crate::ids::{QueryTag, ReplicaTag, Snapshot};
+use crate::execute::{self, KeyId};
+use crate::ids::{MemberTag, QueryTag, ReplicaTag, Snapshot};
 use crate::message::FailReason;
-use crate::query::RefusalReason;
+use crate::query;
 use crate::rank::Rank;
+use crate::verdict::Verdict;
 use std::fmt;
 
 /// One decision; the shell writes a log line for each.
@@ -85,7 +87,7 @@
         /// Its rank.
         rank: Rank,
         /// Why.
-        reason: RefusalReason,
+        reason: query::RefusalReason,
     },
     /// A query starts again, as its snapshot is not served any more.
     Restarted {
@@ -94,6 +96,38 @@
         /// The snapshot that is given up.
         from: Snapshot,
     },
+    /// A non-idempotent request was routed to the holder of its key.
+    KeyRouted {
+        /// The key.
+        key: KeyId,
+        /// The daemon that issued it.
+        holder: MemberTag,
+    },
+    /// An execution was routed to a replica.
+    ExecutionRouted {
+        /// The key.
+        key: KeyId,
+        /// The replica chosen.
+        replica: ReplicaTag,
+        /// Counts the attempts of this key from 1.
+        attempt: u32,
+    },
+    /// An owner started an execution.
+    ExecutionStarted {
+        /// The key.
+        key: KeyId,
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// A non-idempotent request got no result.
+    ExecutionRefused {
+        /// The key.
+        key: KeyId,
+        /// Whether the key ran.
+        verdict: Verdict,
+        /// Why.
+        reason: execute::RefusalReason,
+    },
 }
 
 impl Decision {
@@ -110,7 +144,11 @@
             Self::ShedLevel { .. }
             | Self::Ejected { .. }
             | Self::Returned { .. }
-            | Self::Drained { .. } => None,
+            | Self::Drained { .. }
+            | Self::KeyRouted { .. }
+            | Self::ExecutionRouted { .. }
+            | Self::ExecutionStarted { .. }
+            | Self::ExecutionRefused { .. } => None,
         }
     }
 }
--- a/crates/berylpin_daemon/src/http/caller.rs
+++ b/crates/berylpin_daemon/src/http/caller.rs
@@ -1,5 +1,6 @@
 //! The front end of callers.
 
+use super::execute::{execute, issue_keys};
 use super::reply::{json, refuse};
 use crate::metrics::record_answer;
 use crate::traffic::{Mail, Mailbox};
@@ -37,7 +38,11 @@
 
 /// Returns the routes of callers.
 pub(crate) fn caller_routes(state: CallerState) -> impl IntoEndpoint {
-    Route::new().at("/v1/query", post(run_query)).data(state)
+    Route::new()
+        .at("/v1/query", post(run_query))
+        .at("/v1/keys", post(issue_keys))
+        .at("/v1/execute", post(execute))
+        .data(state)
 }
 
 /// Tells the thread that the caller went away, unless it was answered.
--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -21,6 +21,8 @@
 const STALLS: &str = "berylpin_stalled_calls_total";
 const CHANGES: &str = "berylpin_replica_changes_total";
 const RESTARTS: &str = "berylpin_query_restarts_total";
+const EXECUTION_ATTEMPTS: &str = "berylpin_execution_attempts_total";
+const EXECUTION_REFUSALS: &str = "berylpin_execution_refusals_total";
 const EPOCH: &str = "berylpin_view_epoch";
 const MEMBERS: &str = "berylpin_members_live";
 const OWNED: &str = "berylpin_replicas_owned";
@@ -99,8 +101,17 @@
         Decision::Returned { .. } => counter!(CHANGES, "change" => "returned").increment(1),
         Decision::Drained { .. } => counter!(CHANGES, "change" => "drained").increment(1),
         Decision::Restarted { .. } => counter!(RESTARTS).increment(1),
+        Decision::ExecutionRouted { .. } => counter!(EXECUTION_ATTEMPTS).increment(1),
+        Decision::ExecutionRefused { verdict, reason, .. } => {
+            let labels = [("verdict", verdict.name()), ("reason", reason.name())];
+            counter!(EXECUTION_REFUSALS, &labels).increment(1);
+        }
         // Rejected queries are counted with the answers.
-        Decision::Pinned { .. } | Decision::Rejected { .. } | Decision::ShedLevel { .. } => {}
+        Decision::Pinned { .. }
+        | Decision::Rejected { .. }
+        | Decision::ShedLevel { .. }
+        | Decision::KeyRouted { .. }
+        | Decision::ExecutionStarted { .. } => {}
     }
 }
 
@@ -127,6 +138,8 @@
     describe_counter!(STALLS, "Calls that made no progress, with their connection replaced");
     describe_counter!(CHANGES, "Replicas that were ejected, drained or returned, by change");
     describe_counter!(RESTARTS, "Queries that started again on a newer snapshot");
+    describe_counter!(EXECUTION_ATTEMPTS, "Attempts at non-idempotent requests");
+    describe_counter!(EXECUTION_REFUSALS, "Refusals by holders of keys, by verdict and reason");
     describe_gauge!(EPOCH, "Epoch of the view in force");
     describe_gauge!(MEMBERS, "Daemons that take part in placement");
     describe_gauge!(OWNED, "Replicas that this daemon owns");
