Let hints say that a replica is ejected

Not usable was ruled out, since entries exclude such replicas and a shard could lose its last one on suspicion. The hint now has a field of its own, and entries avoid the replica while it is fresh.

--- a/crates/berylpin_core/benches/sub_query.rs
+++ b/crates/berylpin_core/benches/sub_query.rs
@@ -50,6 +50,7 @@
             queue_delay: Duration::from_millis(1),
             shed_above: [QueryTag::LEVELS; Rank::COUNT],
             usable: true,
+            ejected: false,
         };
         let mut entry = Self {
             now: Instant::now(),
--- a/crates/berylpin_core/src/message.rs
+++ b/crates/berylpin_core/src/message.rs
@@ -160,6 +160,8 @@
     pub shed_above: [u16; Rank::COUNT],
     /// Whether the replica takes new work.
     pub usable: bool,
+    /// Whether its calls failed, so that it is worth asking only where there is no other.
+    pub ejected: bool,
 }
 
 /// The snapshots that a replica serves, both ends included.
--- a/crates/berylpin_core/src/query/coordinator/tests/world.rs
+++ b/crates/berylpin_core/src/query/coordinator/tests/world.rs
@@ -79,6 +79,7 @@
             queue_delay: Duration::ZERO,
             shed_above: [QueryTag::LEVELS; Rank::COUNT],
             usable: true,
+            ejected: false,
         };
         Self {
             now: Instant::now(),
--- a/crates/berylpin_core/src/query/replicas.rs
+++ b/crates/berylpin_core/src/query/replicas.rs
@@ -105,6 +105,11 @@
     /// Takes what an owner said about a replica.
     pub(super) fn learn(&mut self, now: Instant, replica: ReplicaId, hint: Hint) {
         let state = &mut self.states[replica];
+        if hint.ejected {
+            state.avoid_until = Some(now + HINT_EXPIRY);
+        } else if state.hint.ejected {
+            state.avoid_until = None;
+        }
         state.hint = hint;
         state.heard = Some(now);
         state.inquired = None;
--- a/crates/berylpin_core/src/replica/owner/tests.rs
+++ b/crates/berylpin_core/src/replica/owner/tests.rs
@@ -1,7 +1,6 @@
 mod flood;
 mod harness;
 
-use super::super::state::EJECTED_DELAY;
 use super::*;
 use crate::ids::Snapshot;
 use crate::message::SnapshotRange;
@@ -189,7 +188,7 @@
         world.end_with_rows(0, Snapshot(4));
     }
     assert!(world.ejected(0));
-    assert!(world.hint(0).queue_delay >= EJECTED_DELAY);
+    assert!(world.hint(0).ejected && world.hint(0).usable);
     // An entry that knows no better replica may still try it, with one call at a time.
     world.arrive(0, Rank::Urgent, 0, Duration::from_secs(1));
     world.arrive(0, Rank::Urgent, 0, Duration::from_secs(1));
--- a/crates/berylpin_core/src/replica/state.rs
+++ b/crates/berylpin_core/src/replica/state.rs
@@ -15,10 +15,7 @@
 
 /// Part of the backlog of lower ranks that counts as delay in any case, as a divisor; it makes
 /// entries prefer the replica with the shorter queue also for work that is not urgent.
-const BACKLOG_DIVISOR: u32 = 64;
-
-/// Added to the delay of an ejected replica, so that entries use it only where they have no other.
-pub(super) const EJECTED_DELAY: Duration = Duration::from_secs(1);
+const BACKLOG_DIVISOR: u32 = 256;
 
 /// What an owner keeps of one replica; bounded by the limits of its queue.
 #[derive(Debug, Default)]
@@ -72,14 +69,14 @@
 
     /// Returns its state for entries.
     ///
-    /// An ejected replica stays usable at the price of a long delay: the owner cannot see whether
-    /// the shard has another one.
+    /// An ejected replica stays usable: the owner cannot see whether the shard has another one.
     pub(super) fn hint(&self, settings: &ReplicaSettings) -> Hint {
         Hint {
             snapshots: self.snapshots.trusted(),
-            queue_delay: self.queue_delay(settings) + self.ejected_delay(),
+            queue_delay: self.queue_delay(settings),
             shed_above: self.levels.levels(),
             usable: !self.is_draining(),
+            ejected: self.health.is_ejected(),
         }
     }
 
@@ -105,10 +102,6 @@
         }
     }
 
-    fn ejected_delay(&self) -> Duration {
-        if self.health.is_ejected() { EJECTED_DELAY } else { Duration::ZERO }
-    }
-
     /// Returns how long a new urgent sub-query would wait for a slot.
     ///
     /// Work of lower ranks delays it by no more than their minimum shares.
