Test executions through daemons; end stopping threads together

A thread now ignores views older than its own, and no thread of a stopping daemon ends before all are done. Waiting a fixed time instead was ruled out: work of the last thread may need a link of the first at any time until it is done.

--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -4,7 +4,7 @@
 use crate::http::{AdminState, CallerState, admin_routes, caller_routes};
 use crate::logging::Log;
 use crate::settings::DaemonSettings;
-use crate::traffic::{Mail, Mailbox, Mailboxes, ThreadContext, run_thread, serve_peers};
+use crate::traffic::{Mail, Mailbox, Mailboxes, StopGate, ThreadContext, run_thread, serve_peers};
 use berylpin_core::clock::Clock;
 use berylpin_core::control::View;
 use berylpin_core::ids::{Key, ThreadId};
@@ -89,6 +89,7 @@
         let (boxes, mut receivers): (Vec<_>, Vec<_>) =
             (0..settings.threads).map(|_| Mailbox::new()).unzip();
         let mailboxes = Mailboxes::new(boxes);
+        let stop_gate = StopGate::new(settings.threads);
 
         let mut runtimes = Vec::new();
         let mut traffic = Vec::new();
@@ -103,6 +104,7 @@
                 clock: clock.clone(),
                 log: log.clone(),
                 fleet_key: settings.fleet_key.clone(),
+                stop_gate: stop_gate.clone(),
                 seed: rand::rng().random(),
             };
             let callers = listen("caller_address", settings.caller_address)?;
--- a/crates/berylpin_daemon/src/traffic/mod.rs
+++ b/crates/berylpin_daemon/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod link;
 mod mailbox;
 mod peers;
+mod stop;
 mod thread;
 mod upstream;
 
@@ -12,4 +13,5 @@
 pub(crate) use link::{LinkFrame, run_link};
 pub(crate) use mailbox::{Mail, Mailbox, Mailboxes};
 pub(crate) use peers::serve_peers;
+pub(crate) use stop::StopGate;
 pub(crate) use thread::{ThreadContext, run_thread};
--- a/crates/berylpin_daemon/src/traffic/thread.rs
+++ b/crates/berylpin_daemon/src/traffic/thread.rs
@@ -3,6 +3,7 @@
 use super::execute::{ExecutionContext, Executions};
 use super::link::LinkFrame;
 use super::mailbox::{Mail, Mailbox, Mailboxes};
+use super::stop::StopGate;
 use super::upstream::Upstreams;
 use crate::logging::{Log, log_decision};
 use crate::metrics::count_decision;
@@ -21,6 +22,15 @@
 /// Messages handled before timers are looked at again.
 const MAIL_BURST: usize = 256;
 
+/// How often a thread that is done looks whether all are.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// How many times in a row all threads have to be done before one ends.
+const QUIET_POLLS: u32 = 3;
+
+/// How long links go on after the last thread is done.
+const LINK_FLUSH: Duration = Duration::from_millis(100);
+
 /// How long a thread without timers sleeps.
 const IDLE_SLEEP: Duration = Duration::from_hours(1);
 
@@ -31,6 +41,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) log: Log,
     pub(crate) fleet_key: Secret,
+    pub(crate) stop_gate: StopGate,
     pub(crate) seed: u64,
 }
 
@@ -53,6 +64,7 @@
 /// Runs a traffic thread until it is told to stop and has no work left.
 pub(crate) async fn run_thread(cx: ThreadContext, view: Arc<View>, mut rx: mpsc::Receiver<Mail>) {
     let Some(own) = cx.mailboxes.get(cx.id).cloned() else { return };
+    let _guard = cx.stop_gate.guard(cx.id);
     let now = cx.clock.now();
     let threads = cx.mailboxes.iter().count();
     let executions = ExecutionContext {
@@ -77,11 +89,14 @@
         stopping: false,
         cx,
     };
-    while !thread.is_done() {
-        let sleep = tokio::time::sleep_until(thread.next_timer().into());
+    let mut quiet_polls = 0;
+    while quiet_polls < QUIET_POLLS {
+        let sleep = tokio::time::sleep_until(thread.next_wake().into());
+        quiet_polls += 1;
         tokio::select! {
             mail = rx.recv() => {
                 let Some(mail) = mail else { return };
+                quiet_polls = 0;
                 thread.handle(mail);
                 for _ in 1..MAIL_BURST {
                     let Ok(mail) = rx.try_recv() else { break };
@@ -91,7 +106,12 @@
             () = sleep => {}
         }
         thread.tick();
+        if !thread.cx.stop_gate.update(thread.cx.id, thread.is_done()) {
+            quiet_polls = 0;
+        }
     }
+    // The links of this thread still write what is queued.
+    tokio::time::sleep(LINK_FLUSH).await;
 }
 
 impl TrafficThread {
@@ -102,6 +122,12 @@
             && self.executions.is_done()
     }
 
+    /// Returns when to look at timers, and at other threads once this one is done.
+    fn next_wake(&self) -> Instant {
+        let timer = self.next_timer();
+        if self.is_done() { timer.min(self.cx.clock.now() + STOP_POLL) } else { timer }
+    }
+
     fn next_timer(&self) -> Instant {
         let timers =
             [self.coordinator.next_timer(), self.owner.next_timer(), self.executions.next_timer()];
@@ -111,6 +137,8 @@
 
     fn handle(&mut self, mail: Mail) {
         match mail {
+            // The first view may be newer than the oldest in the mailbox.
+            Mail::View { view, .. } if view.epoch < self.view.epoch => {}
             Mail::View { view, links } => {
                 self.links = links;
                 self.upstreams.retain(&view);
--- /dev/null
+++ b/crates/berylpin_daemon/tests/execute.rs
@@ -0,0 +1,120 @@
+//! Non-idempotent requests through real daemons on loopback.
+
+mod fleet;
+
+use berylpin_core::verdict::Verdict;
+use berylpin_standin::platform::PlatformFaults;
+use berylpin_standin::upstream::UpstreamFaults;
+use berylpin_wire::caller::RefusalBody;
+use fleet::Fleet;
+use reqwest::StatusCode;
+use std::time::Duration;
+use tokio::time::timeout;
+
+const QUICK: Duration = Duration::from_millis(5);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_resend_through_another_daemon_gets_the_first_result() {
+    let fleet = Fleet::start(QUICK, false).await;
+    let key = fleet.key(0).await;
+    let first = fleet.execute(1, &key, "charge 3").await.unwrap();
+    assert_eq!(first.verdict, Verdict::Ran);
+    assert_eq!(first.result, "executed: charge 3");
+    assert_eq!(fleet.execute(2, &key, "charge 3").await.unwrap(), first);
+    let (status, refusal) = fleet.execute(0, &key, "charge 4").await.unwrap_err();
+    assert_eq!((status, refusal.verdict), (StatusCode::CONFLICT, Verdict::Ran));
+    assert_eq!(fleet.runs(&key), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resends_at_the_same_time_run_once() {
+    let fleet = Fleet::start(Duration::from_millis(100), false).await;
+    let key = fleet.key(2).await;
+    let (a, b, c) = tokio::join!(
+        fleet.execute(0, &key, "entry"),
+        fleet.execute(1, &key, "entry"),
+        fleet.execute(2, &key, "entry"),
+    );
+    assert_eq!(a.as_ref().unwrap(), b.as_ref().unwrap());
+    assert_eq!(b.unwrap(), c.unwrap());
+    assert_eq!(fleet.runs(&key), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_key_may_have_run_once_its_holder_was_killed() {
+    let mut fleet = Fleet::start(QUICK, true).await;
+    let (key, unused) = (fleet.key(2).await, fleet.key(2).await);
+    fleet.execute(0, &key, "charge").await.unwrap();
+    let restart = fleet.kill();
+    let (_, bytes) = fleet.send(1, &key, "charge", 1000).await.unwrap();
+    let refusal: RefusalBody = serde_json::from_slice(&bytes).unwrap();
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+    fleet.restart(restart);
+    fleet.wait_ready().await;
+    for key in [&key, &unused] {
+        let (status, refusal) = fleet.execute(1, key, "charge").await.unwrap_err();
+        assert_eq!((status, refusal.verdict), (StatusCode::GONE, Verdict::MayHaveRun));
+    }
+    assert_eq!((fleet.runs(&key), fleet.runs(&unused)), (1, 0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_reply_is_told_and_never_tried_again() {
+    let fleet = Fleet::start(QUICK, false).await;
+    fleet.upstreams.iter().for_each(|upstream| upstream.ledger().set_lose_replies(true));
+    let key = fleet.key(0).await;
+    for entry in 0..3 {
+        let (_, refusal) = fleet.execute(entry, &key, "charge").await.unwrap_err();
+        assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+    }
+    assert_eq!(fleet.runs(&key), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_key_that_did_not_run_never_runs() {
+    let fleet = Fleet::start(QUICK, false).await;
+    let set_draining = |draining| {
+        let faults = UpstreamFaults { draining, ..UpstreamFaults::default() };
+        fleet.upstreams.iter().for_each(|upstream| upstream.set_faults(faults));
+    };
+    set_draining(true);
+    let key = fleet.key(0).await;
+    let (_, refusal) = fleet.execute(1, &key, "charge").await.unwrap_err();
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    set_draining(false);
+    let (_, refusal) = fleet.execute(2, &key, "charge").await.unwrap_err();
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    assert_eq!(fleet.runs(&key), 0);
+    let fresh = fleet.key(0).await;
+    fleet.execute(2, &fresh, "charge").await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn executions_go_on_while_the_platform_is_down_and_callers_hang_up() {
+    let fleet = Fleet::start(Duration::from_millis(500), false).await;
+    fleet.platform.set_faults(PlatformFaults { down: true, ..PlatformFaults::default() });
+    let key = fleet.key(1).await;
+    let hung_up = timeout(Duration::from_millis(50), fleet.send(0, &key, "charge", 30_000)).await;
+    assert!(hung_up.is_err(), "the caller went away before the result");
+    let executed = fleet.execute(2, &key, "charge").await.unwrap();
+    assert_eq!(executed.result, "executed: charge");
+    assert_eq!(fleet.runs(&key), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_of_the_holder_cuts_no_execution() {
+    let mut fleet = Fleet::start(Duration::from_millis(500), false).await;
+    let key = fleet.key(0).await;
+    let sent = {
+        let url = format!("http://{}/v1/execute", fleet.callers[1]);
+        let body = serde_json::json!({
+            "key": key, "service": "quota", "rank": "urgent", "deadline_ms": 30_000,
+            "request": "charge",
+        });
+        tokio::spawn(reqwest::Client::new().post(url).json(&body).send())
+    };
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.stop(0).await;
+    assert_eq!(sent.await.unwrap().unwrap().status(), StatusCode::OK);
+    assert_eq!(fleet.runs(&key), 1);
+}
--- /dev/null
+++ b/crates/berylpin_daemon/tests/fleet/mod.rs
@@ -0,0 +1,262 @@
+//! Daemons and stand-ins on loopback.
+
+use berylpin_core::ids::Snapshot;
+use berylpin_core::message::SnapshotRange;
+use berylpin_daemon::{Daemon, DaemonSettings, SystemClock, discard_log};
+use berylpin_standin::platform::Platform;
+use berylpin_standin::upstream::{Upstream, UpstreamShape};
+use berylpin_wire::caller::RefusalBody;
+use berylpin_wire::execute::{ExecuteBody, ExecutedBody, KeyList, KeysBody};
+use berylpin_wire::platform::{SERVICE_PREFIX, Vm};
+use reqwest::{Client, StatusCode};
+use std::fmt::Write;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpSocket;
+use tokio::time::sleep;
+
+const ADMIN_TOKEN: &str = "token-of-the-tests";
+const FLEET_KEY: &str = "fleet-key-of-the-tests";
+const DATA_CENTRE: &str = "palermo-1";
+/// Generous, so that a busy machine changes no result.
+const DEADLINE_MS: u64 = 30_000;
+const WARM_UP_MS: u64 = 2_000;
+const READY_POLLS: usize = 400;
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What a daemon said to an execution.
+pub(crate) type Reply = Result<ExecutedBody, (StatusCode, RefusalBody)>;
+
+/// Three daemons and the two replicas of one service.
+pub(crate) struct Fleet {
+    pub(crate) platform: Platform,
+    pub(crate) upstreams: Vec<Upstream>,
+    pub(crate) callers: Vec<SocketAddr>,
+    pub(crate) daemons: Vec<Option<Daemon>>,
+    process: Option<DaemonProcess>,
+    client: Client,
+    /// Bound as long as the fleet lives.
+    _ports: Vec<TcpSocket>,
+}
+
+/// A daemon in a process of its own, which is killed when this is dropped.
+struct DaemonProcess {
+    child: Child,
+    config: PathBuf,
+}
+
+impl Fleet {
+    /// Starts all; the last daemon gets a process of its own if asked for.
+    pub(crate) async fn start(service_time: Duration, with_process: bool) -> Self {
+        let platform = Platform::start().await.unwrap();
+        let shape = UpstreamShape {
+            slots: 2,
+            connect_cost: Duration::ZERO,
+            service_time,
+            network_delay: Duration::ZERO,
+        };
+        let serves = SnapshotRange { oldest: Snapshot(1), newest: Snapshot(1) };
+        let mut document = "service = \"quota\"\n[[shard]]\nname = \"main\"\n".to_owned();
+        let mut upstreams = Vec::new();
+        for seed in 0..2 {
+            let upstream = Upstream::start(shape, serves, seed).await.unwrap();
+            // Writing to a string cannot fail.
+            let _ = write!(
+                document,
+                "[[shard.replica]]\naddress = \"{}\"\ndata_centre = \"{DATA_CENTRE}\"\nslots = 2\n\
+                 connections = 25\n",
+                upstream.address()
+            );
+            upstreams.push(upstream);
+        }
+        platform.store(&format!("{SERVICE_PREFIX}quota"), &document);
+        let mut ports = Vec::new();
+        let settings: Vec<_> =
+            (0..3).map(|index| settings(index, platform.address(), &mut ports)).collect();
+        platform.set_vms(settings.iter().map(vm_of).collect());
+        let process = with_process.then(|| DaemonProcess::start(&settings[2]));
+        let daemons = settings.iter().enumerate().map(|(index, settings)| {
+            let in_process = index < 2 || !with_process;
+            let start = || Daemon::start(settings.clone(), Arc::new(SystemClock), discard_log());
+            in_process.then(|| start().unwrap())
+        });
+        let fleet = Self {
+            daemons: daemons.collect(),
+            callers: settings.iter().map(|settings| settings.caller_address).collect(),
+            platform,
+            upstreams,
+            process,
+            client: Client::new(),
+            _ports: ports,
+        };
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Waits until an execution from every daemon to every holder succeeds.
+    pub(crate) async fn wait_ready(&self) {
+        for holder in 0..self.callers.len() {
+            for entry in 0..self.callers.len() {
+                self.wait_pair(holder, entry).await;
+            }
+        }
+    }
+
+    async fn wait_pair(&self, holder: usize, entry: usize) {
+        for _ in 0..READY_POLLS {
+            if let Some(key) = self.try_key(holder).await
+                && let Ok((StatusCode::OK, _)) = self.send(entry, &key, "warm-up", WARM_UP_MS).await
+            {
+                return;
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+        panic!("daemon {entry} never reached holder {holder}");
+    }
+
+    async fn try_key(&self, daemon: usize) -> Option<String> {
+        let url = format!("http://{}/v1/keys", self.callers[daemon]);
+        let response = self.client.post(url).json(&KeysBody { count: 1 }).send().await.ok()?;
+        response.json::<KeyList>().await.ok()?.keys.pop()
+    }
+
+    /// Returns a new key of a daemon.
+    pub(crate) async fn key(&self, daemon: usize) -> String {
+        self.try_key(daemon).await.expect("a live daemon issues keys")
+    }
+
+    /// Sends an execution through a daemon.
+    pub(crate) async fn execute(&self, daemon: usize, key: &str, request: &str) -> Reply {
+        let (status, bytes) = self.send(daemon, key, request, DEADLINE_MS).await.unwrap();
+        if status == StatusCode::OK {
+            Ok(serde_json::from_slice(&bytes).unwrap())
+        } else {
+            Err((status, serde_json::from_slice(&bytes).unwrap()))
+        }
+    }
+
+    /// Sends an execution with a deadline in milliseconds.
+    pub(crate) async fn send(
+        &self,
+        daemon: usize,
+        key: &str,
+        request: &str,
+        deadline_ms: u64,
+    ) -> Result<(StatusCode, Vec<u8>), reqwest::Error> {
+        let body = ExecuteBody {
+            key: key.to_owned(),
+            service: "quota".to_owned(),
+            shard: None,
+            rank: berylpin_core::rank::Rank::Urgent,
+            deadline_ms: Some(deadline_ms),
+            request: request.to_owned(),
+        };
+        let url = format!("http://{}/v1/execute", self.callers[daemon]);
+        let response = self.client.post(url).json(&body).send().await?;
+        Ok((response.status(), response.bytes().await?.to_vec()))
+    }
+
+    /// Returns how often the upstreams ran a key.
+    pub(crate) fn runs(&self, key: &str) -> usize {
+        self.upstreams.iter().map(|upstream| upstream.ledger().runs(key)).sum()
+    }
+
+    /// Kills the daemon in its own process without notice.
+    pub(crate) fn kill(&mut self) -> DaemonRestart {
+        let mut process = self.process.take().expect("the fleet has a process");
+        process.child.kill().unwrap();
+        process.child.wait().unwrap();
+        DaemonRestart(process.config.clone())
+    }
+
+    /// Starts the killed daemon again.
+    pub(crate) fn restart(&mut self, restart: DaemonRestart) {
+        self.process = Some(DaemonProcess::spawn(restart.0));
+    }
+
+    /// Stops a daemon gracefully.
+    pub(crate) async fn stop(&mut self, daemon: usize) {
+        let daemon = self.daemons[daemon].take().expect("the daemon runs");
+        tokio::task::spawn_blocking(|| daemon.stop()).await.unwrap();
+    }
+}
+
+/// What is needed to start a killed daemon again.
+pub(crate) struct DaemonRestart(PathBuf);
+
+impl DaemonProcess {
+    fn start(settings: &DaemonSettings) -> Self {
+        let (pid, port) = (std::process::id(), settings.caller_address.port());
+        let config = std::env::temp_dir().join(format!("berylpind-test-{pid}-{port}.toml"));
+        let text = format!(
+            "name = \"{}\"\ndata_centre = \"{}\"\nregion = \"{}\"\ncaller_address = \"{}\"\n\
+             peer_address = \"{}\"\nadmin_address = \"{}\"\nplatform = \"{}\"\n\
+             admin_token = \"{ADMIN_TOKEN}\"\nfleet_key = \"{FLEET_KEY}\"\n",
+            settings.name,
+            settings.data_centre,
+            settings.region,
+            settings.caller_address,
+            settings.peer_address,
+            settings.admin_address,
+            settings.platform,
+        );
+        std::fs::write(&config, text).unwrap();
+        Self::spawn(config)
+    }
+
+    fn spawn(config: PathBuf) -> Self {
+        let child = Command::new(env!("CARGO_BIN_EXE_berylpind"))
+            .arg("--config")
+            .arg(&config)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self { child, config }
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        // Both fail only if there is nothing left to end.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn settings(index: usize, platform: SocketAddr, ports: &mut Vec<TcpSocket>) -> DaemonSettings {
+    DaemonSettings::builder()
+        .name(&format!("entry-{index}"))
+        .data_centre(DATA_CENTRE)
+        .region("palermo")
+        .caller_address(reserve(ports))
+        .peer_address(reserve(ports))
+        .admin_address(reserve(ports))
+        .platform(platform)
+        .admin_token(ADMIN_TOKEN)
+        .fleet_key(FLEET_KEY)
+        .stop_notice(Duration::from_millis(100))
+        .build()
+        .unwrap()
+}
+
+fn vm_of(settings: &DaemonSettings) -> Vm {
+    Vm {
+        name: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        peer_address: settings.peer_address,
+        leaving: false,
+    }
+}
+
+/// Binds a free port, so that no other process gets it; daemons share it.
+fn reserve(sockets: &mut Vec<TcpSocket>) -> SocketAddr {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseport(true).unwrap();
+    socket.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+    let address = socket.local_addr().unwrap();
+    sockets.push(socket);
+    address
+}
