--- a/crates/berylpin_core/src/config/mod.rs
+++ b/crates/berylpin_core/src/config/mod.rs
@@ -1,9 +1,11 @@
 //! Service documents: what operators write, checked into what the system uses.
 
+mod drain;
 mod duration;
 mod section;
 mod service;
 
+pub use drain::set_drain;
 pub use duration::{DurationText, parse_duration};
 pub use section::{Placed, Problem, Problems, Section};
-pub use service::{DocumentError, ReplicaSettings, ServiceOptions, ServiceSettings, ShardSettings};
+pub use service::{DOCUMENT_LIMIT, DocumentError, ReplicaSettings, ServiceSettings, ShardSettings};
--- /dev/null
+++ b/crates/berylpin_core/src/config/service/document.rs
@@ -0,0 +1,215 @@
+//! The schema of service documents.
+
+use super::{ReplicaSettings, ServiceSettings, ShardSettings};
+use crate::config::duration::DurationText;
+use crate::config::section::{Placed, Problems, Section};
+use crate::ids::ReplicaTag;
+use crate::rank::Rank;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The longest name, in bytes.
+const NAME_LIMIT: usize = 64;
+
+/// Shards that a service may have.
+const SHARD_LIMIT: usize = 4096;
+
+/// Replicas that a shard may have.
+const REPLICA_LIMIT: usize = 64;
+
+/// Slots that a replica may have.
+const SLOT_LIMIT: u16 = 1024;
+
+/// How soon an answer should arrive unless the document says otherwise, indexed by rank.
+const DEFAULT_TARGETS: [Duration; Rank::COUNT] =
+    [Duration::from_millis(250), Duration::from_secs(1), Duration::from_secs(5)];
+
+/// The share of work that each rank keeps in a flood unless the document says otherwise.
+const DEFAULT_SHARES: [f64; Rank::COUNT] = [0.7, 0.2, 0.1];
+
+/// The smallest useful coverage unless the document says otherwise.
+const DEFAULT_COVERAGE: f64 = 0.0;
+
+/// Hedges and retries as a share of sub-queries unless the document says otherwise.
+const DEFAULT_EXTRA_LOAD: f64 = 0.05;
+
+/// How far shares may add up beyond 1, for decimal fractions.
+const SHARES_TOLERANCE: f64 = 1e-9;
+
+/// Reads a document; `None` if something that is needed is absent or not allowed.
+pub(super) fn read(mut section: Section<'_>, problems: &mut Problems) -> Option<ServiceSettings> {
+    let service = section.required::<String>("service", problems);
+    let name = service.and_then(|name| check_name("service", name, problems));
+    let group = section.optional::<String>("group", problems);
+    let group = match group {
+        Some(group) => check_name("group", group, problems),
+        None => name.clone(),
+    };
+    let minimum_coverage = read_share(&mut section, "minimum_coverage", DEFAULT_COVERAGE, problems);
+    let extra_load = read_share(&mut section, "extra_load", DEFAULT_EXTRA_LOAD, problems);
+    let targets = read_targets(section.section("targets", problems), problems);
+    let rank_shares = read_shares(section.section("shares", problems), problems);
+    let shards = read_shards(&mut section, name.as_deref().unwrap_or_default(), problems);
+    section.finish(problems);
+    Some(ServiceSettings {
+        name: name?,
+        group: group?,
+        minimum_coverage,
+        extra_load,
+        targets,
+        shares: rank_shares,
+        shards,
+    })
+}
+
+fn read_targets(section: Option<Section<'_>>, problems: &mut Problems) -> [Duration; Rank::COUNT] {
+    let mut targets = DEFAULT_TARGETS;
+    let Some(mut section) = section else { return targets };
+    for (rank, target) in Rank::ALL.into_iter().zip(&mut targets) {
+        let key = rank.name();
+        let Some(read) = section.optional_as::<Duration, DurationText>(key, problems) else {
+            continue;
+        };
+        if read.value.is_zero() {
+            problems.add(read.line, &section.path_of(key), "a target is longer than zero");
+        }
+        *target = read.value;
+    }
+    section.finish(problems);
+    targets
+}
+
+fn read_shares(section: Option<Section<'_>>, problems: &mut Problems) -> [f64; Rank::COUNT] {
+    let mut shares = DEFAULT_SHARES;
+    let Some(mut section) = section else { return shares };
+    for (rank, share) in Rank::ALL.into_iter().zip(&mut shares) {
+        *share = read_share(&mut section, rank.name(), *share, problems);
+    }
+    let total: f64 = shares.iter().sum();
+    if total > 1.0 + SHARES_TOLERANCE {
+        let problem = format!("the shares add up to {total:.2}; they may add up to 1 at most");
+        problems.add(section.line(), "shares", problem);
+    }
+    section.finish(problems);
+    shares
+}
+
+fn read_share(
+    section: &mut Section<'_>,
+    key: &'static str,
+    default: f64,
+    problems: &mut Problems,
+) -> f64 {
+    let Some(Placed { value, line }) = section.optional::<f64>(key, problems) else {
+        return default;
+    };
+    if !(0.0..=1.0).contains(&value) {
+        let problem = format!("{value} is not a share; use a number from 0.0 to 1.0");
+        problems.add(line, &section.path_of(key), problem);
+    }
+    value
+}
+
+fn read_shards(
+    section: &mut Section<'_>,
+    service: &str,
+    problems: &mut Problems,
+) -> Vec<ShardSettings> {
+    let line = section.line();
+    let sections = section.sections("shard", problems);
+    if sections.is_empty() || sections.len() > SHARD_LIMIT {
+        let problem = format!("a service has 1 to {SHARD_LIMIT} `[[shard]]`");
+        problems.add(line, "shard", problem);
+    }
+    let mut shards: Vec<ShardSettings> = Vec::new();
+    for section in sections {
+        let line = section.line();
+        let Some(shard) = read_shard(section, service, problems) else { continue };
+        match shards.binary_search_by(|other| other.name.cmp(&shard.name)) {
+            Ok(_) => {
+                let problem = format!("`{}` is the name of an earlier shard", shard.name);
+                problems.add(line, "shard.name", problem);
+            }
+            Err(at) => shards.insert(at, shard),
+        }
+    }
+    shards
+}
+
+fn read_shard(
+    mut section: Section<'_>,
+    service: &str,
+    problems: &mut Problems,
+) -> Option<ShardSettings> {
+    let line = section.line();
+    let name = section.required::<String>("name", problems);
+    let name = name.and_then(|name| check_name("shard.name", name, problems));
+    let sections = section.sections("replica", problems);
+    if sections.is_empty() || sections.len() > REPLICA_LIMIT {
+        let problem = format!("a shard has 1 to {REPLICA_LIMIT} `[[shard.replica]]`");
+        problems.add(line, "shard.replica", problem);
+    }
+    let mut replicas: Vec<ReplicaSettings> = Vec::new();
+    let shard = name.as_deref().unwrap_or_default();
+    for section in sections {
+        let line = section.line();
+        let Some(replica) = read_replica(section, service, shard, problems) else { continue };
+        match replicas.binary_search_by_key(&replica.tag, |other| other.tag) {
+            Ok(_) => {
+                let problem = format!("{} is an earlier replica of the shard", replica.address);
+                problems.add(line, "shard.replica.address", problem);
+            }
+            Err(at) => replicas.insert(at, replica),
+        }
+    }
+    section.finish(problems);
+    Some(ShardSettings { name: name?, replicas })
+}
+
+fn read_replica(
+    mut section: Section<'_>,
+    service: &str,
+    shard: &str,
+    problems: &mut Problems,
+) -> Option<ReplicaSettings> {
+    let address = section.required::<SocketAddr>("address", problems);
+    let data_centre = section.required::<String>("data_centre", problems);
+    let data_centre =
+        data_centre.and_then(|name| check_name("shard.replica.data_centre", name, problems));
+    let slots = section.required::<u16>("slots", problems);
+    let connections = section.required::<u16>("connections", problems);
+    let drain = section.optional::<bool>("drain", problems).is_some_and(|drain| drain.value);
+    section.finish(problems);
+    let (slots, connections) = (slots?, connections?);
+    if !(1..=SLOT_LIMIT).contains(&slots.value) {
+        let problem = format!("{} is not from 1 to {SLOT_LIMIT}", slots.value);
+        problems.add(slots.line, "shard.replica.slots", problem);
+    }
+    if connections.value < slots.value {
+        let problem = "a replica accepts at least as many connections as it has slots";
+        problems.add(connections.line, "shard.replica.connections", problem);
+    }
+    let address = address?.value;
+    Some(ReplicaSettings {
+        tag: ReplicaTag::of([service, shard, &address.to_string()]),
+        address,
+        data_centre: data_centre?,
+        slots: slots.value,
+        connections: connections.value,
+        drain,
+    })
+}
+
+fn check_name(key: &str, name: Placed<String>, problems: &mut Problems) -> Option<String> {
+    let Placed { value, line } = name;
+    let valid = (1..=NAME_LIMIT).contains(&value.len())
+        && value.chars().all(|c| c.is_alphanumeric() || matches!(c, '-' | '_' | '.'));
+    if valid {
+        return Some(value);
+    }
+    let problem = format!(
+        "`{value}` is not a name; use 1 to {NAME_LIMIT} bytes of letters, digits, `-`, `_` or `.`"
+    );
+    problems.add(line, key, problem);
+    None
+}
--- a/crates/berylpin_core/src/config/service/tests.rs
+++ b/crates/berylpin_core/src/config/service/tests.rs
@@ -29,18 +29,31 @@
 #[test]
 fn an_unknown_key_is_rejected_with_its_line() {
     let text = DOCUMENT.replace("slots = 2", "slotz = 2");
-    let Err(DocumentError::Syntax { line, problem }) = ServiceSettings::parse(&text) else {
-        panic!("the document was accepted");
-    };
-    assert_eq!(line, 14);
-    assert!(problem.contains("slotz"), "{problem}");
+    let problems = ServiceSettings::parse(&text).unwrap_err().problems;
+    let unknown = problems.iter().find(|p| p.key == "shard.replica.slotz").unwrap();
+    assert_eq!(unknown.line, Some(14));
+    assert!(unknown.problem.contains("did you mean `slots`"), "{unknown}");
 }
 
 #[test]
 fn a_value_out_of_range_is_rejected_with_its_key() {
     let text = DOCUMENT.replace("slots = 2", "slots = 0");
-    let Err(DocumentError::Value { key, .. }) = ServiceSettings::parse(&text) else {
-        panic!("the document was accepted");
-    };
-    assert_eq!(key, "shard.replica.slots");
+    let problems = ServiceSettings::parse(&text).unwrap_err().problems;
+    assert_eq!(problems[0].key, "shard.replica.slots");
+    assert_eq!(problems[0].line, Some(14));
+}
+
+#[test]
+fn a_document_stored_under_another_name_is_rejected() {
+    assert!(ServiceSettings::parse_named("bursar-sync-01", DOCUMENT).is_ok());
+    let problems = ServiceSettings::parse_named("bursar-sync-02", DOCUMENT).unwrap_err().problems;
+    assert_eq!(problems.len(), 1);
+    assert_eq!(problems[0].key, "service");
+}
+
+#[test]
+fn a_document_over_the_limit_is_rejected() {
+    let text = format!("{DOCUMENT}\n#{}", " ".repeat(DOCUMENT_LIMIT));
+    let error = ServiceSettings::parse(&text).unwrap_err();
+    assert!(error.to_string().contains("bytes"), "{error}");
 }
--- /dev/null
+++ b/crates/berylpin_core/src/control/controller.rs
@@ -0,0 +1,355 @@
+//! Control state of one daemon: membership, documents and placement behind one set of events.
+
+mod exchange;
+
+use super::directory::Directory;
+use super::member::{Heartbeat, MemberReport, MemberState};
+use super::membership::Membership;
+use super::message::{ControlBody, ControlMessage};
+use super::probe::{ProbeAction, Prober};
+use super::revisions::{Entry, Revisions};
+use super::services::{RejectedDocument, Services};
+use super::transfer::Transfer;
+use super::view::View;
+use super::watcher::is_watcher;
+use crate::decision::Decision;
+use crate::ids::MemberTag;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// The shortest time between two views, so that many changes at once make one view.
+const VIEW_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How often a daemon that knows no other one greets its seeds and reads the VM list.
+const JOIN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How often watchers read the VM list.
+const VM_INTERVAL: Duration = Duration::from_secs(2);
+
+/// How often seeds that are not known to live are greeted.
+const SEED_INTERVAL: Duration = Duration::from_secs(30);
+
+/// How long a dead daemon is remembered that the VM list no longer names.
+const UNLISTED_MEMORY: Duration = Duration::from_mins(5);
+
+/// Daemons of one VM list that are greeted at once.
+const GREETING_LIMIT: usize = 16;
+
+/// A timer that is so late shows that this process was paused.
+const LATE_TIMER: Duration = Duration::from_millis(150);
+
+/// A VM as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedVm {
+    /// The name.
+    pub name: Arc<str>,
+    /// Where its daemon accepts links.
+    pub peer_address: SocketAddr,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// What happens to control state.
+#[derive(Debug)]
+pub enum Event {
+    /// A timer may be due.
+    Tick,
+    /// A daemon, known by its link, sent a message.
+    Message(MemberTag, ControlMessage),
+    /// The link to an address broke.
+    LinkDown(SocketAddr),
+    /// The platform listed the documents at a revision.
+    Documents(u64, Vec<Entry>),
+    /// The platform listed the VMs.
+    Vms(Vec<ListedVm>),
+    /// An operator asks where a revision is in force.
+    Inquire(u64),
+    /// This daemon is to stop.
+    Leave,
+}
+
+/// What the shell is to do.
+#[derive(Debug)]
+pub enum Action {
+    /// Send a message to the daemon at an address.
+    Send(SocketAddr, ControlMessage),
+    /// Hand a view to all threads.
+    Publish(Arc<View>),
+    /// Start or stop watching the platform's documents.
+    Watch(bool),
+    /// Read the VM list.
+    ReadVms,
+    /// Log a document that cannot be put in force.
+    Rejected(RejectedDocument),
+    /// Log a decision.
+    Decided(Decision),
+}
+
+/// Control state of one daemon.
+#[derive(Debug)]
+pub struct Controller {
+    membership: Membership,
+    prober: Prober,
+    revisions: Revisions,
+    services: Services,
+    directory: Directory,
+    view: Arc<View>,
+    /// The change of membership that `view` shows.
+    view_changes: u64,
+    topology_changed: bool,
+    next_view: Instant,
+    transfer: Option<Transfer>,
+    last_repair: Option<Instant>,
+    last_sync: Option<Instant>,
+    watching: bool,
+    seeds: Vec<SocketAddr>,
+    /// When the newest event was handled.
+    last_event: Instant,
+    next_vm_read: Instant,
+    next_join: Instant,
+    next_greeting: Instant,
+    rng: SmallRng,
+    decisions: Vec<Decision>,
+    probe_actions: Vec<ProbeAction>,
+}
+
+impl Controller {
+    /// Makes the control state of a daemon that knows only itself; `seed` drives random choices.
+    pub fn new(own: MemberReport, seeds: Vec<SocketAddr>, seed: u64, now: Instant) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let (mut directory, own_id) = Directory::new(&own);
+        let members = directory.update(now, [&own]);
+        Self {
+            prober: Prober::new(now, &mut rng),
+            membership: Membership::new(own),
+            revisions: Revisions::default(),
+            services: Services::default(),
+            directory,
+            view: Arc::new(View::new(0, own_id, members, Arc::default())),
+            view_changes: 0,
+            topology_changed: false,
+            next_view: now,
+            transfer: None,
+            last_repair: None,
+            last_sync: None,
+            watching: false,
+            seeds,
+            last_event: now,
+            next_vm_read: now,
+            next_join: now,
+            next_greeting: now + SEED_INTERVAL,
+            rng,
+            decisions: Vec::new(),
+            probe_actions: Vec::new(),
+        }
+    }
+
+    /// Returns the newest view.
+    pub fn view(&self) -> &Arc<View> {
+        &self.view
+    }
+
+    /// Returns the daemons known.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Returns the documents known.
+    pub fn revisions(&self) -> &Revisions {
+        &self.revisions
+    }
+
+    /// Returns whether this daemon watches the platform.
+    pub fn is_watching(&self) -> bool {
+        self.watching
+    }
+
+    /// Returns when the next `Tick` is due.
+    pub fn next_timer(&self) -> Instant {
+        let mut next = self.prober.next_timer().min(self.next_greeting);
+        next = next.min(self.membership.next_timer().unwrap_or(next));
+        if self.reads_vms() {
+            next = next.min(self.next_vm_read);
+        }
+        if self.membership.live_peers() == 0 {
+            next = next.min(self.next_join);
+        }
+        if self.is_view_outdated() {
+            next = next.min(self.next_view);
+        }
+        next
+    }
+
+    /// Handles one event and appends what the shell is to do.
+    pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        self.notice_pause(now);
+        let revision = self.revisions.revision();
+        match event {
+            Event::Tick => self.tick(now, out),
+            Event::Message(from, message) => self.message(now, from, message, out),
+            Event::LinkDown(address) => self.link_down(now, address),
+            Event::Documents(revision, entries) => {
+                if self.revisions.install_list(revision, entries) {
+                    self.documents_changed(out);
+                }
+            }
+            Event::Vms(vms) => self.vms(now, &vms, out),
+            Event::Inquire(revision) => self.inquire(revision, out),
+            Event::Leave => self.leave(out),
+        }
+        self.send_probes(now, out);
+        if self.revisions.revision() > revision {
+            out.push(Action::Decided(Decision::InForce { revision: self.revisions.revision() }));
+            self.push_revision(out);
+        }
+        self.choose_role(now, out);
+        self.publish(now, out);
+        out.extend(self.decisions.drain(..).map(Action::Decided));
+    }
+
+    /// Moves all deadlines by the time in which this process did not run.
+    ///
+    /// Without this a daemon that was paused would declare others dead whose answers wait in its
+    /// mailbox.
+    fn notice_pause(&mut self, now: Instant) {
+        // Events that waited for the process to run again are handled one after another.
+        let due = self.next_timer().max(self.last_event);
+        self.last_event = now;
+        let late = now.saturating_duration_since(due);
+        if late > LATE_TIMER {
+            self.prober.postpone(late);
+            self.membership.postpone(late);
+            self.decisions.push(Decision::Resumed { late });
+        }
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.membership.tick(now, &mut self.decisions);
+        self.prober.tick(now, &self.membership, &mut self.rng, &mut self.probe_actions);
+        if self.transfer.as_ref().is_some_and(|transfer| transfer.is_overdue(now)) {
+            // The next heartbeat of a daemon that knows more starts another one.
+            self.transfer = None;
+        }
+        let alone = self.membership.live_peers() == 0;
+        if alone && self.next_join <= now {
+            self.next_join = now + JOIN_INTERVAL;
+            self.greet_seeds(out);
+        }
+        if self.reads_vms() && self.next_vm_read <= now {
+            self.next_vm_read = now + if alone { JOIN_INTERVAL } else { VM_INTERVAL };
+            out.push(Action::ReadVms);
+        }
+        if self.next_greeting <= now {
+            self.next_greeting = now + SEED_INTERVAL;
+            self.greet_seeds(out);
+        }
+    }
+
+    fn link_down(&mut self, now: Instant, address: SocketAddr) {
+        let mut peers = self.membership.peers();
+        let down = peers.find(|peer| peer.report.peer_address == address);
+        if let Some(peer) = down.filter(|peer| peer.report.state != MemberState::Dead) {
+            self.prober.probe(now, peer.tag, &mut self.probe_actions);
+        }
+    }
+
+    /// Greets the listed daemons that are not known, and notes which are leaving.
+    fn vms(&mut self, now: Instant, vms: &[ListedVm], out: &mut Vec<Action>) {
+        let mut tags: Vec<MemberTag> = vms.iter().map(|vm| MemberTag::of([&*vm.name])).collect();
+        let mut greeted = 0;
+        for (vm, &tag) in vms.iter().zip(&tags) {
+            if vm.leaving {
+                self.membership.listed_leaving(now, tag, &mut self.decisions);
+            } else if tag == self.membership.own_tag() {
+                self.membership.stay(&mut self.decisions);
+            } else if self.membership.peer(tag).is_none() && greeted < GREETING_LIMIT {
+                greeted += 1;
+                self.greet(vm.peer_address, out);
+            }
+        }
+        tags.sort_unstable();
+        self.membership.forget_unlisted(now, UNLISTED_MEMORY, &tags);
+    }
+
+    /// Takes this daemon out of placement and tells all others at once.
+    fn leave(&mut self, out: &mut Vec<Action>) {
+        self.membership.leave(true, &mut self.decisions);
+        let peers: Vec<SocketAddr> = self
+            .membership
+            .peers()
+            .filter(|peer| peer.report.state != MemberState::Dead)
+            .map(|peer| peer.report.peer_address)
+            .collect();
+        for address in peers {
+            let message = self.message_to(None, ControlBody::Notice);
+            out.push(Action::Send(address, message));
+        }
+    }
+
+    /// Whether this daemon reads the VM list: watchers, and those whom the list may set right.
+    fn reads_vms(&self) -> bool {
+        let called_off = self.membership.own().state == MemberState::Leaving;
+        self.watching || called_off && !self.membership.is_stopping()
+    }
+
+    fn choose_role(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let own = self.membership.own();
+        let neighbours = self.membership.peers().filter(|peer| {
+            peer.report.state.is_placeable() && peer.report.data_centre == own.data_centre
+        });
+        let watching = is_watcher(self.membership.own_tag(), neighbours.map(|peer| peer.tag));
+        if watching != self.watching {
+            self.watching = watching;
+            self.next_vm_read = now;
+            self.decisions.push(Decision::Watching { watching });
+            out.push(Action::Watch(watching));
+        }
+    }
+
+    fn documents_changed(&mut self, out: &mut Vec<Action>) {
+        let mut rejected = Vec::new();
+        self.topology_changed |= self.services.update(&self.revisions, &mut rejected);
+        out.extend(rejected.into_iter().map(Action::Rejected));
+    }
+
+    fn is_view_outdated(&self) -> bool {
+        self.topology_changed || self.view_changes != self.membership.changes()
+    }
+
+    fn publish(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if !self.is_view_outdated() || now < self.next_view {
+            return;
+        }
+        self.next_view = now + VIEW_INTERVAL;
+        self.view_changes = self.membership.changes();
+        let peers = self.membership.peers().map(|peer| &peer.report);
+        let reports = std::iter::once(self.membership.own()).chain(peers);
+        let members = self.directory.update(now, reports);
+        let topology = if self.topology_changed {
+            Arc::new(self.view.topology.with_documents(&self.services.settings()))
+        } else {
+            self.view.topology.clone()
+        };
+        self.topology_changed = false;
+        let view = View::new(self.view.epoch + 1, self.view.own, members, topology);
+        let moved = view.moved_since(&self.view);
+        self.decisions.push(Decision::Placed { epoch: view.epoch, moved });
+        self.view = Arc::new(view);
+        out.push(Action::Publish(self.view.clone()));
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            report: self.membership.own().clone(),
+            revision: self.revisions.revision(),
+            documents_digest: self.revisions.digest(),
+            members_digest: self.membership.digest(),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/control/controller/exchange.rs
@@ -0,0 +1,219 @@
+//! Messages of the control state.
+
+use super::{Action, Controller};
+use crate::control::member::{Heartbeat, MemberState};
+use crate::control::message::{ControlBody, ControlMessage};
+use crate::control::probe::ProbeAction;
+use crate::control::revisions::Piece;
+use crate::control::transfer::{Progress, Transfer};
+use crate::ids::MemberTag;
+use rand::seq::IteratorRandom;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// How often all reports are fetched while those of a peer differ.
+const SYNC_INTERVAL: Duration = Duration::from_secs(30);
+
+/// How often documents are fetched in full while those of a peer differ at the same revision.
+const REPAIR_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Daemons that hear of a new revision at once.
+const PUSH_FANOUT: usize = 3;
+
+impl Controller {
+    pub(super) fn message(
+        &mut self,
+        now: Instant,
+        from: MemberTag,
+        message: ControlMessage,
+        out: &mut Vec<Action>,
+    ) {
+        let ControlMessage { heartbeat, reports, body } = message;
+        let misnamed = heartbeat.report.tag() != from;
+        if misnamed || from == self.membership.own_tag() {
+            return;
+        }
+        let revision = heartbeat.revision;
+        self.membership.heard(now, &heartbeat.report, revision, &mut self.decisions);
+        for report in &reports {
+            self.membership.merge(now, Some(from), report, &mut self.decisions);
+        }
+        self.prober.heard(from);
+        self.body(now, from, &heartbeat, body, out);
+        self.catch_up(now, from, &heartbeat, out);
+    }
+
+    fn body(
+        &mut self,
+        now: Instant,
+        from: MemberTag,
+        heartbeat: &Heartbeat,
+        body: ControlBody,
+        out: &mut Vec<Action>,
+    ) {
+        let address = heartbeat.report.peer_address;
+        match body {
+            ControlBody::Ping { sequence } => {
+                let message = self.message_to(Some(from), ControlBody::Ack { sequence });
+                out.push(Action::Send(address, message));
+            }
+            ControlBody::Ack { sequence } => {
+                self.prober.answered(sequence, &mut self.probe_actions);
+            }
+            ControlBody::PingRequest { sequence, target } => {
+                self.prober.relay(now, from, sequence, target, &mut self.probe_actions);
+            }
+            ControlBody::FetchMembers => {
+                let mut message = self.message_to(Some(from), ControlBody::Members);
+                message.reports = self.membership.reports();
+                out.push(Action::Send(address, message));
+            }
+            ControlBody::Fetch { cursor, with_names } => {
+                let piece = self.revisions.piece(cursor, with_names);
+                let message = self.message_to(Some(from), ControlBody::Documents(piece));
+                out.push(Action::Send(address, message));
+            }
+            ControlBody::Documents(piece) => self.piece(now, from, address, piece, out),
+            ControlBody::Notice | ControlBody::Members => {}
+        }
+    }
+
+    fn piece(
+        &mut self,
+        now: Instant,
+        from: MemberTag,
+        address: SocketAddr,
+        piece: Piece,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(mut transfer) = self.transfer.take_if(|transfer| transfer.from() == from) else {
+            return;
+        };
+        let progress = transfer.receive(now, piece, &mut self.revisions);
+        self.documents_changed(out);
+        if progress == Progress::Continues {
+            let message = self.message_to(Some(from), transfer.request());
+            out.push(Action::Send(address, message));
+            self.transfer = Some(transfer);
+        }
+    }
+
+    /// Fetches what the sender of a heartbeat knows and this daemon does not.
+    fn catch_up(
+        &mut self,
+        now: Instant,
+        from: MemberTag,
+        heartbeat: &Heartbeat,
+        out: &mut Vec<Action>,
+    ) {
+        let address = heartbeat.report.peer_address;
+        if heartbeat.members_digest != self.membership.digest()
+            && is_due(now, self.last_sync, SYNC_INTERVAL)
+        {
+            self.last_sync = Some(now);
+            let message = self.message_to(Some(from), ControlBody::FetchMembers);
+            out.push(Action::Send(address, message));
+        }
+        if self.transfer.as_ref().is_some_and(|transfer| !transfer.is_overdue(now)) {
+            return;
+        }
+        let known = self.revisions.revision();
+        let differs = heartbeat.documents_digest != self.revisions.digest();
+        let transfer = if heartbeat.revision > known {
+            Transfer::new(now, from, known)
+        } else if heartbeat.revision == known
+            && differs
+            && is_due(now, self.last_repair, REPAIR_INTERVAL)
+        {
+            self.last_repair = Some(now);
+            Transfer::repair(now, from)
+        } else {
+            return;
+        };
+        let message = self.message_to(Some(from), transfer.request());
+        self.transfer = Some(transfer);
+        out.push(Action::Send(address, message));
+    }
+
+    /// Tells a few daemons of a new revision, which they fetch and tell on.
+    pub(super) fn push_revision(&mut self, out: &mut Vec<Action>) {
+        let live = self.membership.peers().filter(|peer| peer.report.state.is_placeable());
+        let chosen: Vec<_> = live
+            .map(|peer| (peer.tag, peer.report.peer_address))
+            .choose_multiple(&mut self.rng, PUSH_FANOUT);
+        for (tag, address) in chosen {
+            let message = self.message_to(Some(tag), ControlBody::Notice);
+            out.push(Action::Send(address, message));
+        }
+    }
+
+    /// Pings the live daemons that are not known to have a revision in force.
+    pub(super) fn inquire(&mut self, revision: u64, out: &mut Vec<Action>) {
+        let behind: Vec<_> = self
+            .membership
+            .peers()
+            .filter(|peer| peer.report.state != MemberState::Dead && peer.revision < revision)
+            .map(|peer| (peer.tag, peer.report.peer_address))
+            .collect();
+        for (tag, address) in behind {
+            let sequence = self.prober.next_sequence();
+            let message = self.message_to(Some(tag), ControlBody::Ping { sequence });
+            out.push(Action::Send(address, message));
+        }
+    }
+
+    /// Greets the seeds at which no live daemon is known.
+    pub(super) fn greet_seeds(&mut self, out: &mut Vec<Action>) {
+        let own = self.membership.own().peer_address;
+        for seed in self.seeds.clone() {
+            let known = self.membership.peers().any(|peer| {
+                peer.report.peer_address == seed && peer.report.state != MemberState::Dead
+            });
+            if !known && seed != own {
+                self.greet(seed, out);
+            }
+        }
+    }
+
+    pub(super) fn greet(&mut self, address: SocketAddr, out: &mut Vec<Action>) {
+        let sequence = self.prober.next_sequence();
+        let message = self.message_to(None, ControlBody::Ping { sequence });
+        out.push(Action::Send(address, message));
+    }
+
+    pub(super) fn message_to(
+        &mut self,
+        to: Option<MemberTag>,
+        body: ControlBody,
+    ) -> ControlMessage {
+        let reports = self.membership.reports_for(to);
+        ControlMessage { heartbeat: self.heartbeat(), reports, body }
+    }
+
+    /// Carries out what the prober decided.
+    pub(super) fn send_probes(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let mut actions = std::mem::take(&mut self.probe_actions);
+        for action in actions.drain(..) {
+            let (to, body) = match action {
+                ProbeAction::Ping { to, sequence } => (to, ControlBody::Ping { sequence }),
+                ProbeAction::AskHelper { helper, target, sequence } => {
+                    (helper, ControlBody::PingRequest { sequence, target })
+                }
+                ProbeAction::Relay { to, sequence } => (to, ControlBody::Ack { sequence }),
+                ProbeAction::Failed(target) => {
+                    self.membership.suspect(now, target, &mut self.decisions);
+                    continue;
+                }
+            };
+            let Some(peer) = self.membership.peer(to) else { continue };
+            let address = peer.report.peer_address;
+            let message = self.message_to(Some(to), body);
+            out.push(Action::Send(address, message));
+        }
+        self.probe_actions = actions;
+    }
+}
+
+fn is_due(now: Instant, last: Option<Instant>, interval: Duration) -> bool {
+    last.is_none_or(|last| now >= last + interval)
+}
--- /dev/null
+++ b/crates/berylpin_core/src/control/directory.rs
@@ -0,0 +1,92 @@
+//! The ids of daemons on this daemon.
+
+use super::member::MemberReport;
+use super::view::Member;
+use crate::arena::Arena;
+use crate::ids::{MemberId, MemberTag};
+use std::time::{Duration, Instant};
+
+/// How long the id of a forgotten daemon is left unused; longer than any request takes.
+const QUARANTINE: Duration = Duration::from_mins(10);
+
+/// Gives each known daemon an id; ids of forgotten daemons are used again after a quarantine.
+#[derive(Debug)]
+pub(super) struct Directory {
+    /// Never shrinks; as long as the most daemons that were known within one quarantine.
+    members: Arena<MemberId, Member>,
+    /// Sorted by tag; holds forgotten daemons until their ids are used again.
+    by_tag: Vec<(MemberTag, MemberId)>,
+    /// Since when ids belong to forgotten daemons, in ascending order.
+    forgotten: Vec<(Instant, MemberId)>,
+}
+
+impl Directory {
+    /// Makes a directory of this daemon alone.
+    pub(super) fn new(own: &MemberReport) -> (Self, MemberId) {
+        let mut members = Arena::default();
+        let id = members.push(member(own));
+        let by_tag = vec![(own.tag(), id)];
+        (Self { members, by_tag, forgotten: Vec::new() }, id)
+    }
+
+    /// Brings the directory up to date with all reports, and returns a copy of its members.
+    pub(super) fn update<'a, I>(&mut self, now: Instant, reports: I) -> Arena<MemberId, Member>
+    where
+        I: IntoIterator<Item = &'a MemberReport>,
+    {
+        let mut seen: Vec<MemberId> =
+            reports.into_iter().map(|report| self.place(now, report)).collect();
+        seen.sort_unstable();
+        for (id, member) in self.members.iter_mut() {
+            let was_forgotten = self.forgotten.iter().any(|(_, forgotten)| *forgotten == id);
+            if seen.binary_search(&id).is_err() && !was_forgotten {
+                member.live = false;
+                self.forgotten.push((now, id));
+            }
+        }
+        self.members.clone()
+    }
+
+    fn place(&mut self, now: Instant, report: &MemberReport) -> MemberId {
+        let tag = report.tag();
+        let id = match self.by_tag.binary_search_by_key(&tag, |(tag, _)| *tag) {
+            Ok(at) => {
+                let id = self.by_tag[at].1;
+                self.forgotten.retain(|(_, forgotten)| *forgotten != id);
+                id
+            }
+            Err(_) => self.take_id(now, report),
+        };
+        self.members[id] = member(report);
+        id
+    }
+
+    fn take_id(&mut self, now: Instant, report: &MemberReport) -> MemberId {
+        let reusable = self.forgotten.first().filter(|(since, _)| now >= *since + QUARANTINE);
+        let id = match reusable {
+            Some(&(_, id)) => {
+                self.forgotten.remove(0);
+                self.by_tag.retain(|(_, other)| *other != id);
+                id
+            }
+            None => self.members.push(member(report)),
+        };
+        let tag = report.tag();
+        let at = self.by_tag.partition_point(|(other, _)| *other < tag);
+        self.by_tag.insert(at, (tag, id));
+        id
+    }
+}
+
+fn member(report: &MemberReport) -> Member {
+    Member {
+        tag: report.tag(),
+        name: report.name.to_string(),
+        data_centre: report.data_centre.to_string(),
+        peer_address: report.peer_address,
+        live: report.state.is_placeable(),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/control/edit/tests.rs
@@ -0,0 +1,175 @@
+use super::*;
+use proptest::prelude::*;
+
+/// What happens around one call.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    None,
+    /// The call is never sent.
+    NotSent,
+    /// The call fails without effect.
+    Fails,
+    /// The call takes effect and its answer is lost.
+    AnswerLost,
+    /// The call takes effect only after the next one.
+    Delayed,
+    /// Another editor changes the document just before the call.
+    Raced,
+    /// Another editor deletes the document just before the call.
+    Deleted,
+}
+
+/// A document with the edits it went through; edit 1 is the one under test, 0 made the base.
+#[derive(Clone, Debug, Default)]
+struct Store {
+    revision: u64,
+    document: Option<(u64, Vec<u32>)>,
+    ever_stored: bool,
+    next_edit: u32,
+}
+
+impl Store {
+    fn write(&mut self, kind: EditKind, base: Option<u64>) -> EditEvent {
+        if self.document.as_ref().map(|(version, _)| *version) != base {
+            return EditEvent::Mismatch;
+        }
+        self.revision += 1;
+        self.ever_stored = true;
+        self.document = match kind {
+            EditKind::Put => {
+                let mut edits = self.document.take().map_or(Vec::new(), |(_, edits)| edits);
+                edits.push(1);
+                Some((self.revision, edits))
+            }
+            EditKind::Delete => None,
+        };
+        EditEvent::Stored(self.revision)
+    }
+
+    fn other_editor(&mut self) {
+        self.revision += 1;
+        self.next_edit += 1;
+        let mut edits = self.document.take().map_or(Vec::new(), |(_, edits)| edits);
+        edits.push(100 + self.next_edit);
+        self.document = Some((self.revision, edits));
+    }
+
+    fn read(&self) -> EditEvent {
+        let document = self.document.as_ref().map(|(version, edits)| FoundDocument {
+            version: *version,
+            holds_edit: edits.contains(&1),
+            holds_base: edits.contains(&0),
+        });
+        EditEvent::Read { revision: self.revision, document }
+    }
+}
+
+fn run(kind: EditKind, exists: bool, faults: &[Fault]) -> (Store, EditOutcome) {
+    let mut store = Store { revision: 5, ..Store::default() };
+    store.document = exists.then(|| (5, vec![0]));
+    let base = exists.then_some(5);
+    let mut edit = Edit::new(kind, base);
+    let mut faults = faults.iter().copied();
+    let mut delayed = false;
+    let mut event = EditEvent::Start;
+    loop {
+        let step = edit.next(event);
+        if let EditStep::Done(outcome) = step {
+            if delayed {
+                store.write(kind, base);
+            }
+            return (store, outcome);
+        }
+        let fault = faults.next().unwrap_or(Fault::None);
+        match fault {
+            Fault::Raced => store.other_editor(),
+            Fault::Deleted if store.document.is_some() => {
+                store.revision += 1;
+                store.document = None;
+            }
+            _ => {}
+        }
+        let due = std::mem::take(&mut delayed);
+        event = match (step, fault) {
+            (EditStep::Read, Fault::NotSent | Fault::Fails) => EditEvent::ReadFailed,
+            (EditStep::Read, _) => store.read(),
+            (_, Fault::NotSent) => EditEvent::NotSent,
+            (_, Fault::Fails) => EditEvent::Lost,
+            (_, Fault::AnswerLost) => {
+                store.write(kind, base);
+                EditEvent::Lost
+            }
+            (_, Fault::Delayed) => {
+                delayed = true;
+                EditEvent::Lost
+            }
+            (_, Fault::None | Fault::Raced | Fault::Deleted) => store.write(kind, base),
+        };
+        if due {
+            store.write(kind, base);
+        }
+    }
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        Just(Fault::None),
+        Just(Fault::NotSent),
+        Just(Fault::Fails),
+        Just(Fault::AnswerLost),
+        Just(Fault::Delayed),
+        Just(Fault::Raced),
+        Just(Fault::Deleted),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2000))]
+    /// Whatever is lost, late or raced, the operator is told the truth.
+    #[test]
+    fn the_operator_is_told_the_truth(
+        delete: bool,
+        exists: bool,
+        faults in prop::collection::vec(fault(), 0..12),
+    ) {
+        let kind = if delete { EditKind::Delete } else { EditKind::Put };
+        let exists = exists || delete;
+        let deleted_by_other = faults.iter().any(|fault| matches!(fault, Fault::Deleted));
+        let (store, outcome) = run(kind, exists, &faults);
+        match outcome {
+            EditOutcome::Accepted { .. } => {
+                prop_assert!(store.ever_stored || delete && deleted_by_other);
+            }
+            EditOutcome::Conflict
+            | EditOutcome::Missing
+            | EditOutcome::NotStored { may_be_stored: false } => prop_assert!(!store.ever_stored),
+            EditOutcome::NotStored { may_be_stored: true } => {}
+        }
+    }
+}
+
+#[test]
+fn a_lost_answer_is_found_by_reading_back() {
+    let (_, outcome) = run(EditKind::Put, true, &[Fault::None, Fault::AnswerLost]);
+    assert_eq!(outcome, EditOutcome::Accepted { version: 6 });
+}
+
+#[test]
+fn a_write_without_effect_is_tried_again() {
+    let (store, outcome) = run(EditKind::Put, false, &[Fault::None, Fault::Fails]);
+    assert_eq!(outcome, EditOutcome::Accepted { version: 6 });
+    assert!(store.ever_stored);
+}
+
+#[test]
+fn a_platform_that_is_down_stores_nothing() {
+    let faults = [Fault::Fails; 8];
+    let (_, outcome) = run(EditKind::Put, true, &faults);
+    assert_eq!(outcome, EditOutcome::NotStored { may_be_stored: false });
+}
+
+#[test]
+fn an_edit_that_came_first_is_a_conflict() {
+    let (_, outcome) = run(EditKind::Put, true, &[Fault::None, Fault::Raced]);
+    assert_eq!(outcome, EditOutcome::Conflict);
+}
--- /dev/null
+++ b/crates/berylpin_core/src/control/gossip.rs
@@ -0,0 +1,71 @@
+//! Reports of members that ride along with messages.
+
+use super::member::MemberReport;
+use crate::ids::MemberTag;
+
+/// Bytes of reports in one message.
+const REPORTS_SIZE: usize = 600;
+
+/// How often a report is sent, for each decimal digit of the number of members.
+const SENDS_PER_DIGIT: u32 = 4;
+
+/// Changes that wait to ride along; at most one a member.
+#[derive(Debug, Default)]
+pub(super) struct Gossip {
+    /// Sorted by tag.
+    pending: Vec<Pending>,
+}
+
+#[derive(Debug)]
+struct Pending {
+    tag: MemberTag,
+    sends: u32,
+}
+
+impl Gossip {
+    /// Spreads the newest report of a member.
+    pub(super) fn spread(&mut self, tag: MemberTag) {
+        match self.pending.binary_search_by_key(&tag, |pending| pending.tag) {
+            Ok(at) => self.pending[at].sends = 0,
+            Err(at) => self.pending.insert(at, Pending { tag, sends: 0 }),
+        }
+    }
+
+    /// Returns the reports for one message, those sent least often first.
+    pub(super) fn take<'a, F>(&mut self, members: usize, report: F) -> Vec<MemberReport>
+    where
+        F: Fn(MemberTag) -> Option<&'a MemberReport>,
+    {
+        if self.pending.is_empty() {
+            return Vec::new();
+        }
+        let mut order: Vec<usize> = (0..self.pending.len()).collect();
+        order.sort_by_key(|at| self.pending[*at].sends);
+        let mut reports = Vec::new();
+        let mut size = 0;
+        for at in order {
+            let pending = &mut self.pending[at];
+            let Some(report) = report(pending.tag) else {
+                pending.sends = u32::MAX;
+                continue;
+            };
+            size += report.encoded_size();
+            if size > REPORTS_SIZE {
+                break;
+            }
+            pending.sends += 1;
+            reports.push(report.clone());
+        }
+        let limit = SENDS_PER_DIGIT * (members as u32 + 1).ilog10().max(1);
+        self.pending.retain(|pending| pending.sends < limit);
+        reports
+    }
+
+    /// Returns how many members have a change that still spreads.
+    pub(super) fn len(&self) -> usize {
+        self.pending.len()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_core/src/control/mod.rs
+++ b/crates/berylpin_core/src/control/mod.rs
@@ -1,9 +1,28 @@
 //! Control state: which services, replicas and daemons there are, and who owns what.
 
+mod controller;
+mod directory;
+mod edit;
+mod gossip;
+mod member;
+mod membership;
+mod message;
 mod placement;
+mod probe;
+mod revisions;
+mod services;
 mod topology;
+mod transfer;
 mod view;
+mod watcher;
 
+pub use controller::{Action, Controller, Event, ListedVm};
+pub use edit::{Edit, EditEvent, EditKind, EditOutcome, EditStep, FoundDocument};
+pub use member::{Heartbeat, MemberReport, MemberState};
+pub use membership::{Membership, Peer};
+pub use message::{ControlBody, ControlMessage};
 pub use placement::place;
+pub use revisions::{Entry, Piece, Revisions};
+pub use services::RejectedDocument;
 pub use topology::{Group, Replica, Service, Shard, Topology};
 pub use view::{Member, View};
--- a/crates/berylpin_core/src/control/placement.rs
+++ b/crates/berylpin_core/src/control/placement.rs
@@ -16,16 +16,17 @@
 ) -> Arena<ReplicaId, Option<MemberId>> {
     let mut owners = Arena::default();
     owners.grow(topology.replicas.len(), || None);
+    let live = live_by_data_centre(members);
     let mut taken = Vec::new();
     for (_, shard) in topology.shards.iter() {
         taken.clear();
         for &id in &shard.replicas {
             let settings = &topology.replicas[id].settings;
             let candidates = || {
-                members
-                    .iter()
-                    .filter(|(_, m)| m.live && m.data_centre == settings.data_centre)
-                    .map(|(member, m)| (score(settings.tag, m), member))
+                let name = settings.data_centre.as_str();
+                let start = live.partition_point(|(data_centre, _)| *data_centre < name);
+                let here = live[start..].iter().take_while(move |(centre, _)| *centre == name);
+                here.map(|(_, member)| (score(settings.tag, &members[*member]), *member))
             };
             let best = candidates().filter(|(_, m)| !taken.contains(m)).max();
             let owner = best.or_else(|| candidates().max()).map(|(_, member)| member);
@@ -36,6 +37,17 @@
     owners
 }
 
+/// Returns the live members sorted by data centre.
+fn live_by_data_centre(members: &Arena<MemberId, Member>) -> Vec<(&str, MemberId)> {
+    let live = members.iter().filter(|(_, member)| member.live);
+    let mut sorted: Vec<_> = live.map(|(id, m)| (m.data_centre.as_str(), id)).collect();
+    sorted.sort_unstable();
+    sorted
+}
+
 fn score(replica: ReplicaTag, member: &Member) -> u64 {
     xxh3_64_with_seed(&replica.0.to_le_bytes(), member.tag.0)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/control/probe.rs
@@ -0,0 +1,234 @@
+//! When and whom to probe.
+
+use super::member::MemberState;
+use super::membership::{Membership, Peer};
+use crate::ids::MemberTag;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use std::time::{Duration, Instant};
+
+/// How often a random peer is probed.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long a peer may take to answer directly; covers a round trip between regions.
+const DIRECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How long the answer may take by way of others, after the direct one failed.
+const INDIRECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Others that are asked to probe a peer that did not answer.
+const HELPERS: usize = 2;
+
+/// One in so many intervals also probes a dead daemon, in case a partition healed.
+const DEAD_PROBE_RATIO: u32 = 2;
+
+/// Probes without an answer at one time; more are not started.
+const PROBE_LIMIT: usize = 32;
+
+/// Probes for others at one time; more requests are ignored.
+const RELAY_LIMIT: usize = 64;
+
+/// A probe that is to be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum ProbeAction {
+    /// Ping a daemon.
+    Ping { to: MemberTag, sequence: u64 },
+    /// Ask a daemon to ping another one.
+    AskHelper { helper: MemberTag, target: MemberTag, sequence: u64 },
+    /// Tell a daemon that the target of its request answered.
+    Relay { to: MemberTag, sequence: u64 },
+    /// The daemon did not answer in time.
+    Failed(MemberTag),
+}
+
+#[derive(Debug)]
+struct Probe {
+    target: MemberTag,
+    sequence: u64,
+    deadline: Instant,
+    indirect: bool,
+}
+
+#[derive(Debug)]
+struct Relay {
+    requester: MemberTag,
+    asked: u64,
+    sequence: u64,
+    deadline: Instant,
+}
+
+/// The probes of one daemon.
+#[derive(Debug)]
+pub(super) struct Prober {
+    next_probe: Instant,
+    sequence: u64,
+    /// The peers of this round that are not probed yet, in random order.
+    round: Vec<MemberTag>,
+    /// At most `PROBE_LIMIT`.
+    probes: Vec<Probe>,
+    /// At most `RELAY_LIMIT`.
+    relays: Vec<Relay>,
+}
+
+impl Prober {
+    /// Makes a prober that starts at a random moment of its first interval.
+    pub(super) fn new(now: Instant, rng: &mut SmallRng) -> Self {
+        let next_probe = now + PROBE_INTERVAL.mul_f64(rng.random());
+        let (round, probes, relays) = (Vec::new(), Vec::new(), Vec::new());
+        Self { next_probe, sequence: 0, round, probes, relays }
+    }
+
+    /// Returns when the next `tick` is due.
+    pub(super) fn next_timer(&self) -> Instant {
+        let deadlines = self.probes.iter().map(|probe| probe.deadline);
+        deadlines.chain([self.next_probe]).min().unwrap_or(self.next_probe)
+    }
+
+    /// Moves all deadlines, after a time in which this process did not run.
+    pub(super) fn postpone(&mut self, by: Duration) {
+        self.probes.iter_mut().for_each(|probe| probe.deadline += by);
+        self.relays.iter_mut().for_each(|relay| relay.deadline += by);
+    }
+
+    /// Starts the probes that are due and gives up those that took too long.
+    pub(super) fn tick(
+        &mut self,
+        now: Instant,
+        membership: &Membership,
+        rng: &mut SmallRng,
+        out: &mut Vec<ProbeAction>,
+    ) {
+        self.relays.retain(|relay| relay.deadline > now);
+        self.expire(now, membership, rng, out);
+        if self.next_probe > now {
+            return;
+        }
+        self.next_probe = (self.next_probe + PROBE_INTERVAL).max(now);
+        if let Some(target) = self.next_target(membership, rng) {
+            self.probe(now, target, out);
+        }
+        if rng.random_ratio(1, DEAD_PROBE_RATIO) {
+            self.probe_dead(membership, rng, out);
+        }
+    }
+
+    /// Probes a daemon at once unless a probe of it is in progress.
+    pub(super) fn probe(&mut self, now: Instant, target: MemberTag, out: &mut Vec<ProbeAction>) {
+        let in_progress = self.probes.iter().any(|probe| probe.target == target);
+        if in_progress || self.probes.len() >= PROBE_LIMIT {
+            return;
+        }
+        let sequence = self.next_sequence();
+        let deadline = now + DIRECT_TIMEOUT;
+        self.probes.push(Probe { target, sequence, deadline, indirect: false });
+        out.push(ProbeAction::Ping { to: target, sequence });
+    }
+
+    /// Returns the sequence number of a ping whose answer nothing waits for.
+    pub(super) fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    /// Takes in an answer.
+    pub(super) fn answered(&mut self, sequence: u64, out: &mut Vec<ProbeAction>) {
+        self.probes.retain(|probe| probe.sequence != sequence);
+        if let Some(at) = self.relays.iter().position(|relay| relay.sequence == sequence) {
+            let relay = self.relays.swap_remove(at);
+            out.push(ProbeAction::Relay { to: relay.requester, sequence: relay.asked });
+        }
+    }
+
+    /// Takes in any message of a daemon, which proves that it lives.
+    pub(super) fn heard(&mut self, from: MemberTag) {
+        self.probes.retain(|probe| probe.target != from);
+    }
+
+    /// Pings a daemon for another one.
+    pub(super) fn relay(
+        &mut self,
+        now: Instant,
+        requester: MemberTag,
+        asked: u64,
+        target: MemberTag,
+        out: &mut Vec<ProbeAction>,
+    ) {
+        if self.relays.len() >= RELAY_LIMIT {
+            return;
+        }
+        let sequence = self.next_sequence();
+        let deadline = now + INDIRECT_TIMEOUT;
+        self.relays.push(Relay { requester, asked, sequence, deadline });
+        out.push(ProbeAction::Ping { to: target, sequence });
+    }
+
+    fn expire(
+        &mut self,
+        now: Instant,
+        membership: &Membership,
+        rng: &mut SmallRng,
+        out: &mut Vec<ProbeAction>,
+    ) {
+        let mut at = 0;
+        while at < self.probes.len() {
+            let probe = &mut self.probes[at];
+            if probe.deadline > now {
+                at += 1;
+                continue;
+            }
+            if probe.indirect {
+                out.push(ProbeAction::Failed(probe.target));
+                self.probes.swap_remove(at);
+                continue;
+            }
+            probe.indirect = true;
+            probe.deadline = now + INDIRECT_TIMEOUT;
+            let (target, sequence) = (probe.target, probe.sequence);
+            let candidate =
+                |peer: &&Peer| peer.report.state == MemberState::Alive && peer.tag != target;
+            let mut helpers: Vec<_> = membership.peers().filter(candidate).collect();
+            let (chosen, _) = helpers.partial_shuffle(rng, HELPERS);
+            for helper in chosen {
+                out.push(ProbeAction::AskHelper { helper: helper.tag, target, sequence });
+            }
+            at += 1;
+        }
+    }
+
+    /// Returns the next peer of the round; each live peer comes once a round.
+    fn next_target(&mut self, membership: &Membership, rng: &mut SmallRng) -> Option<MemberTag> {
+        let is_live = |peer: &Peer| peer.report.state != MemberState::Dead;
+        while let Some(tag) = self.round.pop() {
+            if membership.peer(tag).is_some_and(is_live) {
+                return Some(tag);
+            }
+        }
+        let live = membership.peers().filter(|peer| is_live(peer));
+        self.round.extend(live.map(|peer| peer.tag));
+        self.round.shuffle(rng);
+        self.round.pop()
+    }
+
+    /// Pings a dead daemon; nothing follows from silence.
+    fn probe_dead(
+        &mut self,
+        membership: &Membership,
+        rng: &mut SmallRng,
+        out: &mut Vec<ProbeAction>,
+    ) {
+        let is_dead = |peer: &&Peer| peer.report.state == MemberState::Dead;
+        let count = membership.peers().filter(is_dead).count();
+        if count == 0 {
+            return;
+        }
+        let at = rng.random_range(0..count);
+        if let Some(peer) = membership.peers().filter(is_dead).nth(at) {
+            let sequence = self.next_sequence();
+            out.push(ProbeAction::Ping { to: peer.tag, sequence });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_core/src/control/topology.rs
+++ b/crates/berylpin_core/src/control/topology.rs
@@ -67,6 +67,8 @@
     groups_by_name: Vec<(String, GroupId)>,
     /// Sorted by name; holds every service of the arena.
     services_by_name: Vec<(String, ServiceId)>,
+    /// Sorted by service, then by the name of the shard; holds every shard of the arena.
+    shards_by_name: Vec<(ServiceId, ShardId)>,
 }
 
 impl Topology {
@@ -143,15 +145,20 @@
     }
 
     fn shard_named(&mut self, service: ServiceId, settings: &ShardSettings) -> ShardId {
-        let known = self
-            .shards
-            .iter()
-            .find(|(_, shard)| shard.service == service && shard.name == settings.name);
-        if let Some((id, _)) = known {
-            return id;
+        let name = settings.name.as_str();
+        let shards = &mut self.shards;
+        let found = self.shards_by_name.binary_search_by(|(other, shard)| {
+            other.cmp(&service).then_with(|| shards[*shard].name.as_str().cmp(name))
+        });
+        match found {
+            Ok(at) => self.shards_by_name[at].1,
+            Err(at) => {
+                let name = name.to_owned();
+                let id = shards.push(Shard { name, service, replicas: Vec::new() });
+                self.shards_by_name.insert(at, (service, id));
+                id
+            }
         }
-        let name = settings.name.clone();
-        self.shards.push(Shard { name, service, replicas: Vec::new() })
     }
 
     fn replica_with(&mut self, shard: ShardId, settings: &ReplicaSettings) -> ReplicaId {
@@ -202,3 +209,6 @@
         sorted.insert(at, value);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/control/transfer.rs
@@ -0,0 +1,98 @@
+//! Fetching documents from another daemon, piece by piece.
+
+use super::message::ControlBody;
+use super::revisions::{Piece, Revisions};
+use crate::ids::MemberTag;
+use std::time::{Duration, Instant};
+
+/// How long a piece may take before another daemon is asked.
+const PIECE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Documents on their way from one daemon.
+#[derive(Debug)]
+pub(super) struct Transfer {
+    from: MemberTag,
+    /// The highest version received, at first the revision that was known in full.
+    cursor: u64,
+    /// Whether the names of all documents were asked for.
+    with_names: bool,
+    /// Whether it only adds what is missing at the same revision.
+    repair: bool,
+    deadline: Instant,
+}
+
+/// What became of a transfer after a piece.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// The next piece is to be asked for.
+    Continues,
+    /// It ended, whether complete or not.
+    Ended,
+}
+
+impl Transfer {
+    /// Starts a transfer of what is newer than a revision.
+    pub(super) fn new(now: Instant, from: MemberTag, known: u64) -> Self {
+        let deadline = now + PIECE_TIMEOUT;
+        Self { from, cursor: known, with_names: false, repair: false, deadline }
+    }
+
+    /// Starts a transfer of everything, for a daemon that differs although its revision is the same.
+    pub(super) fn repair(now: Instant, from: MemberTag) -> Self {
+        Self { repair: true, ..Self::new(now, from, 0) }
+    }
+
+    /// Returns the daemon that sends.
+    pub(super) fn from(&self) -> MemberTag {
+        self.from
+    }
+
+    /// Returns whether the sender did not send the next piece in time.
+    pub(super) fn is_overdue(&self, now: Instant) -> bool {
+        now >= self.deadline
+    }
+
+    /// Returns the request for the next piece.
+    pub(super) fn request(&self) -> ControlBody {
+        ControlBody::Fetch { cursor: self.cursor, with_names: self.with_names }
+    }
+
+    /// Takes in a piece.
+    ///
+    /// Documents of a piece take effect at once. The revision counts as known once the digests
+    /// agree; if they do not, documents were deleted, and the names say which.
+    pub(super) fn receive(
+        &mut self,
+        now: Instant,
+        piece: Piece,
+        revisions: &mut Revisions,
+    ) -> Progress {
+        if piece.revision < revisions.revision() {
+            return Progress::Ended;
+        }
+        self.deadline = now + PIECE_TIMEOUT;
+        let before = self.cursor;
+        for entry in piece.entries {
+            self.cursor = self.cursor.max(entry.version);
+            revisions.merge(entry);
+        }
+        if !piece.last {
+            // A sender whose pieces do not advance is given up.
+            return if self.cursor > before { Progress::Continues } else { Progress::Ended };
+        }
+        if self.repair {
+            return Progress::Ended;
+        }
+        if let Some(names) = &piece.names {
+            revisions.retain_named(piece.revision, names);
+        } else if revisions.digest() != piece.digest {
+            self.with_names = true;
+            return Progress::Continues;
+        }
+        revisions.complete(piece.revision);
+        Progress::Ended
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_core/src/control/view.rs
+++ b/crates/berylpin_core/src/control/view.rs
@@ -35,6 +35,8 @@
     pub topology: Arc<Topology>,
     /// The owner of each replica; `None` while its data centre has no live daemon.
     pub owners: Arena<ReplicaId, Option<MemberId>>,
+    /// Sorted by tag; holds every daemon of `members`.
+    members_by_tag: Vec<(MemberTag, MemberId)>,
 }
 
 impl View {
@@ -46,7 +48,9 @@
         topology: Arc<Topology>,
     ) -> Self {
         let owners = place(&topology, &members);
-        Self { epoch, own, members, topology, owners }
+        let mut members_by_tag: Vec<_> = members.iter().map(|(id, m)| (m.tag, id)).collect();
+        members_by_tag.sort_unstable();
+        Self { epoch, own, members, topology, owners, members_by_tag }
     }
 
     /// Returns the owner of a replica that may get work.
@@ -56,6 +60,13 @@
 
     /// Finds a daemon by its tag.
     pub fn member(&self, tag: MemberTag) -> Option<MemberId> {
-        self.members.iter().find(|(_, member)| member.tag == tag).map(|(id, _)| id)
+        let at = self.members_by_tag.binary_search_by_key(&tag, |(t, _)| *t).ok()?;
+        Some(self.members_by_tag[at].1)
+    }
+
+    /// Counts the replicas with another owner than in an earlier view of the same daemon.
+    pub fn moved_since(&self, earlier: &Self) -> u32 {
+        let moved = self.owners.iter().filter(|(id, owner)| earlier.owner(*id) != **owner);
+        moved.count() as u32
     }
 }
--- a/crates/berylpin_core/src/decision.rs
+++ b/crates/berylpin_core/src/decision.rs
@@ -1,9 +1,11 @@
 //! Routing and placement decisions, for the log.
 
-use crate::ids::{QueryTag, ReplicaTag, Snapshot};
+use crate::control::MemberState;
+use crate::ids::{MemberTag, QueryTag, ReplicaTag, Snapshot};
 use crate::message::FailReason;
 use crate::rank::Rank;
 use std::fmt;
+use std::time::Duration;
 
 /// One decision; the shell writes a log line for each.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +48,37 @@
         /// Why.
         reason: FailReason,
     },
+    /// The state of a daemon changed.
+    Member {
+        /// The daemon.
+        member: MemberTag,
+        /// Its new state.
+        state: MemberState,
+        /// The incarnation that the state belongs to.
+        incarnation: u64,
+    },
+    /// Replicas were placed anew.
+    Placed {
+        /// The epoch of the view.
+        epoch: u64,
+        /// Replicas whose owner changed.
+        moved: u32,
+    },
+    /// All documents up to a revision are in force.
+    InForce {
+        /// The revision of the store.
+        revision: u64,
+    },
+    /// This daemon starts or stops watching the platform.
+    Watching {
+        /// Whether it watches from now on.
+        watching: bool,
+    },
+    /// This process did not run for a while; its deadlines moved.
+    Resumed {
+        /// How late its timers were.
+        late: Duration,
+    },
 }
 
 /// Why an attempt was made.
--- a/crates/berylpin_daemon/src/control/mod.rs
+++ b/crates/berylpin_daemon/src/control/mod.rs
@@ -1,6 +1,9 @@
-//! The control thread: reads the platform and publishes views.
+//! The control thread: carries out what the control state decides.
 
-mod platform;
+mod links;
+mod mailbox;
 mod thread;
+mod watch;
 
-pub(crate) use thread::{ControlContext, initial_view, run_control};
+pub(crate) use mailbox::{ControlMail, ControlMailbox};
+pub(crate) use thread::{ControlContext, new_controller, run_control};
--- a/crates/berylpin_daemon/src/control/thread.rs
+++ b/crates/berylpin_daemon/src/control/thread.rs
@@ -1,159 +1,189 @@
 //! The loop of the control thread.
 
-use super::platform::Platform;
+use super::links::Links;
+use super::mailbox::{ControlMail, ControlMailbox};
+use super::watch::{read_vms, watch_documents};
+use crate::logging::log_decision;
+use crate::platform::Platform;
 use crate::settings::DaemonSettings;
-use crate::traffic::{LinkFrame, Mail, Mailboxes, run_link};
-use berylpin_core::arena::Arena;
-use berylpin_core::config::ServiceSettings;
-use berylpin_core::control::{Member, View};
-use berylpin_core::ids::{Key, MemberId, MemberTag};
-use berylpin_wire::platform::{ObjectList, Vm};
-use slog::{Logger, info, warn};
+use crate::traffic::{Mail, Mailboxes};
+use berylpin_core::clock::Clock;
+use berylpin_core::control::{Action, Controller, Event, MemberReport, MemberState, View};
+use slog::{Logger, warn};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::UNIX_EPOCH;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{interval, sleep};
+use tokio::task::JoinHandle;
+use tokio::time::sleep_until;
 
-/// How often the VM list is read.
-const VM_INTERVAL: Duration = Duration::from_secs(1);
-
-/// How long a failed watch rests before the next attempt.
-const WATCH_PAUSE: Duration = Duration::from_millis(500);
-
-/// Frames that wait for a link; more count as lost.
-const LINK_QUEUE: usize = 8 * 1024;
+/// Messages handled before timers are looked at again.
+const MAIL_BURST: usize = 256;
 
 /// What the control thread is made of.
 pub(crate) struct ControlContext {
     pub(crate) settings: DaemonSettings,
+    pub(crate) clock: Arc<dyn Clock>,
     pub(crate) mailboxes: Mailboxes,
+    pub(crate) own: ControlMailbox,
     /// The runtimes of the traffic threads, indexed by thread.
     pub(crate) runtimes: Vec<Handle>,
     pub(crate) view: watch::Sender<Arc<View>>,
     pub(crate) log: Logger,
 }
 
-/// Returns the view of a daemon that knows only itself.
-pub(crate) fn initial_view(settings: &DaemonSettings) -> Arc<View> {
-    let mut members = Arena::default();
-    let own = members.push(Member {
-        tag: MemberTag::of([settings.name.as_str()]),
-        name: settings.name.clone(),
-        data_centre: settings.data_centre.clone(),
+/// Makes the control state of a daemon that knows only itself.
+pub(crate) fn new_controller(
+    settings: &DaemonSettings,
+    clock: &dyn Clock,
+    seed: u64,
+) -> Controller {
+    // A later start of the same VM has a higher incarnation, whatever happened to it before.
+    let since_epoch = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let own = MemberReport {
+        name: settings.name.as_str().into(),
+        data_centre: settings.data_centre.as_str().into(),
         peer_address: settings.peer_address,
-        live: true,
-    });
-    Arc::new(View::new(0, own, members, Arc::default()))
+        incarnation: since_epoch.as_millis() as u64,
+        state: MemberState::Alive,
+    };
+    Controller::new(own, settings.seeds.clone(), seed, clock.now())
+}
+
+struct ControlThread {
+    cx: ControlContext,
+    controller: Controller,
+    links: Links,
+    platform: Platform,
+    /// `Some` while this daemon watches the platform.
+    watch: Option<JoinHandle<()>>,
+    /// The newest read of the VM list.
+    vm_read: Option<JoinHandle<()>>,
+    actions: Vec<Action>,
 }
 
-/// Reads the platform and publishes views until the task is dropped.
-pub(crate) async fn run_control(cx: ControlContext) {
-    let platform = Platform::new(cx.settings.platform);
-    let (lists_tx, mut lists) = mpsc::channel(1);
-    tokio::spawn(watch_documents(platform.clone(), lists_tx, cx.log.clone()));
-    let mut links: Vec<Option<mpsc::Sender<LinkFrame>>> = Vec::new();
-    let mut vm_timer = interval(VM_INTERVAL);
+/// Runs the control thread until it is told to stop.
+pub(crate) async fn run_control(
+    cx: ControlContext,
+    controller: Controller,
+    mut rx: mpsc::Receiver<ControlMail>,
+) {
+    let settings = &cx.settings;
+    let platform = Platform::new(settings.platform, settings.peer_address.ip());
+    let links = Links::new(cx.runtimes.clone(), settings.clone(), cx.own.clone(), cx.log.clone());
+    let (watch, vm_read, actions) = (None, None, Vec::new());
+    let mut thread = ControlThread { cx, controller, links, platform, watch, vm_read, actions };
     loop {
-        let view = cx.view.borrow().clone();
-        let next = tokio::select! {
-            Some(list) = lists.recv() => Some(with_documents(&view, &list, &cx.log)),
-            _ = vm_timer.tick() => match platform.vms().await {
-                Ok(vms) => with_vms(&view, &vms),
-                Err(e) => {
-                    warn!(cx.log, "control: VM list unreadable"; "error" => %e);
-                    None
-                }
+        let timer = sleep_until(thread.controller.next_timer().into());
+        tokio::select! {
+            biased;
+            () = timer => {}
+            mail = rx.recv() => match mail {
+                None | Some(ControlMail::Stop) => break,
+                Some(mail) => thread.handle(mail),
             },
-        };
-        if let Some(view) = next {
-            info!(cx.log, "placement: view published"; "epoch" => view.epoch);
-            publish(&cx, Arc::new(view), &mut links);
         }
+        for _ in 0..MAIL_BURST {
+            match rx.try_recv() {
+                Ok(ControlMail::Stop) => return thread.end(),
+                Ok(mail) => thread.handle(mail),
+                Err(_) => break,
+            }
+        }
+        thread.event(Event::Tick);
     }
+    thread.end();
 }
 
-async fn watch_documents(platform: Platform, tx: mpsc::Sender<ObjectList>, log: Logger) {
-    let mut revision = 0;
-    loop {
-        match platform.watch_documents(revision).await {
-            Ok(list) if list.revision > revision => {
-                revision = list.revision;
-                if tx.send(list).await.is_err() {
-                    return;
-                }
+impl ControlThread {
+    fn handle(&mut self, mail: ControlMail) {
+        match mail {
+            ControlMail::Message(from, message) => self.event(Event::Message(from, *message)),
+            ControlMail::LinkDown(address) => {
+                self.tell_link_down(address);
+                self.event(Event::LinkDown(address));
             }
-            Ok(_) => {}
-            Err(e) => {
-                warn!(log, "control: watch failed"; "error" => %e);
-                sleep(WATCH_PAUSE).await;
+            ControlMail::Documents(revision, entries) => {
+                self.event(Event::Documents(revision, entries));
             }
+            ControlMail::Vms(vms) => self.event(Event::Vms(vms)),
+            ControlMail::Inquire(revision) => self.event(Event::Inquire(revision)),
+            ControlMail::Inspect(look) => look(&self.controller),
+            ControlMail::Leave => self.event(Event::Leave),
+            ControlMail::Stop => {}
         }
     }
-}
 
-fn with_documents(view: &View, list: &ObjectList, log: &Logger) -> View {
-    let mut documents = Vec::with_capacity(list.objects.len());
-    for object in &list.objects {
-        match ServiceSettings::parse(&object.value) {
-            Ok(service) => documents.push(Arc::new(service)),
-            Err(e) => {
-                warn!(log, "control: document rejected"; "name" => &object.name, "error" => %e);
+    fn event(&mut self, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        let now = self.cx.clock.now();
+        self.controller.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Send(to, message) => self.links.send(now, to, message),
+                Action::Publish(view) => self.publish(view),
+                Action::Watch(watching) => self.set_watch(watching),
+                Action::ReadVms => self.read_vms(),
+                Action::Rejected(document) => {
+                    let problems: Vec<_> =
+                        document.problems.iter().map(ToString::to_string).collect();
+                    warn!(self.cx.log, "control: document rejected"; "name" => &*document.name,
+                        "version" => document.version, "problems" => problems.join("; "));
+                }
+                Action::Decided(decision) => log_decision(&self.cx.log, &decision),
             }
         }
+        self.actions = actions;
     }
-    let topology = Arc::new(view.topology.with_documents(&documents));
-    View::new(view.epoch + 1, view.own, view.members.clone(), topology)
-}
 
-fn with_vms(view: &View, vms: &[Vm]) -> Option<View> {
-    let mut members = view.members.clone();
-    for (id, member) in members.iter_mut() {
-        member.live = id == view.own;
+    /// Hands a view to all threads, with a link to every live member.
+    fn publish(&mut self, view: Arc<View>) {
+        let links = self.links.for_view(self.cx.clock.now(), &view);
+        for mailbox in self.cx.mailboxes.iter() {
+            mailbox.send(Mail::View { view: view.clone(), links: links.clone() });
+        }
+        self.cx.view.send_replace(view);
     }
-    for vm in vms {
-        let tag = MemberTag::of([vm.name.as_str()]);
-        let id = match view.member(tag) {
-            Some(id) => id,
-            None => members.push(Member {
-                tag,
-                name: vm.name.clone(),
-                data_centre: vm.data_centre.clone(),
-                peer_address: vm.peer_address,
-                live: false,
-            }),
-        };
-        members[id].peer_address = vm.peer_address;
-        members[id].live = !vm.leaving;
+
+    fn tell_link_down(&self, address: SocketAddr) {
+        let view = self.controller.view();
+        for (id, _) in view.members.iter().filter(|(_, member)| member.peer_address == address) {
+            for mailbox in self.cx.mailboxes.iter() {
+                mailbox.send(Mail::LinkDown(id));
+            }
+        }
     }
-    let changed = members.len() != view.members.len()
-        || members.iter().any(|(id, member)| *member != view.members[id]);
-    changed.then(|| View::new(view.epoch + 1, view.own, members, view.topology.clone()))
-}
 
-/// Hands a view to all threads, with a link to every member.
-fn publish(cx: &ControlContext, view: Arc<View>, links: &mut Vec<Option<mpsc::Sender<LinkFrame>>>) {
-    links.resize(view.members.len(), None);
-    for (id, member) in view.members.iter() {
-        let needed = id != view.own && member.live;
-        if !needed {
-            links[id.index()] = None;
-        } else if links[id.index()].is_none() {
-            links[id.index()] = Some(start_link(cx, &view, id));
+    fn set_watch(&mut self, watching: bool) {
+        if let Some(watch) = self.watch.take() {
+            watch.abort();
+        }
+        if watching {
+            let (platform, control) = (self.platform.clone(), self.cx.own.clone());
+            let revision = self.controller.revisions().revision();
+            let watch = watch_documents(platform, control, revision, self.cx.log.clone());
+            self.watch = Some(tokio::spawn(watch));
         }
     }
-    for mailbox in cx.mailboxes.iter() {
-        mailbox.send(Mail::View { view: view.clone(), links: links.clone() });
+
+    fn read_vms(&mut self) {
+        if self.vm_read.as_ref().is_some_and(|read| !read.is_finished()) {
+            return;
+        }
+        let (platform, control, log) =
+            (self.platform.clone(), self.cx.own.clone(), self.cx.log.clone());
+        self.vm_read = Some(tokio::spawn(async move {
+            if let Err(e) = read_vms(platform, &control).await {
+                warn!(log, "control: VM list unreadable"; "error" => %e);
+            }
+        }));
     }
-    cx.view.send_replace(view);
-}
 
-fn start_link(cx: &ControlContext, view: &View, to: MemberId) -> mpsc::Sender<LinkFrame> {
-    let (tx, rx) = mpsc::channel(LINK_QUEUE);
-    let member = &view.members[to];
-    let runtime = &cx.runtimes[to.index() % cx.runtimes.len()];
-    let own = view.members[view.own].tag;
-    let log = cx.log.clone();
-    runtime.spawn(run_link(own, to, member.peer_address, cx.mailboxes.clone(), log, rx));
-    tx
+    fn end(mut self) {
+        self.set_watch(false);
+        if let Some(read) = self.vm_read.take() {
+            read.abort();
+        }
+    }
 }
--- /dev/null
+++ b/crates/berylpin_daemon/src/control/watch.rs
@@ -0,0 +1,79 @@
+//! Watching the platform.
+
+use super::mailbox::{ControlMail, ControlMailbox};
+use crate::platform::{Platform, PlatformError};
+use berylpin_core::control::{Entry, ListedVm};
+use berylpin_wire::platform::{Object, SERVICE_PREFIX, StoredDocument, Vm};
+use slog::{Logger, info, warn};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How long a failed watch rests before the next attempt.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+
+/// The shortest time between two watches that told nothing new.
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Hands each newer list of documents to the control thread until the task is dropped.
+pub(super) async fn watch_documents(
+    mut platform: Platform,
+    control: ControlMailbox,
+    mut revision: u64,
+    log: Logger,
+) {
+    loop {
+        let started = Instant::now();
+        match platform.watch_documents(revision).await {
+            Ok(list) if list.revision > revision => {
+                revision = list.revision;
+                let entries = list.objects.iter().map(entry).collect();
+                control.send(ControlMail::Documents(revision, entries));
+            }
+            Ok(list) => {
+                if list.revision < revision {
+                    info!(log, "control: stale list ignored"; "revision" => list.revision,
+                        "known" => revision);
+                }
+                sleep(IDLE_PAUSE.saturating_sub(started.elapsed())).await;
+            }
+            Err(e) => {
+                warn!(log, "control: watch failed"; "error" => %e);
+                platform.reconnect();
+                sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Hands the VM list to the control thread.
+///
+/// A read that fails is made again on a fresh connection, since the pooled one may have gone silent.
+pub(super) async fn read_vms(
+    mut platform: Platform,
+    control: &ControlMailbox,
+) -> Result<(), PlatformError> {
+    let mut vms = platform.vms().await;
+    if vms.is_err() {
+        platform.reconnect();
+        vms = platform.vms().await;
+    }
+    let vms = vms?.into_iter().map(listed_vm).collect();
+    control.send(ControlMail::Vms(vms));
+    Ok(())
+}
+
+/// Returns the document that an object holds.
+pub(crate) fn entry(object: &Object) -> Entry {
+    let stored = StoredDocument::read(&object.value);
+    let name = object.name.strip_prefix(SERVICE_PREFIX).unwrap_or(&object.name);
+    Entry {
+        name: name.into(),
+        version: object.version,
+        text: stored.text.into(),
+        editor: stored.editor.into(),
+    }
+}
+
+fn listed_vm(vm: Vm) -> ListedVm {
+    ListedVm { name: vm.name.into(), peer_address: vm.peer_address, leaving: vm.leaving }
+}
--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -1,11 +1,13 @@
 //! A running daemon.
 
-use crate::control::{ControlContext, initial_view, run_control};
+use crate::control::{ControlContext, ControlMail, ControlMailbox, new_controller, run_control};
 use crate::http::{AdminState, CallerState, admin_routes, caller_routes};
 use crate::settings::DaemonSettings;
-use crate::traffic::{Mail, Mailbox, Mailboxes, ThreadContext, run_thread, serve_peers};
+use crate::traffic::{
+    Mail, Mailbox, Mailboxes, PeerContext, ThreadContext, run_thread, serve_peers,
+};
 use berylpin_core::clock::Clock;
-use berylpin_core::control::View;
+use berylpin_core::control::{Controller, View};
 use berylpin_core::ids::{Key, ThreadId};
 use poem::Server;
 use poem::listener::TcpAcceptor;
@@ -52,6 +54,7 @@
     mailboxes: Mailboxes,
     stopping: Arc<AtomicBool>,
     stop_accepting: watch::Sender<bool>,
+    control_mailbox: ControlMailbox,
     control: JoinHandle<()>,
     traffic: Vec<JoinHandle<()>>,
     log: Logger,
@@ -62,7 +65,7 @@
     rx: mpsc::Receiver<Mail>,
     mailbox: Mailbox,
     callers: TcpListener,
-    peers: Option<TcpListener>,
+    peers: Option<(TcpListener, PeerContext)>,
 }
 
 impl Daemon {
@@ -76,8 +79,9 @@
         clock: Arc<dyn Clock>,
         log: Logger,
     ) -> Result<Self, StartError> {
-        let first_view = initial_view(&settings);
-        let (view_tx, view) = watch::channel(first_view);
+        let controller = new_controller(&settings, &*clock, rand::rng().random());
+        let (view_tx, view) = watch::channel(controller.view().clone());
+        let (control_mailbox, control_rx) = ControlMailbox::new();
         let (stop_accepting, stopped) = watch::channel(false);
         let stopping = Arc::new(AtomicBool::new(false));
         let (boxes, mut receivers): (Vec<_>, Vec<_>) =
@@ -101,6 +105,11 @@
             let callers = listen("caller_address", settings.caller_address)?;
             let first = index == 0;
             let peers = first.then(|| listen("peer_address", settings.peer_address)).transpose()?;
+            let peers = peers.map(|listener| {
+                let (view, boxes, log) = (view.clone(), mailboxes.clone(), log.clone());
+                let control = control_mailbox.clone();
+                (listener, PeerContext::new(&settings, view, boxes, control, log))
+            });
             let Some(mailbox) = mailboxes.get(id).cloned() else { continue };
             let parts = TrafficParts { cx, rx, mailbox, callers, peers };
             drop(guard);
@@ -113,17 +122,29 @@
             listen("admin_address", settings.admin_address)?
         };
         let admin_state =
-            AdminState { name: settings.name.as_str().into(), view, stopping: stopping.clone() };
+            AdminState::new(&settings, view, stopping.clone(), control_mailbox.clone());
         let cx = ControlContext {
             settings: settings.clone(),
+            clock,
+            own: control_mailbox.clone(),
             mailboxes: mailboxes.clone(),
             runtimes,
             view: view_tx,
             log: log.clone(),
         };
-        let control = start_control(runtime, cx, admin, admin_state, stopped)?;
+        let front = serve_http(admin, admin_routes(admin_state), stopped);
+        let control = start_control(runtime, cx, controller, control_rx, front)?;
         info!(log, "daemon: started"; "name" => &settings.name);
-        Ok(Self { settings, mailboxes, stopping, stop_accepting, control, traffic, log })
+        Ok(Self {
+            settings,
+            mailboxes,
+            stopping,
+            stop_accepting,
+            control_mailbox,
+            control,
+            traffic,
+            log,
+        })
     }
 
     /// Returns the settings that the daemon runs with.
@@ -131,12 +152,14 @@
         &self.settings
     }
 
-    /// Stops gracefully: reports not ready, finishes what it has, then ends all threads.
+    /// Stops gracefully: reports not ready and leaves placement, finishes what it has, then ends all
+    /// threads.
     ///
     /// Blocks until that is done.
     pub fn stop(self) {
         info!(self.log, "daemon: stopping");
         self.stopping.store(true, Ordering::Relaxed);
+        self.control_mailbox.send_blocking(ControlMail::Leave);
         std::thread::sleep(self.settings.stop_notice);
         self.stop_accepting.send_replace(true);
         for mailbox in self.mailboxes.iter() {
@@ -146,6 +169,7 @@
             // A thread that panicked has already said so.
             let _ = thread.join();
         }
+        self.control_mailbox.send_blocking(ControlMail::Stop);
         let _ = self.control.join();
         info!(self.log, "daemon: stopped");
     }
@@ -161,9 +185,8 @@
     std::thread::Builder::new().name(name).spawn(move || {
         runtime.block_on(async move {
             let TrafficParts { cx, rx, mailbox, callers, peers } = parts;
-            if let Some(listener) = peers {
-                let (view, boxes, log) = (view.clone(), cx.mailboxes.clone(), cx.log.clone());
-                Handle::current().spawn(serve_peers(listener, view, boxes, log));
+            if let Some((listener, cx)) = peers {
+                Handle::current().spawn(serve_peers(listener, cx));
             }
             let state =
                 CallerState { mailbox, view: view.clone(), tickets: Arc::new(AtomicU64::new(0)) };
@@ -175,19 +198,20 @@
     })
 }
 
-fn start_control(
+fn start_control<F>(
     runtime: Runtime,
     cx: ControlContext,
-    admin: TcpListener,
-    state: AdminState,
-    stopped: watch::Receiver<bool>,
-) -> io::Result<JoinHandle<()>> {
+    controller: Controller,
+    rx: mpsc::Receiver<ControlMail>,
+    front: F,
+) -> io::Result<JoinHandle<()>>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
     std::thread::Builder::new().name("control".to_owned()).spawn(move || {
         runtime.block_on(async move {
-            tokio::select! {
-                () = run_control(cx) => {}
-                () = serve_http(admin, admin_routes(state), stopped) => {}
-            }
+            tokio::spawn(front);
+            run_control(cx, controller, rx).await;
         });
     })
 }
--- a/crates/berylpin_daemon/src/http/admin.rs
+++ b/crates/berylpin_daemon/src/http/admin.rs
@@ -1,10 +1,21 @@
 //! The front end of operators and the balancer.
 
+mod change;
+mod documents;
+mod members;
+
 use super::reply::json;
+use crate::control::ControlMailbox;
+use crate::platform::Platform;
+use crate::settings::{DaemonSettings, Secret};
 use berylpin_core::control::View;
+use berylpin_wire::admin::Problem;
 use poem::http::StatusCode;
+use poem::http::header::AUTHORIZATION;
 use poem::web::Data;
-use poem::{EndpointExt, IntoEndpoint, Response, Route, get, handler};
+use poem::{
+    Endpoint, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, get, handler, post,
+};
 use serde::Serialize;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,9 +24,12 @@
 /// What the front end needs.
 #[derive(Clone)]
 pub(crate) struct AdminState {
-    pub(crate) name: Arc<str>,
-    pub(crate) view: watch::Receiver<Arc<View>>,
-    pub(crate) stopping: Arc<AtomicBool>,
+    name: Arc<str>,
+    token: Secret,
+    view: watch::Receiver<Arc<View>>,
+    stopping: Arc<AtomicBool>,
+    control: ControlMailbox,
+    platform: Platform,
 }
 
 /// Body of `GET /v1/status`.
@@ -29,30 +43,96 @@
     owned_replicas: usize,
 }
 
+impl AdminState {
+    pub(crate) fn new(
+        settings: &DaemonSettings,
+        view: watch::Receiver<Arc<View>>,
+        stopping: Arc<AtomicBool>,
+        control: ControlMailbox,
+    ) -> Self {
+        Self {
+            name: settings.name.as_str().into(),
+            token: settings.admin_token.clone(),
+            view,
+            stopping,
+            control,
+            platform: Platform::new(settings.platform, settings.peer_address.ip()),
+        }
+    }
+
+    /// A daemon without any configuration is not ready, nor is one that stops.
+    fn is_ready(&self) -> bool {
+        let configured = !self.view.borrow().topology.services.is_empty();
+        configured && !self.stopping.load(Ordering::Relaxed)
+    }
+}
+
 /// Returns the routes of operators and the balancer.
 pub(crate) fn admin_routes(state: AdminState) -> impl IntoEndpoint {
+    let token = state.token.clone();
+    let operators = Route::new()
+        .at("/status", get(get_status))
+        .at("/documents", get(documents::list_documents))
+        .at(
+            "/documents/:name",
+            get(documents::get_document)
+                .put(documents::put_document)
+                .delete(documents::delete_document),
+        )
+        .at("/check", post(documents::check_document))
+        .at("/drain", post(documents::drain_replica))
+        .at("/revision/:revision", get(members::get_revision))
+        .at("/members", get(members::list_members))
+        .at("/routing/:target", get(members::get_routing))
+        .around(move |routes, request| authenticate(token.clone(), routes, request));
     Route::new()
-        .at("/live", get(live))
-        .at("/ready", get(ready))
-        .at("/v1/status", get(status))
+        .at("/live", get(get_live))
+        .at("/ready", get(get_ready))
+        .nest("/v1", operators)
         .data(state)
 }
 
-impl AdminState {
-    /// A daemon without any configuration is not ready, nor is one that stops.
-    fn is_ready(&self) -> bool {
-        let configured = !self.view.borrow().topology.services.is_empty();
-        configured && !self.stopping.load(Ordering::Relaxed)
+/// Lets only requests with the operators' token through.
+async fn authenticate<E>(token: Secret, routes: Arc<E>, request: Request) -> poem::Result<Response>
+where
+    E: Endpoint,
+{
+    let given = request.header(AUTHORIZATION).and_then(|text| text.strip_prefix("Bearer "));
+    if given.is_some_and(|given| token.matches(given.as_bytes())) {
+        return routes.call(request).await.map(IntoResponse::into_response);
     }
+    let message = "send `Authorization: Bearer TOKEN` with the daemon's admin_token";
+    Ok(problem(StatusCode::UNAUTHORIZED, message))
+}
+
+/// Makes an error without a body of its own.
+fn problem<S>(status: StatusCode, message: S) -> Response
+where
+    S: Into<String>,
+{
+    json(status, &Problem { message: message.into() })
+}
+
+/// Makes an error without a body of its own, to be returned with `?`.
+fn refusal<S>(status: StatusCode, message: S) -> poem::Error
+where
+    S: Into<String>,
+{
+    poem::Error::from_response(problem(status, message))
+}
+
+/// Makes the answer while the daemon stops.
+fn stopped() -> Response {
+    problem(StatusCode::SERVICE_UNAVAILABLE, "the daemon stops; ask another one")
 }
 
 #[handler]
-fn live() -> Response {
+fn get_live() -> Response {
     Response::builder().status(StatusCode::OK).body("live\n")
 }
 
 #[handler]
-fn ready(state: Data<&AdminState>) -> Response {
+fn get_ready(state: Data<&AdminState>) -> Response {
     if state.is_ready() {
         return Response::builder().status(StatusCode::OK).body("ready\n");
     }
@@ -60,7 +140,7 @@
 }
 
 #[handler]
-fn status(state: Data<&AdminState>) -> Response {
+fn get_status(state: Data<&AdminState>) -> Response {
     let view = state.view.borrow().clone();
     let services = view.topology.services.iter().filter(|(_, s)| !s.shards.is_empty());
     let body = StatusBody {
--- /dev/null
+++ b/crates/berylpin_daemon/src/http/admin/members.rs
@@ -0,0 +1,110 @@
+//! What operators are told of daemons, revisions and routing.
+
+use super::{AdminState, problem, stopped};
+use crate::control::ControlMail;
+use crate::http::reply::json;
+use berylpin_core::control::{Controller, MemberReport, MemberState, View};
+use berylpin_core::ids::MemberTag;
+use berylpin_wire::admin::{InForce, MemberBody, MemberList, RoutedReplica, Routing};
+use poem::http::StatusCode;
+use poem::web::{Data, Path};
+use poem::{Response, handler};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How often daemons are looked at while their answers arrive.
+const IN_FORCE_POLL: Duration = Duration::from_millis(50);
+
+/// Looks before daemons that said nothing count as behind.
+const IN_FORCE_POLLS: u32 = 20;
+
+/// Answers `GET /v1/members`.
+#[handler]
+pub(super) async fn list_members(state: Data<&AdminState>) -> Response {
+    match state.control.inspect(member_list).await {
+        Some(list) => json(StatusCode::OK, &list),
+        None => stopped(),
+    }
+}
+
+/// Answers `GET /v1/revision/{revision}`; asks the daemons that have not said yet.
+#[handler]
+pub(super) async fn get_revision(state: Data<&AdminState>, Path(asked): Path<u64>) -> Response {
+    state.control.send(ControlMail::Inquire(asked));
+    for poll in 1.. {
+        let look = move |controller: &Controller| where_in_force(controller, asked);
+        let Some(body) = state.control.inspect(look).await else { break };
+        if body.behind.is_empty() || poll >= IN_FORCE_POLLS {
+            return json(StatusCode::OK, &body);
+        }
+        sleep(IN_FORCE_POLL).await;
+    }
+    stopped()
+}
+
+/// Answers `GET /v1/routing/{target}`.
+#[handler]
+pub(super) fn get_routing(state: Data<&AdminState>, Path(target): Path<String>) -> Response {
+    let view = state.view.borrow().clone();
+    if let Some(body) = route(&view, &target) {
+        return json(StatusCode::OK, &body);
+    }
+    problem(StatusCode::NOT_FOUND, format!("no service or group is named `{target}`"))
+}
+
+fn member_list(controller: &Controller) -> MemberList {
+    let view = controller.view();
+    let body = |tag: MemberTag, report: &MemberReport, revision: u64| {
+        let id = view.member(tag);
+        let owned = view.owners.iter().filter(|(_, owner)| id.is_some() && **owner == id);
+        MemberBody {
+            name: report.name.to_string(),
+            data_centre: report.data_centre.to_string(),
+            state: report.state.name().to_owned(),
+            revision,
+            owned_replicas: owned.count() as u32,
+        }
+    };
+    let membership = controller.membership();
+    let revision = controller.revisions().revision();
+    let mut members = vec![body(membership.own_tag(), membership.own(), revision)];
+    members.extend(membership.peers().map(|peer| body(peer.tag, &peer.report, peer.revision)));
+    members.sort_by(|a, b| a.name.cmp(&b.name));
+    MemberList { members }
+}
+
+fn where_in_force(controller: &Controller, asked: u64) -> InForce {
+    let membership = controller.membership();
+    let own = (membership.own().name.to_string(), controller.revisions().revision());
+    let live = membership.peers().filter(|peer| peer.report.state != MemberState::Dead);
+    let mut known: Vec<(String, u64)> =
+        live.map(|peer| (peer.report.name.to_string(), peer.revision)).collect();
+    known.push(own);
+    known.sort_unstable();
+    let (in_force, behind): (Vec<_>, Vec<_>) =
+        known.into_iter().partition(|(_, known)| *known >= asked);
+    let names = |members: Vec<(String, u64)>| members.into_iter().map(|(name, _)| name).collect();
+    InForce { revision: asked, in_force: names(in_force), behind: names(behind) }
+}
+
+fn route(view: &View, target: &str) -> Option<Routing> {
+    let (_, shards) = view.topology.target(target)?;
+    let mut replicas = Vec::new();
+    for &shard in shards {
+        let shard = &view.topology.shards[shard];
+        for &id in &shard.replicas {
+            let settings = &view.topology.replicas[id].settings;
+            replicas.push(RoutedReplica {
+                service: view.topology.services[shard.service].settings.name.clone(),
+                shard: shard.name.clone(),
+                address: settings.address,
+                data_centre: settings.data_centre.clone(),
+                owner: view.owner(id).map(|owner| view.members[owner].name.clone()),
+                drain: settings.drain,
+                // Only the traffic threads know; they do not tell the control thread.
+                newest_snapshot: None,
+            });
+        }
+    }
+    Some(Routing { replicas })
+}
--- a/crates/berylpin_daemon/src/lib.rs
+++ b/crates/berylpin_daemon/src/lib.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod http;
 mod logging;
+mod platform;
 mod settings;
 mod traffic;
 
--- a/crates/berylpin_daemon/src/logging.rs
+++ b/crates/berylpin_daemon/src/logging.rs
@@ -1,7 +1,7 @@
 //! Logs: short sentences with a fixed prefix for each part.
 
 use berylpin_core::decision::Decision;
-use slog::{Drain, Logger, debug, o};
+use slog::{Drain, Logger, debug, info, o};
 use slog_async::{Async, OverflowStrategy};
 use std::io::Write;
 
@@ -65,5 +65,21 @@
             debug!(log, "owner: sub-query refused"; "query" => %query, "replica" => %replica,
                 "reason" => reason.name());
         }
+        Decision::Member { member, state, incarnation } => {
+            info!(log, "control: member changed"; "member" => %member, "state" => state.name(),
+                "incarnation" => incarnation);
+        }
+        Decision::Placed { epoch, moved } => {
+            info!(log, "placement: view published"; "epoch" => epoch, "moved" => moved);
+        }
+        Decision::InForce { revision } => {
+            info!(log, "control: revision in force"; "revision" => revision);
+        }
+        Decision::Watching { watching } => {
+            info!(log, "control: watcher changed"; "watching" => watching);
+        }
+        Decision::Resumed { late } => {
+            info!(log, "control: process was paused"; "late_ms" => late.as_millis() as u64);
+        }
     }
 }
--- a/crates/berylpin_daemon/src/traffic/link.rs
+++ b/crates/berylpin_daemon/src/traffic/link.rs
@@ -1,25 +1,29 @@
 //! The outgoing link to one daemon: one HTTP/2 stream that carries frames one way.
 
-use super::mailbox::{Mail, Mailboxes};
-use berylpin_core::ids::{MemberId, MemberTag};
+use super::authentication::{
+    CHALLENGE_HEADER, Handshake, MEMBER_HEADER, PROOF_HEADER, Side, challenge_text, read_challenge,
+    read_proof,
+};
+use crate::control::{ControlMail, ControlMailbox};
+use crate::settings::{DaemonSettings, Secret};
+use berylpin_core::control::ControlMessage;
+use berylpin_core::ids::MemberTag;
 use berylpin_core::message::QueryMessage;
 use berylpin_wire::frame::{self, Frame};
 use bytes::{Bytes, BytesMut};
 use h2::client::SendRequest;
 use h2::{PingPong, SendStream};
-use http::Request;
+use http::{Request, StatusCode};
+use rand::Rng;
 use slog::{Logger, info};
 use std::future::poll_fn;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-/// The header that names the daemon at the other end.
-pub(super) const MEMBER_HEADER: &str = "x-berylpin-member";
-
 /// How long a connection attempt may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -40,6 +44,37 @@
 pub(crate) enum LinkFrame {
     /// A message about queries.
     Query(QueryMessage),
+    /// A message between control threads.
+    Control(Box<ControlMessage>),
+}
+
+/// What an outgoing link is made of.
+pub(crate) struct LinkContext {
+    own: MemberTag,
+    address: SocketAddr,
+    /// The address that the connection leaves from.
+    local: IpAddr,
+    key: Secret,
+    control: ControlMailbox,
+    log: Logger,
+}
+
+impl LinkContext {
+    pub(crate) fn new(
+        settings: &DaemonSettings,
+        address: SocketAddr,
+        control: ControlMailbox,
+        log: Logger,
+    ) -> Self {
+        Self {
+            own: MemberTag::of([settings.name.as_str()]),
+            address,
+            local: settings.peer_address.ip(),
+            key: settings.fleet_key.clone(),
+            control,
+            log,
+        }
+    }
 }
 
 #[derive(Debug, Error)]
@@ -52,38 +87,32 @@
     Protocol(#[from] h2::Error),
     #[error("the peer closed the stream")]
     Closed,
+    #[error("the peer refused the link with status {0}")]
+    Refused(StatusCode),
+    #[error("the peer does not know the fleet's key")]
+    Unproven,
     #[error("no answer to a ping within {PING_TIMEOUT:?}")]
     Silent,
 }
 
 /// Carries frames to one daemon until all senders are gone; reconnects when there is work.
-pub(crate) async fn run_link(
-    own: MemberTag,
-    to: MemberId,
-    address: SocketAddr,
-    mailboxes: Mailboxes,
-    log: Logger,
-    mut rx: mpsc::Receiver<LinkFrame>,
-) {
+pub(crate) async fn run_link(cx: LinkContext, mut rx: mpsc::Receiver<LinkFrame>) {
     while let Some(first) = rx.recv().await {
-        let Err(e) = carry(own, address, first, &mut rx).await else { return };
-        info!(log, "link: broken"; "peer" => %address, "error" => %e);
+        let Err(e) = carry(&cx, first, &mut rx).await else { return };
+        info!(cx.log, "link: broken"; "peer" => %cx.address, "error" => %e);
         // What was queued or written may be lost; the entries of this daemon retry it.
         while rx.try_recv().is_ok() {}
-        for mailbox in mailboxes.iter() {
-            mailbox.send(Mail::LinkDown(to));
-        }
+        cx.control.send(ControlMail::LinkDown(cx.address));
         sleep(RETRY_PAUSE).await;
     }
 }
 
 async fn carry(
-    own: MemberTag,
-    address: SocketAddr,
+    cx: &LinkContext,
     first: LinkFrame,
     rx: &mut mpsc::Receiver<LinkFrame>,
 ) -> Result<(), LinkError> {
-    let tcp = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+    let tcp = timeout(CONNECT_TIMEOUT, connect(cx.local, cx.address))
         .await
         .map_err(|_| LinkError::ConnectTimeout)??;
     tcp.set_nodelay(true)?;
@@ -91,26 +120,27 @@
     let ping = connection.ping_pong();
     let driver = tokio::spawn(connection);
     let result = tokio::select! {
-        result = pump(own, address, client, first, rx) => result,
+        result = pump(cx, client, first, rx) => result,
         e = watch_pings(ping) => Err(e),
     };
     driver.abort();
     result
 }
 
+/// Connects from the address that this daemon is known by.
+async fn connect(local: IpAddr, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.bind(SocketAddr::new(local, 0))?;
+    socket.connect(address).await
+}
+
 async fn pump(
-    own: MemberTag,
-    address: SocketAddr,
+    cx: &LinkContext,
     client: SendRequest<Bytes>,
     first: LinkFrame,
     rx: &mut mpsc::Receiver<LinkFrame>,
 ) -> Result<(), LinkError> {
-    let request = Request::post(format!("http://{address}/v1/link"))
-        .header(MEMBER_HEADER, own.to_string())
-        .body(())
-        .unwrap_or_default();
-    let mut client = client.ready().await?;
-    let (_response, mut stream) = client.send_request(request, false)?;
+    let mut stream = open(cx, client).await?;
     let mut buf = BytesMut::new();
     let mut next = Some(first);
     while let Some(frame) = next {
@@ -126,9 +156,43 @@
     Ok(())
 }
 
+/// Opens the stream of frames once both ends have proved that they know the fleet's key.
+async fn open(
+    cx: &LinkContext,
+    client: SendRequest<Bytes>,
+) -> Result<SendStream<Bytes>, LinkError> {
+    let client_challenge = rand::rng().random();
+    let request = Request::get(format!("http://{}/v1/link", cx.address))
+        .header(MEMBER_HEADER, cx.own.to_string())
+        .header(CHALLENGE_HEADER, challenge_text(client_challenge))
+        .body(())
+        .unwrap_or_default();
+    let mut client = client.ready().await?;
+    let (response, _) = client.send_request(request, true)?;
+    let response = response.await?;
+    let headers = response.headers();
+    let server_challenge = read_challenge(headers).ok_or(LinkError::Unproven)?;
+    let handshake =
+        Handshake { member: cx.own, address: cx.address, client_challenge, server_challenge };
+    if !read_proof(headers).is_some_and(|proof| handshake.verify(&cx.key, Side::Server, proof)) {
+        return Err(LinkError::Unproven);
+    }
+    let request = Request::post(format!("http://{}/v1/link", cx.address))
+        .header(PROOF_HEADER, handshake.sign(&cx.key, Side::Client))
+        .body(())
+        .unwrap_or_default();
+    let mut client = client.ready().await?;
+    let (response, stream) = client.send_request(request, false)?;
+    let status = response.await?.status();
+    if status.is_success() { Ok(stream) } else { Err(LinkError::Refused(status)) }
+}
+
 fn append(frame: LinkFrame, buf: &mut BytesMut) {
-    let LinkFrame::Query(message) = frame;
-    frame::encode(&Frame::Query(message), buf);
+    let frame = match frame {
+        LinkFrame::Query(message) => Frame::Query(message),
+        LinkFrame::Control(message) => Frame::Control(message),
+    };
+    frame::encode(&frame, buf);
 }
 
 async fn write(stream: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), LinkError> {
--- a/crates/berylpin_daemon/src/traffic/mod.rs
+++ b/crates/berylpin_daemon/src/traffic/mod.rs
@@ -1,12 +1,13 @@
 //! Traffic threads: queries, replicas and links.
 
+mod authentication;
 mod link;
 mod mailbox;
 mod peers;
 mod thread;
 mod upstream;
 
-pub(crate) use link::{LinkFrame, run_link};
+pub(crate) use link::{LinkContext, LinkFrame, run_link};
 pub(crate) use mailbox::{Mail, Mailbox, Mailboxes};
-pub(crate) use peers::serve_peers;
+pub(crate) use peers::{PeerContext, serve_peers};
 pub(crate) use thread::{ThreadContext, run_thread};
--- a/crates/berylpin_daemon/src/traffic/peers.rs
+++ b/crates/berylpin_daemon/src/traffic/peers.rs
@@ -1,92 +1,185 @@
 //! The incoming links of other daemons.
 
-use super::link::MEMBER_HEADER;
+use super::authentication::{
+    CHALLENGE_HEADER, Handshake, PROOF_HEADER, Side, challenge_text, read_challenge, read_member,
+    read_proof,
+};
 use super::mailbox::Mailboxes;
+use crate::control::{ControlMail, ControlMailbox};
+use crate::settings::{DaemonSettings, Secret};
 use berylpin_core::control::View;
 use berylpin_core::ids::{MemberId, MemberTag};
 use berylpin_wire::frame::{Decoder, Frame};
 use bytes::Bytes;
-use h2::RecvStream;
 use h2::server::SendResponse;
-use http::{Request, Response, StatusCode};
+use h2::{RecvStream, SendStream};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use rand::Rng;
 use slog::{Logger, info};
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 /// The window of a stream and of a connection, in bytes.
 const WINDOW: u32 = 4 * 1024 * 1024;
 
-/// Accepts links from other daemons until the task is dropped.
-pub(crate) async fn serve_peers(
-    listener: TcpListener,
+/// How long messages about queries wait until control state knows their sender.
+const INTRODUCTION_WAIT: Duration = Duration::from_secs(1);
+
+/// What incoming links need.
+#[derive(Clone)]
+pub(crate) struct PeerContext {
+    own_address: SocketAddr,
+    key: Secret,
     view: watch::Receiver<Arc<View>>,
     mailboxes: Mailboxes,
+    control: ControlMailbox,
     log: Logger,
-) {
+}
+
+impl PeerContext {
+    pub(crate) fn new(
+        settings: &DaemonSettings,
+        view: watch::Receiver<Arc<View>>,
+        mailboxes: Mailboxes,
+        control: ControlMailbox,
+        log: Logger,
+    ) -> Self {
+        let (own_address, key) = (settings.peer_address, settings.fleet_key.clone());
+        Self { own_address, key, view, mailboxes, control, log }
+    }
+}
+
+/// Accepts links from other daemons until the task is dropped.
+pub(crate) async fn serve_peers(listener: TcpListener, cx: PeerContext) {
     loop {
         let Ok((tcp, address)) = listener.accept().await else { continue };
-        let (view, mailboxes, log) = (view.clone(), mailboxes.clone(), log.clone());
+        let cx = cx.clone();
         tokio::spawn(async move {
-            if let Err(e) = serve_connection(tcp, view, mailboxes).await {
+            let log = cx.log.clone();
+            if let Err(e) = serve_connection(tcp, cx).await {
                 info!(log, "link: incoming connection ended"; "peer" => %address, "error" => %e);
             }
         });
     }
 }
 
-async fn serve_connection(
-    tcp: TcpStream,
-    view: watch::Receiver<Arc<View>>,
-    mailboxes: Mailboxes,
-) -> Result<(), h2::Error> {
+async fn serve_connection(tcp: TcpStream, cx: PeerContext) -> Result<(), h2::Error> {
     tcp.set_nodelay(true).map_err(|_| h2::Reason::INTERNAL_ERROR)?;
     let mut connection = h2::server::Builder::new()
         .initial_window_size(WINDOW)
         .initial_connection_window_size(WINDOW)
         .handshake::<_, Bytes>(tcp)
         .await?;
+    // The newest handshake of this connection; good for one link.
+    let mut handshake = None;
     while let Some(accepted) = connection.accept().await {
         let (request, respond) = accepted?;
-        let (view, mailboxes) = (view.clone(), mailboxes.clone());
-        tokio::spawn(serve_stream(request, respond, view, mailboxes));
+        if request.method() == Method::GET {
+            handshake = challenge(&cx, request.headers(), respond)?;
+        } else {
+            accept(&cx, handshake.take(), request, respond)?;
+        }
     }
     Ok(())
 }
 
-async fn serve_stream(
-    request: Request<RecvStream>,
+/// Answers the challenge of a daemon that connects, with one of this daemon.
+fn challenge(
+    cx: &PeerContext,
+    headers: &HeaderMap,
     mut respond: SendResponse<Bytes>,
-    mut view: watch::Receiver<Arc<View>>,
-    mailboxes: Mailboxes,
-) {
-    let Some(from) = sender(&request, &mut view) else {
-        // The peer tries again later; by then this daemon may know it.
-        let mut refusal = Response::new(());
-        *refusal.status_mut() = StatusCode::FORBIDDEN;
-        let _ = respond.send_response(refusal, true);
-        return;
+) -> Result<Option<Handshake>, h2::Error> {
+    let mut response = Response::new(());
+    let (Some(member), Some(client_challenge)) = (read_member(headers), read_challenge(headers))
+    else {
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+        respond.send_response(response, true)?;
+        return Ok(None);
     };
-    let mut body = request.into_body();
-    let mut decoder = Decoder::default();
-    while let Some(Ok(bytes)) = body.data().await {
-        let _ = body.flow_control().release_capacity(bytes.len());
-        decoder.extend(&bytes);
-        loop {
-            match decoder.next_frame() {
-                Ok(Some(Frame::Query(message))) => mailboxes.deliver(from, message),
-                Ok(None) => break,
-                Err(_) => return respond.send_reset(h2::Reason::PROTOCOL_ERROR),
-            }
+    let server_challenge = rand::rng().random();
+    let address = cx.own_address;
+    let handshake = Handshake { member, address, client_challenge, server_challenge };
+    let proof = handshake.sign(&cx.key, Side::Server);
+    let values = [(CHALLENGE_HEADER, challenge_text(server_challenge)), (PROOF_HEADER, proof)];
+    for (name, value) in values {
+        if let Ok(value) = value.parse() {
+            response.headers_mut().insert(name, value);
         }
     }
+    respond.send_response(response, true)?;
+    Ok(Some(handshake))
 }
 
-fn sender(
-    request: &Request<RecvStream>,
-    view: &mut watch::Receiver<Arc<View>>,
-) -> Option<MemberId> {
-    let text = request.headers().get(MEMBER_HEADER)?.to_str().ok()?;
-    let tag = u64::from_str_radix(text, 16).ok()?;
-    view.borrow_and_update().member(MemberTag(tag))
+/// Starts reading a link whose sender knows the fleet's key.
+fn accept(
+    cx: &PeerContext,
+    handshake: Option<Handshake>,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+) -> Result<(), h2::Error> {
+    let proof = read_proof(request.headers());
+    let proven = handshake
+        .zip(proof)
+        .filter(|(handshake, proof)| handshake.verify(&cx.key, Side::Client, proof));
+    let mut response = Response::new(());
+    if let Some((handshake, _)) = proven {
+        let reply = respond.send_response(response, false)?;
+        let link = IncomingLink { cx: cx.clone(), from: handshake.member };
+        tokio::spawn(link.run(request.into_body(), reply));
+    } else {
+        *response.status_mut() = StatusCode::FORBIDDEN;
+        respond.send_response(response, true)?;
+    }
+    Ok(())
+}
+
+struct IncomingLink {
+    cx: PeerContext,
+    from: MemberTag,
+}
+
+impl IncomingLink {
+    async fn run(mut self, mut body: RecvStream, mut reply: SendStream<Bytes>) {
+        let mut decoder = Decoder::default();
+        while let Some(Ok(bytes)) = body.data().await {
+            let _ = body.flow_control().release_capacity(bytes.len());
+            decoder.extend(&bytes);
+            loop {
+                match decoder.next_frame() {
+                    Ok(Some(frame)) => self.deliver(frame).await,
+                    Ok(None) => break,
+                    Err(_) => return reply.send_reset(h2::Reason::PROTOCOL_ERROR),
+                }
+            }
+        }
+    }
+
+    async fn deliver(&mut self, frame: Frame) {
+        match frame {
+            Frame::Control(message) => {
+                self.cx.control.send(ControlMail::Message(self.from, message));
+            }
+            Frame::Query(message) => {
+                if let Some(from) = self.sender().await {
+                    self.cx.mailboxes.deliver(from, message);
+                }
+            }
+        }
+    }
+
+    /// Returns the id of the sender, which may have started a moment ago.
+    async fn sender(&mut self) -> Option<MemberId> {
+        let from = self.from;
+        let known = self.cx.view.borrow().member(from);
+        if known.is_some() {
+            return known;
+        }
+        let introduced = self.cx.view.wait_for(|view| view.member(from).is_some());
+        let view = timeout(INTRODUCTION_WAIT, introduced).await.ok()?.ok()?;
+        view.member(from)
+    }
 }
--- a/crates/berylpin_wire/src/frame.rs
+++ b/crates/berylpin_wire/src/frame.rs
@@ -1,5 +1,6 @@
 //! Frames on the links between daemons: a length of four bytes, then the frame in bincode.
 
+use berylpin_core::control::ControlMessage;
 use berylpin_core::message::QueryMessage;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
@@ -15,6 +16,8 @@
 pub enum Frame {
     /// A message about queries.
     Query(QueryMessage),
+    /// A message between control threads.
+    Control(Box<ControlMessage>),
 }
 
 /// Why bytes are not a frame.
--- a/crates/berylpin_wire/src/platform.rs
+++ b/crates/berylpin_wire/src/platform.rs
@@ -21,6 +21,40 @@
     pub value: String,
 }
 
+/// The value of an object that holds a service document, in JSON.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredDocument {
+    /// The TOML text.
+    pub text: String,
+    /// Who made the change.
+    pub editor: String,
+    /// Drawn at random for each change.
+    pub edit_id: String,
+    /// The edit ids of the changes before, the newest first; at most [`EARLIER_EDITS`].
+    #[serde(default)]
+    pub earlier_edits: Vec<String>,
+}
+
+/// Edit ids of earlier changes that a document keeps.
+pub const EARLIER_EDITS: usize = 8;
+
+impl StoredDocument {
+    /// Reads the value of an object; one that is not JSON of this kind is a bare TOML text.
+    pub fn read(value: &str) -> Self {
+        serde_json::from_str(value).unwrap_or_else(|_| Self {
+            text: value.to_owned(),
+            editor: "unknown".to_owned(),
+            edit_id: String::new(),
+            earlier_edits: Vec::new(),
+        })
+    }
+
+    /// Returns whether a change is this one or one before it.
+    pub fn holds_edit(&self, edit_id: &str) -> bool {
+        self.edit_id == edit_id || self.earlier_edits.iter().any(|earlier| earlier == edit_id)
+    }
+}
+
 /// The objects under a prefix at one revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ObjectList {
