--- a/crates/berylpin/src/args.rs
+++ b/crates/berylpin/src/args.rs
@@ -1,6 +1,8 @@
 //! Subcommands and exit codes.
 
-use crate::commands::{apply, check, delete, demo, diff, drain, edit, get, list, query, status};
+use crate::commands::{
+    apply, check, delete, demo, diff, drain, edit, experiment, get, list, query, status,
+};
 use pico_args::Arguments;
 use std::process::ExitCode;
 use thiserror::Error;
@@ -29,6 +31,7 @@
     drain::COMMAND,
     status::COMMAND,
     query::COMMAND,
+    experiment::COMMAND,
 ];
 
 const EXIT_CODES: &str = "\
--- a/crates/berylpin/src/main.rs
+++ b/crates/berylpin/src/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod commands;
 mod document_file;
+mod experiment;
 
 use std::process::ExitCode;
 
--- a/crates/berylpin_core/src/control/controller.rs
+++ b/crates/berylpin_core/src/control/controller.rs
@@ -203,7 +203,7 @@
         self.send_probes(now, out);
         if self.revisions.revision() > revision {
             out.push(Action::Decided(Decision::InForce { revision: self.revisions.revision() }));
-            self.push_revision(out);
+            self.push_news(out);
         }
         self.choose_role(now, out);
         self.publish(now, out);
--- a/crates/berylpin_core/src/control/controller/exchange.rs
+++ b/crates/berylpin_core/src/control/controller/exchange.rs
@@ -17,7 +17,7 @@
 /// How often documents are fetched in full while those of a peer differ at the same revision.
 const REPAIR_INTERVAL: Duration = Duration::from_secs(30);
 
-/// Daemons that hear of a new revision at once.
+/// Daemons that hear of a new revision or a suspicion at once.
 const PUSH_FANOUT: usize = 3;
 
 impl Controller {
@@ -135,8 +135,8 @@
         out.push(Action::Send(address, message));
     }
 
-    /// Tells a few daemons of a new revision, which they fetch and tell on.
-    pub(super) fn push_revision(&mut self, out: &mut Vec<Action>) {
+    /// Tells a few daemons of a change that cannot wait for the next probe.
+    pub(super) fn push_news(&mut self, out: &mut Vec<Action>) {
         let live = self.membership.peers().filter(|peer| peer.report.state.is_placeable());
         let chosen: Vec<_> = live
             .map(|peer| (peer.tag, peer.report.peer_address))
@@ -202,7 +202,9 @@
                 ProbeAction::Relay { to, sequence } => (to, ControlBody::Ack { sequence }),
                 ProbeAction::Failed(target) => {
                     self.membership.suspect(now, target, &mut self.decisions);
-                    continue;
+                    self.push_news(out);
+                    // The ping tells it of the suspicion, so that it can refute at once.
+                    (target, ControlBody::Ping { sequence: self.prober.next_sequence() })
                 }
             };
             let Some(peer) = self.membership.peer(to) else { continue };
--- a/crates/berylpin_core/src/control/membership.rs
+++ b/crates/berylpin_core/src/control/membership.rs
@@ -166,6 +166,11 @@
             Ok(at) if report.replaces(&self.peers[at].report) => {
                 let softened = soften(report, &self.peers[at].report);
                 self.replace(now, at, &softened, out);
+                if let Some(suspicion) = &mut self.peers[at].suspicion
+                    && softened != *report
+                {
+                    suspicion.shorten();
+                }
             }
             Ok(at) => {
                 let peer = &mut self.peers[at];
--- a/crates/berylpin_core/src/control/membership/suspicion.rs
+++ b/crates/berylpin_core/src/control/membership/suspicion.rs
@@ -3,22 +3,25 @@
 use crate::ids::MemberTag;
 use std::time::{Duration, Instant};
 
-/// How long a suspicion lasts once enough others share it, for each decimal digit of the members.
+/// How long a suspicion lasts once others passed it on too, for each decimal digit of the members.
 const CONFIRMED_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How much longer a suspicion lasts that nobody shares, as a factor.
+/// How much longer a suspicion lasts that nobody else passed on, as a factor.
 const LONE_FACTOR: u32 = 3;
 
-/// Other daemons that have to share a suspicion for the short timeout.
+/// Other daemons that have to pass a suspicion on for the short timeout; by then its subject has
+/// most likely heard of it.
 const CONFIRMATIONS: usize = 2;
 
-/// A suspicion; it shortens as others confirm it.
+/// A suspicion; it shortens as others pass it on.
 #[derive(Debug)]
 pub(super) struct Suspicion {
     started: Instant,
     shortest: Duration,
-    /// Daemons that share it; at most [`CONFIRMATIONS`].
+    /// Daemons that passed it on; at most [`CONFIRMATIONS`].
     confirmed_by: Vec<MemberTag>,
+    /// Whether others waited for a refutation already.
+    shortened: bool,
 }
 
 impl Suspicion {
@@ -26,23 +29,31 @@
     pub(super) fn new(now: Instant, members: usize) -> Self {
         let digits = (members as u32 + 1).ilog10().max(1);
         let shortest = CONFIRMED_TIMEOUT * digits;
-        Self { started: now, shortest, confirmed_by: Vec::new() }
+        Self { started: now, shortest, confirmed_by: Vec::new(), shortened: false }
     }
 
     /// Returns when the daemon counts as dead.
     pub(super) fn deadline(&self) -> Instant {
+        if self.shortened {
+            return self.started + self.shortest;
+        }
         let missing = CONFIRMATIONS.saturating_sub(self.confirmed_by.len()) as u32;
         let extra = self.shortest * (LONE_FACTOR - 1) * missing / CONFIRMATIONS as u32;
         self.started + self.shortest + extra
     }
 
-    /// Notes that another daemon shares it.
+    /// Notes that another daemon passed it on.
     pub(super) fn confirm(&mut self, from: MemberTag) {
         if self.confirmed_by.len() < CONFIRMATIONS && !self.confirmed_by.contains(&from) {
             self.confirmed_by.push(from);
         }
     }
 
+    /// Notes that others waited for a refutation already.
+    pub(super) fn shorten(&mut self) {
+        self.shortened = true;
+    }
+
     /// Starts it anew after a sign of life.
     pub(super) fn restart(&mut self, now: Instant) {
         self.started = now;
--- a/crates/berylpin_core/src/control/probe.rs
+++ b/crates/berylpin_core/src/control/probe.rs
@@ -9,19 +9,19 @@
 use std::time::{Duration, Instant};
 
 /// How often a random peer is probed.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// How long a peer may take to answer directly; covers a round trip between regions.
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// How long the answer may take by way of others, after the direct one failed.
-const INDIRECT_TIMEOUT: Duration = Duration::from_millis(300);
+const INDIRECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Others that are asked to probe a peer that did not answer.
 const HELPERS: usize = 2;
 
 /// One in so many intervals also probes a dead daemon, in case a partition healed.
-const DEAD_PROBE_RATIO: u32 = 2;
+const DEAD_PROBE_RATIO: u32 = 3;
 
 /// Probes without an answer at one time; more are not started.
 const PROBE_LIMIT: usize = 32;
--- a/crates/berylpin_core/src/decision.rs
+++ b/crates/berylpin_core/src/decision.rs
@@ -79,6 +79,59 @@
         /// How late its timers were.
         late: Duration,
     },
+    /// A call made no progress and its connection was replaced.
+    Stalled {
+        /// The query.
+        query: QueryTag,
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// An owner changed which queries a replica sheds.
+    ShedLevel {
+        /// The replica.
+        replica: ReplicaTag,
+        /// The rank.
+        rank: Rank,
+        /// Queries at or above this level are refused.
+        level: u16,
+    },
+    /// A replica was ejected because its calls failed.
+    Ejected {
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// A replica that was ejected or drained takes work again.
+    Returned {
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// A replica said that it is leaving and gets nothing new.
+    Drained {
+        /// The replica.
+        replica: ReplicaTag,
+    },
+}
+
+impl Decision {
+    /// Returns the query that the decision belongs to, if there is one.
+    pub fn query(&self) -> Option<QueryTag> {
+        match self {
+            Self::Pinned { query, .. }
+            | Self::Routed { query, .. }
+            | Self::Started { query, .. }
+            | Self::Refused { query, .. }
+            | Self::Stalled { query, .. } => Some(*query),
+            Self::ShedLevel { .. }
+            | Self::Ejected { .. }
+            | Self::Returned { .. }
+            | Self::Drained { .. }
+            | Self::Member { .. }
+            | Self::Placed { .. }
+            | Self::InForce { .. }
+            | Self::Watching { .. }
+            | Self::Resumed { .. } => None,
+        }
+    }
 }
 
 /// Why an attempt was made.
@@ -92,12 +145,19 @@
     Hedge,
 }
 
-impl fmt::Display for AttemptCause {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl AttemptCause {
+    /// Returns the name used in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
             Self::First => "first",
             Self::Retry => "retry",
             Self::Hedge => "hedge",
-        })
+        }
+    }
+}
+
+impl fmt::Display for AttemptCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
     }
 }
--- a/crates/berylpin_daemon/src/control/thread.rs
+++ b/crates/berylpin_daemon/src/control/thread.rs
@@ -3,13 +3,14 @@
 use super::links::Links;
 use super::mailbox::{ControlMail, ControlMailbox};
 use super::watch::{read_vms, watch_documents};
-use crate::logging::log_decision;
+use crate::logging::{Log, log_decision};
+use crate::metrics::record_view;
 use crate::platform::Platform;
 use crate::settings::DaemonSettings;
 use crate::traffic::{Mail, Mailboxes};
 use berylpin_core::clock::Clock;
 use berylpin_core::control::{Action, Controller, Event, MemberReport, MemberState, View};
-use slog::{Logger, warn};
+use slog::warn;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::UNIX_EPOCH;
@@ -30,7 +31,7 @@
     /// The runtimes of the traffic threads, indexed by thread.
     pub(crate) runtimes: Vec<Handle>,
     pub(crate) view: watch::Sender<Arc<View>>,
-    pub(crate) log: Logger,
+    pub(crate) log: Log,
 }
 
 /// Makes the control state of a daemon that knows only itself.
@@ -71,7 +72,7 @@
 ) {
     let settings = &cx.settings;
     let platform = Platform::new(settings.platform, settings.peer_address.ip());
-    let links = Links::new(cx.runtimes.clone(), settings.clone(), cx.own.clone(), cx.log.clone());
+    let links = Links::new(cx.runtimes.clone(), settings.clone(), cx.own.clone(), cx.log.logger());
     let (watch, vm_read, actions) = (None, None, Vec::new());
     let mut thread = ControlThread { cx, controller, links, platform, watch, vm_read, actions };
     loop {
@@ -143,6 +144,7 @@
         for mailbox in self.cx.mailboxes.iter() {
             mailbox.send(Mail::View { view: view.clone(), links: links.clone() });
         }
+        record_view(&view);
         self.cx.view.send_replace(view);
     }
 
@@ -162,7 +164,7 @@
         if watching {
             let (platform, control) = (self.platform.clone(), self.cx.own.clone());
             let revision = self.controller.revisions().revision();
-            let watch = watch_documents(platform, control, revision, self.cx.log.clone());
+            let watch = watch_documents(platform, control, revision, self.cx.log.logger());
             self.watch = Some(tokio::spawn(watch));
         }
     }
@@ -172,7 +174,7 @@
             return;
         }
         let (platform, control, log) =
-            (self.platform.clone(), self.cx.own.clone(), self.cx.log.clone());
+            (self.platform.clone(), self.cx.own.clone(), self.cx.log.logger());
         self.vm_read = Some(tokio::spawn(async move {
             if let Err(e) = read_vms(platform, &control).await {
                 warn!(log, "control: VM list unreadable"; "error" => %e);
--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use crate::control::{ControlContext, ControlMail, ControlMailbox, new_controller, run_control};
 use crate::http::{AdminState, CallerState, admin_routes, caller_routes};
+use crate::logging::Log;
 use crate::settings::DaemonSettings;
 use crate::traffic::{
     Mail, Mailbox, Mailboxes, PeerContext, ThreadContext, run_thread, serve_peers,
@@ -12,7 +13,7 @@
 use poem::Server;
 use poem::listener::TcpAcceptor;
 use rand::Rng;
-use slog::{Logger, info};
+use slog::info;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -55,9 +56,13 @@
     stopping: Arc<AtomicBool>,
     stop_accepting: watch::Sender<bool>,
     control_mailbox: ControlMailbox,
+    /// Ends all threads at once.
+    kill: watch::Sender<bool>,
+    /// Of all threads.
+    runtimes: Vec<Handle>,
     control: JoinHandle<()>,
     traffic: Vec<JoinHandle<()>>,
-    log: Logger,
+    log: Log,
 }
 
 struct TrafficParts {
@@ -77,12 +82,13 @@
     pub fn start(
         settings: DaemonSettings,
         clock: Arc<dyn Clock>,
-        log: Logger,
+        log: Log,
     ) -> Result<Self, StartError> {
         let controller = new_controller(&settings, &*clock, rand::rng().random());
         let (view_tx, view) = watch::channel(controller.view().clone());
         let (control_mailbox, control_rx) = ControlMailbox::new();
         let (stop_accepting, stopped) = watch::channel(false);
+        let (kill, killed) = watch::channel(false);
         let stopping = Arc::new(AtomicBool::new(false));
         let (boxes, mut receivers): (Vec<_>, Vec<_>) =
             (0..settings.threads).map(|_| Mailbox::new()).unzip();
@@ -106,14 +112,19 @@
             let first = index == 0;
             let peers = first.then(|| listen("peer_address", settings.peer_address)).transpose()?;
             let peers = peers.map(|listener| {
-                let (view, boxes, log) = (view.clone(), mailboxes.clone(), log.clone());
+                let (view, boxes, log) = (view.clone(), mailboxes.clone(), log.logger());
                 let control = control_mailbox.clone();
                 (listener, PeerContext::new(&settings, view, boxes, control, log))
             });
             let Some(mailbox) = mailboxes.get(id).cloned() else { continue };
             let parts = TrafficParts { cx, rx, mailbox, callers, peers };
             drop(guard);
-            traffic.push(start_traffic(runtime, parts, view.clone(), stopped.clone())?);
+            traffic.push(start_traffic(
+                runtime,
+                parts,
+                view.clone(),
+                (stopped.clone(), killed.clone()),
+            )?);
         }
 
         let runtime = Builder::new_current_thread().enable_all().build()?;
@@ -123,6 +134,8 @@
         };
         let admin_state =
             AdminState::new(&settings, view, stopping.clone(), control_mailbox.clone());
+        let mut all_runtimes = runtimes.clone();
+        all_runtimes.push(runtime.handle().clone());
         let cx = ControlContext {
             settings: settings.clone(),
             clock,
@@ -133,14 +146,17 @@
             log: log.clone(),
         };
         let front = serve_http(admin, admin_routes(admin_state), stopped);
-        let control = start_control(runtime, cx, controller, control_rx, front)?;
+        let control = start_control(runtime, cx, (controller, control_rx), front, killed)?;
         info!(log, "daemon: started"; "name" => &settings.name);
+        let runtimes = all_runtimes;
         Ok(Self {
             settings,
             mailboxes,
             stopping,
             stop_accepting,
             control_mailbox,
+            kill,
+            runtimes,
             control,
             traffic,
             log,
@@ -152,6 +168,24 @@
         &self.settings
     }
 
+    /// Ends all threads at once and closes all sockets, as if the VM had gone.
+    ///
+    /// Blocks until that is done.
+    pub fn kill(self) {
+        self.kill.send_replace(true);
+        for thread in self.traffic.into_iter().chain([self.control]) {
+            // A thread that panicked has already said so.
+            let _ = thread.join();
+        }
+    }
+
+    /// Keeps all threads from doing anything for a while, as if the VM had been paused.
+    pub fn pause(&self, length: Duration) {
+        for runtime in &self.runtimes {
+            runtime.spawn(async move { std::thread::sleep(length) });
+        }
+    }
+
     /// Stops gracefully: reports not ready and leaves placement, finishes what it has, then ends all
     /// threads.
     ///
@@ -179,40 +213,59 @@
     runtime: Runtime,
     parts: TrafficParts,
     view: watch::Receiver<Arc<View>>,
-    stopped: watch::Receiver<bool>,
+    (stopped, killed): (watch::Receiver<bool>, watch::Receiver<bool>),
 ) -> io::Result<JoinHandle<()>> {
     let name = format!("traffic-{}", parts.cx.id.index());
     std::thread::Builder::new().name(name).spawn(move || {
-        runtime.block_on(async move {
+        let work = async move {
             let TrafficParts { cx, rx, mailbox, callers, peers } = parts;
             if let Some((listener, cx)) = peers {
                 Handle::current().spawn(serve_peers(listener, cx));
             }
-            let state =
-                CallerState { mailbox, view: view.clone(), tickets: Arc::new(AtomicU64::new(0)) };
+            let state = CallerState {
+                mailbox,
+                view: view.clone(),
+                tickets: Arc::new(AtomicU64::new(0)),
+                clock: cx.clock.clone(),
+            };
             let front = tokio::spawn(serve_http(callers, caller_routes(state), stopped));
             let first_view = view.borrow().clone();
             run_thread(cx, first_view, rx).await;
             let _ = front.await;
-        });
+        };
+        run_unless(killed, &runtime, work);
     })
 }
 
+/// Runs the work of a thread to its end or until the daemon is killed.
+fn run_unless<F>(mut killed: watch::Receiver<bool>, runtime: &Runtime, work: F)
+where
+    F: Future<Output = ()>,
+{
+    runtime.block_on(async move {
+        tokio::select! {
+            Ok(_) = killed.wait_for(|killed| *killed) => {}
+            () = work => {}
+        }
+    });
+}
+
 fn start_control<F>(
     runtime: Runtime,
     cx: ControlContext,
-    controller: Controller,
-    rx: mpsc::Receiver<ControlMail>,
+    (controller, rx): (Controller, mpsc::Receiver<ControlMail>),
     front: F,
+    killed: watch::Receiver<bool>,
 ) -> io::Result<JoinHandle<()>>
 where
     F: Future<Output = ()> + Send + 'static,
 {
     std::thread::Builder::new().name("control".to_owned()).spawn(move || {
-        runtime.block_on(async move {
+        let work = async move {
             tokio::spawn(front);
             run_control(cx, controller, rx).await;
-        });
+        };
+        run_unless(killed, &runtime, work);
     })
 }
 
--- a/crates/berylpin_daemon/src/http/admin.rs
+++ b/crates/berylpin_daemon/src/http/admin.rs
@@ -6,6 +6,7 @@
 
 use super::reply::json;
 use crate::control::ControlMailbox;
+use crate::metrics::metrics_page;
 use crate::platform::Platform;
 use crate::settings::{DaemonSettings, Secret};
 use berylpin_core::control::View;
@@ -88,6 +89,7 @@
     Route::new()
         .at("/live", get(get_live))
         .at("/ready", get(get_ready))
+        .at("/metrics", get(get_metrics))
         .nest("/v1", operators)
         .data(state)
 }
@@ -139,6 +141,11 @@
     Response::builder().status(StatusCode::SERVICE_UNAVAILABLE).body("not ready\n")
 }
 
+#[handler]
+fn get_metrics() -> Response {
+    Response::builder().content_type("text/plain; version=0.0.4").body(metrics_page())
+}
+
 #[handler]
 fn get_status(state: Data<&AdminState>) -> Response {
     let view = state.view.borrow().clone();
--- a/crates/berylpin_daemon/src/lib.rs
+++ b/crates/berylpin_daemon/src/lib.rs
@@ -4,12 +4,16 @@
 mod control;
 mod daemon;
 mod http;
+mod log_levels;
 mod logging;
+mod metrics;
 mod platform;
 mod settings;
 mod traffic;
 
 pub use clock::SystemClock;
 pub use daemon::{Daemon, StartError};
-pub use logging::{LogFormat, discard_log, open_log};
+pub use log_levels::{LevelError, LogLevels, PARTS};
+pub use logging::{Log, LogFormat, discard_log, open_log};
+pub use metrics::install_metrics;
 pub use settings::{DaemonSettings, DaemonSettingsBuilder, Secret, SettingsError};
--- a/crates/berylpin_daemon/src/traffic/mod.rs
+++ b/crates/berylpin_daemon/src/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! Traffic threads: queries, replicas and links.
 
 mod authentication;
+mod connections;
 mod link;
 mod mailbox;
 mod peers;
--- /dev/null
+++ b/crates/berylpin_standin/tests/fleet.rs
@@ -0,0 +1,309 @@
+//! Control state of whole fleets in virtual time: failures, partitions, changes of documents.
+
+use berylpin_core::control::{Controller, MemberState};
+use berylpin_standin::fleet::{Fleet, NodeIndex};
+use proptest::prelude::*;
+use std::fmt::Write;
+use std::time::Duration;
+
+const DAEMONS: usize = 9;
+const DATA_CENTRES: usize = 3;
+
+/// Seeds of the tests that look at one failure at a time.
+const SEEDS: std::ops::Range<u64> = 0..20;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A document with one replica of each of a few shards in every data centre.
+fn document(name: &str, first_port: u16) -> String {
+    let mut text = format!("service = \"{name}\"\n");
+    for shard in 0..4 {
+        let _ = writeln!(text, "[[shard]]\nname = \"s{shard}\"");
+        for centre in 0..DATA_CENTRES {
+            let port = first_port + shard * 10 + centre as u16;
+            let _ = writeln!(
+                text,
+                "[[shard.replica]]\naddress = \"10.9.0.1:{port}\"\ndata_centre = \"dc-{centre}\"\n\
+                 slots = 2\nconnections = 25"
+            );
+        }
+    }
+    text
+}
+
+/// A fleet that has settled with one document.
+fn settled(seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(DAEMONS, DATA_CENTRES, seed);
+    fleet.store("quota", Some(&document("quota", 1000)));
+    let joined = fleet.run_until(10 * SECOND, agrees);
+    assert!(joined.is_some(), "seed {seed}: the fleet did not settle");
+    fleet.run_for(5 * SECOND);
+    fleet
+}
+
+/// Whether all running daemons see each other alive, own the same replicas and hold the newest
+/// documents.
+fn agrees(fleet: &Fleet) -> bool {
+    let running: Vec<NodeIndex> = fleet.running().map(|(index, _)| index).collect();
+    let owners = |index: NodeIndex| placement(fleet, index);
+    let expected = owners(running[0]);
+    running.iter().all(|&index| {
+        let Some(controller) = fleet.controller(index) else { return false };
+        let live = running.iter().filter(|&&other| other != index);
+        let sees =
+            live.clone().all(|&other| state(controller, fleet, other) == Some(MemberState::Alive));
+        sees && controller.membership().live_peers() == running.len() - 1
+            && controller.revisions().revision() == fleet.revision()
+            && owners(index) == expected
+    })
+}
+
+fn state(controller: &Controller, fleet: &Fleet, node: NodeIndex) -> Option<MemberState> {
+    controller.membership().peer(fleet.tag(node)).map(|peer| peer.report.state)
+}
+
+/// The owner of each replica as one daemon sees it, by tags.
+fn placement(fleet: &Fleet, node: NodeIndex) -> Vec<(u64, Option<u64>)> {
+    let Some(view) = fleet.view(node) else { return Vec::new() };
+    let replicas = view.topology.replicas.iter().filter(|(_, replica)| replica.listed);
+    let mut owners: Vec<_> = replicas
+        .map(|(id, replica)| {
+            let owner = view.owner(id).map(|owner| view.members[owner].tag.0);
+            (replica.settings.tag.0, owner)
+        })
+        .collect();
+    owners.sort_unstable();
+    owners
+}
+
+/// Whether no running daemon, but for the node itself, places a replica on it.
+fn out_of_placement(fleet: &Fleet, node: NodeIndex) -> bool {
+    let tag = fleet.tag(node).0;
+    let mut others = fleet.running().filter(|(index, _)| *index != node);
+    others.all(|(index, _)| placement(fleet, index).iter().all(|(_, owner)| *owner != Some(tag)))
+}
+
+#[test]
+fn a_fleet_starts_from_the_vm_list() {
+    for seed in SEEDS {
+        let fleet = settled(seed);
+        let per_centre = |centre: usize| {
+            let here = fleet.running().filter(|(index, _)| index % DATA_CENTRES == centre);
+            here.filter(|(_, controller)| controller.is_watching()).count()
+        };
+        assert_eq!([per_centre(0), per_centre(1), per_centre(2)], [2; 3], "seed {seed}");
+    }
+}
+
+#[test]
+fn the_replicas_of_a_killed_daemon_move_within_two_seconds() {
+    for seed in SEEDS {
+        let mut fleet = settled(seed);
+        fleet.kill(3, false);
+        let moved = fleet.run_until(2 * SECOND, |fleet| out_of_placement(fleet, 3));
+        assert!(moved.is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn the_replicas_of_a_lost_vm_move_within_three_seconds() {
+    for seed in SEEDS {
+        let mut fleet = settled(seed);
+        fleet.kill(3, true);
+        let moved = fleet.run_until(3 * SECOND, |fleet| out_of_placement(fleet, 3));
+        assert!(moved.is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_leaving_daemon_is_out_of_placement_within_a_second() {
+    for seed in SEEDS {
+        let mut fleet = settled(seed);
+        fleet.leave(4);
+        let moved = fleet.run_until(SECOND, |fleet| out_of_placement(fleet, 4));
+        assert!(moved.is_some(), "seed {seed}");
+        fleet.run_for(10 * SECOND);
+        assert!(out_of_placement(&fleet, 4), "seed {seed}: it came back");
+    }
+}
+
+#[test]
+fn a_paused_daemon_declares_nobody_dead_and_is_taken_back() {
+    for seed in SEEDS {
+        for pause in [1, 3, 20] {
+            let mut fleet = settled(seed);
+            fleet.pause(5, pause * SECOND);
+            fleet.run_for(pause * SECOND);
+            // For as long as a probe takes to fail, it must not suspect those that answer.
+            for _ in 0..100 {
+                fleet.run_for(Duration::from_millis(10));
+                let own = fleet.controller(5).unwrap();
+                let mut others = (0..DAEMONS).filter(|other| *other != 5);
+                let believes = others
+                    .all(|other| !matches!(state(own, &fleet, other), Some(MemberState::Dead)));
+                assert!(believes, "seed {seed}: the daemon that was paused declared one dead");
+            }
+            let back = fleet.run_until(5 * SECOND, agrees);
+            assert!(back.is_some(), "seed {seed}, pause {pause} s");
+        }
+    }
+}
+
+#[test]
+fn a_restarted_daemon_is_taken_back() {
+    for seed in SEEDS {
+        let mut fleet = settled(seed);
+        fleet.kill(2, false);
+        fleet.run_for(5 * SECOND);
+        fleet.restart(2);
+        assert!(fleet.run_until(5 * SECOND, agrees).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_within_three_seconds() {
+    for seed in SEEDS {
+        let mut fleet = settled(seed);
+        fleet.store("bursar", Some(&document("bursar", 2000)));
+        assert!(fleet.run_until(3 * SECOND, agrees).is_some(), "seed {seed}");
+        fleet.store("quota", None);
+        assert!(fleet.run_until(3 * SECOND, agrees).is_some(), "seed {seed}");
+        assert!(fleet.running().all(|(_, c)| c.revisions().document("quota").is_none()));
+    }
+}
+
+#[test]
+fn data_centres_that_were_cut_off_agree_within_five_seconds_of_healing() {
+    for seed in SEEDS {
+        for length in [5, 60] {
+            let mut fleet = settled(seed);
+            for node in 0..DAEMONS {
+                fleet.set_group(node, (node % DATA_CENTRES) as u32);
+                fleet.set_platform_reachable(node, node % DATA_CENTRES == 0);
+            }
+            fleet.run_for(length * SECOND);
+            fleet.store("bursar", Some(&document("bursar", 2000)));
+            fleet.run_for(3 * SECOND);
+            for (index, controller) in fleet.running() {
+                // Each side goes on with what it has, and the side of the platform with the newest.
+                assert!(controller.revisions().document("quota").is_some());
+                let news = controller.revisions().document("bursar").is_some();
+                assert_eq!(news, index % DATA_CENTRES == 0, "seed {seed}");
+            }
+            for node in 0..DAEMONS {
+                fleet.set_group(node, 0);
+            }
+            let healed = fleet.run_until(5 * SECOND, agrees);
+            assert!(healed.is_some(), "seed {seed}, cut for {length} s");
+        }
+    }
+}
+
+#[test]
+fn a_daemon_starts_from_its_seeds_while_the_platform_is_down() {
+    for seed in SEEDS {
+        let mut fleet = settled(seed);
+        for node in 0..DAEMONS {
+            fleet.set_platform_reachable(node, false);
+        }
+        fleet.kill(7, false);
+        fleet.run_for(5 * SECOND);
+        fleet.set_seeds(7, &[1]);
+        fleet.restart(7);
+        assert!(fleet.run_until(5 * SECOND, agrees).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn calls_to_the_platform_grow_with_data_centres_and_not_with_daemons() {
+    let calls = |daemons: usize| {
+        let mut fleet = Fleet::new(daemons, DATA_CENTRES, 1);
+        fleet.run_for(20 * SECOND);
+        let total = |fleet: &Fleet| -> u64 {
+            (0..daemons).map(|node| fleet.traffic(node).platform_calls).sum()
+        };
+        let before = total(&fleet);
+        fleet.run_for(60 * SECOND);
+        total(&fleet) - before
+    };
+    assert_eq!(calls(9), calls(60));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Kill(NodeIndex, bool),
+    Restart(NodeIndex),
+    Pause(NodeIndex, u64),
+    Cut(NodeIndex, u32),
+    Platform(NodeIndex, bool),
+    Store(u8),
+    Delete(u8),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let node = 0..DAEMONS;
+    prop_oneof![
+        (node.clone(), any::<bool>()).prop_map(|(node, silent)| Step::Kill(node, silent)),
+        node.clone().prop_map(Step::Restart),
+        (node.clone(), 100_u64..5_000).prop_map(|(node, millis)| Step::Pause(node, millis)),
+        (node.clone(), 0_u32..3).prop_map(|(node, group)| Step::Cut(node, group)),
+        (node, any::<bool>()).prop_map(|(node, up)| Step::Platform(node, up)),
+        (0_u8..3).prop_map(Step::Store),
+        (0_u8..3).prop_map(Step::Delete),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+    /// Whatever happened, documents never go back, and all daemons agree once it ends.
+    #[test]
+    fn daemons_agree_after_any_faults(
+        seed: u64,
+        steps in prop::collection::vec((step(), 0_u64..3_000), 1..25),
+    ) {
+        let mut fleet = settled(seed);
+        for (step, millis) in steps {
+            let before: Vec<_> = fleet.running().map(|(i, c)| (i, c.revisions().clone())).collect();
+            let mut restarted = None;
+            match step {
+                Step::Kill(node, silent) => fleet.kill(node, silent),
+                Step::Restart(node) => {
+                    fleet.restart(node);
+                    restarted = Some(node);
+                }
+                Step::Pause(node, millis) => fleet.pause(node, Duration::from_millis(millis)),
+                Step::Cut(node, group) => fleet.set_group(node, group),
+                Step::Platform(node, up) => fleet.set_platform_reachable(node, up),
+                Step::Store(name) => {
+                    let name = format!("s{name}");
+                    fleet.store(&name, Some(&document(&name, 3000)));
+                }
+                Step::Delete(name) => fleet.store(&format!("s{name}"), None),
+            }
+            fleet.run_for(Duration::from_millis(millis));
+            for (index, old) in before {
+                let Some(new) = fleet.controller(index).filter(|_| restarted != Some(index)) else {
+                    continue;
+                };
+                prop_assert!(new.revisions().revision() >= old.revision());
+                for entry in old.entries() {
+                    let now = new.revisions().document(&entry.name).map(|entry| entry.version);
+                    let kept = now.map_or(new.revisions().revision() > entry.version, |now| {
+                        now >= entry.version
+                    });
+                    prop_assert!(kept, "{} went back", entry.name);
+                }
+            }
+        }
+        for node in 0..DAEMONS {
+            fleet.set_group(node, 0);
+            fleet.set_platform_reachable(node, true);
+            if fleet.controller(node).is_none() {
+                fleet.restart(node);
+            }
+        }
+        // The longest pause may still last.
+        let agreed = fleet.run_until(15 * SECOND, agrees);
+        prop_assert!(agreed.is_some(), "they do not agree");
+    }
+}
