--- a/crates/berylpin_core/src/control/controller/tests.rs
+++ b/crates/berylpin_core/src/control/controller/tests.rs
@@ -1,1 +1,73 @@
+use super::*;
 
+fn report(index: usize) -> MemberReport {
+    MemberReport {
+        name: format!("entry-{index}").into(),
+        data_centre: "dc".into(),
+        peer_address: ([10, 0, 0, index as u8], 7001).into(),
+        incarnation: 1,
+        state: MemberState::Alive,
+    }
+}
+
+fn entry(name: &str, version: u64, text: &str) -> Entry {
+    Entry { name: name.into(), version, text: text.into(), editor: "e".into() }
+}
+
+const VALID: &str = "service = \"a\"\n[[shard]]\nname = \"x\"\n[[shard.replica]]\n\
+    address = \"10.0.0.1:1\"\ndata_centre = \"dc\"\nslots = 1\nconnections = 1\n";
+
+fn services(controller: &mut Controller, now: Instant) -> usize {
+    controller.handle(now + VIEW_INTERVAL, Event::Tick, &mut Vec::new());
+    controller.view().topology.target("a").map_or(0, |(_, shards)| shards.len())
+}
+
+#[test]
+fn an_invalid_document_leaves_the_one_before_in_force() {
+    let now = Instant::now();
+    let mut controller = Controller::new(report(0), Vec::new(), 1, now);
+    let mut out = Vec::new();
+    controller.handle(now, Event::Documents(1, vec![entry("a", 1, VALID)]), &mut out);
+    assert_eq!(services(&mut controller, now), 1);
+    out.clear();
+    controller.handle(now, Event::Documents(2, vec![entry("a", 2, "service = 7")]), &mut out);
+    let rejected = out
+        .iter()
+        .any(|action| matches!(action, Action::Rejected(document) if document.version == 2));
+    assert!(rejected);
+    assert_eq!(services(&mut controller, now), 1);
+    controller.handle(now, Event::Documents(3, Vec::new()), &mut out);
+    assert_eq!(services(&mut controller, now), 0);
+}
+
+#[test]
+fn a_message_under_another_name_is_ignored() {
+    let now = Instant::now();
+    let mut controller = Controller::new(report(0), Vec::new(), 1, now);
+    let mut other = Controller::new(report(1), vec![report(0).peer_address], 2, now);
+    let mut out = Vec::new();
+    other.handle(now, Event::Tick, &mut out);
+    let message = out
+        .into_iter()
+        .find_map(|action| match action {
+            Action::Send(_, message) => Some(message),
+            _ => None,
+        })
+        .unwrap();
+    let mut out = Vec::new();
+    controller.handle(now, Event::Message(report(2).tag(), message.clone()), &mut out);
+    assert_eq!(controller.membership().peers().count(), 0);
+    controller.handle(now, Event::Message(report(1).tag(), message), &mut out);
+    assert_eq!(controller.membership().peers().count(), 1);
+}
+
+#[test]
+fn a_daemon_that_knows_no_other_reads_the_platform_itself() {
+    let now = Instant::now();
+    let mut controller = Controller::new(report(0), Vec::new(), 1, now);
+    let mut out = Vec::new();
+    controller.handle(now, Event::Tick, &mut out);
+    controller.handle(now, Event::Tick, &mut out);
+    assert!(out.iter().any(|action| matches!(action, Action::Watch(true))));
+    assert!(out.iter().any(|action| matches!(action, Action::ReadVms)));
+}
--- a/crates/berylpin_core/src/control/directory.rs
+++ b/crates/berylpin_core/src/control/directory.rs
@@ -1,6 +1,6 @@
 //! The ids of daemons on this daemon.
 
-use super::member::MemberReport;
+use super::member::{MemberReport, MemberState};
 use super::view::Member;
 use crate::arena::Arena;
 use crate::ids::{MemberId, MemberTag};
@@ -41,6 +41,7 @@
             let was_forgotten = self.forgotten.iter().any(|(_, forgotten)| *forgotten == id);
             if seen.binary_search(&id).is_err() && !was_forgotten {
                 member.live = false;
+                member.leaving = false;
                 self.forgotten.push((now, id));
             }
         }
@@ -85,6 +86,7 @@
         data_centre: report.data_centre.to_string(),
         peer_address: report.peer_address,
         live: report.state.is_placeable(),
+        leaving: report.state == MemberState::Leaving,
     }
 }
 
--- a/crates/berylpin_core/src/control/directory/tests.rs
+++ b/crates/berylpin_core/src/control/directory/tests.rs
@@ -1,1 +1,38 @@
+use super::*;
+use crate::ids::Key;
 
+fn report(index: usize) -> MemberReport {
+    MemberReport {
+        name: format!("entry-{index}").into(),
+        data_centre: "dc".into(),
+        peer_address: ([10, 0, 0, 1], 7001).into(),
+        incarnation: 1,
+        state: MemberState::Alive,
+    }
+}
+
+#[test]
+fn ids_are_used_again_only_after_a_quarantine() {
+    let now = Instant::now();
+    let (mut directory, own) = Directory::new(&report(0));
+    let first = directory.update(now, [&report(0), &report(1)]);
+    assert_eq!((own.index(), first.len()), (0, 2));
+    let gone = directory.update(now, [&report(0), &report(2)]);
+    assert_eq!(gone.len(), 3);
+    assert!(!gone[MemberId::from_index(1)].live);
+    let later = directory.update(now + QUARANTINE, [&report(0), &report(2), &report(3)]);
+    assert_eq!(later.len(), 3);
+    assert_eq!(later[MemberId::from_index(1)].name, "entry-3");
+}
+
+#[test]
+fn a_daemon_that_returns_keeps_its_id() {
+    let now = Instant::now();
+    let (mut directory, _) = Directory::new(&report(0));
+    directory.update(now, [&report(0), &report(1)]);
+    directory.update(now, [&report(0)]);
+    directory.update(now, [&report(0), &report(1)]);
+    let later = directory.update(now + QUARANTINE, [&report(0), &report(1), &report(2)]);
+    assert_eq!(later[MemberId::from_index(1)].name, "entry-1");
+    assert_eq!(later.len(), 3);
+}
--- a/crates/berylpin_core/src/control/gossip/tests.rs
+++ b/crates/berylpin_core/src/control/gossip/tests.rs
@@ -1,1 +1,41 @@
+use super::super::member::MemberState;
+use super::*;
 
+fn report(index: usize) -> MemberReport {
+    MemberReport {
+        name: format!("entry-{index}").into(),
+        data_centre: "dc".into(),
+        peer_address: ([10, 0, 0, 1], 7001).into(),
+        incarnation: 1,
+        state: MemberState::Alive,
+    }
+}
+
+#[test]
+fn reports_are_bounded_in_bytes_and_each_gets_its_turn() {
+    let reports: Vec<MemberReport> = (0..100).map(report).collect();
+    let mut gossip = Gossip::default();
+    for report in &reports {
+        gossip.spread(report.tag());
+    }
+    let find = |tag| reports.iter().find(|report| report.tag() == tag);
+    let mut sent: Vec<MemberReport> = Vec::new();
+    while gossip.len() > 0 {
+        let piece = gossip.take(100, find);
+        assert!(!piece.is_empty());
+        assert!(piece.iter().map(MemberReport::encoded_size).sum::<usize>() <= REPORTS_SIZE);
+        sent.extend(piece);
+    }
+    for report in &reports {
+        let times = sent.iter().filter(|other| *other == report).count();
+        assert_eq!(times as u32, SENDS_PER_DIGIT * 2);
+    }
+}
+
+#[test]
+fn the_report_of_a_forgotten_member_is_dropped() {
+    let mut gossip = Gossip::default();
+    gossip.spread(MemberTag(1));
+    assert!(gossip.take(10, |_| None).is_empty());
+    assert_eq!(gossip.len(), 0);
+}
--- a/crates/berylpin_core/src/control/membership/tests.rs
+++ b/crates/berylpin_core/src/control/membership/tests.rs
@@ -1,1 +1,129 @@
+use super::*;
+use proptest::prelude::*;
 
+fn report(index: usize, incarnation: u64, state: MemberState) -> MemberReport {
+    MemberReport {
+        name: format!("entry-{index}").into(),
+        data_centre: "dc".into(),
+        peer_address: ([10, 0, 0, index as u8], 7001).into(),
+        incarnation,
+        state,
+    }
+}
+
+fn tag(index: usize) -> MemberTag {
+    report(index, 0, MemberState::Alive).tag()
+}
+
+fn state() -> impl Strategy<Value = MemberState> {
+    prop_oneof![
+        Just(MemberState::Alive),
+        Just(MemberState::Suspect),
+        Just(MemberState::Leaving),
+        Just(MemberState::Dead),
+    ]
+}
+
+fn membership() -> Membership {
+    Membership::new(report(0, 1, MemberState::Alive))
+}
+
+proptest! {
+    /// Whatever order reports arrive in, an older incarnation never replaces a newer one, and a
+    /// daemon that hears anything worse of itself says so with a higher incarnation.
+    #[test]
+    fn reports_only_move_forward(
+        reports in prop::collection::vec((0_usize..4, 1_u64..4, state()), 0..40),
+    ) {
+        let now = Instant::now();
+        let mut membership = membership();
+        for (index, incarnation, state) in reports {
+            let before: Vec<_> =
+                membership.peers().map(|peer| (peer.tag, peer.report.incarnation)).collect();
+            let news = report(index, incarnation, state);
+            membership.merge(now, None, &news, &mut Vec::new());
+            for (tag, incarnation) in before {
+                prop_assert!(membership.peer(tag).unwrap().report.incarnation >= incarnation);
+            }
+            prop_assert!(!news.replaces(membership.own()) || index != 0);
+            let expected = membership
+                .reports().iter().map(hash).fold(0, u64::wrapping_add);
+            prop_assert_eq!(membership.digest(), expected);
+        }
+    }
+}
+
+#[test]
+fn a_suspicion_that_nobody_refutes_ends_in_death() {
+    let now = Instant::now();
+    let mut membership = membership();
+    membership.merge(now, None, &report(1, 1, MemberState::Alive), &mut Vec::new());
+    membership.suspect(now, tag(1), &mut Vec::new());
+    assert_eq!(membership.peer(tag(1)).unwrap().report.state, MemberState::Suspect);
+    let end = membership.next_timer().unwrap();
+    membership.tick(now, &mut Vec::new());
+    assert_eq!(membership.peer(tag(1)).unwrap().report.state, MemberState::Suspect);
+    membership.tick(end, &mut Vec::new());
+    assert_eq!(membership.peer(tag(1)).unwrap().report.state, MemberState::Dead);
+}
+
+#[test]
+fn a_suspicion_that_others_pass_on_is_shorter() {
+    let now = Instant::now();
+    let mut membership = membership();
+    membership.merge(now, None, &report(1, 1, MemberState::Alive), &mut Vec::new());
+    membership.suspect(now, tag(1), &mut Vec::new());
+    let lone = membership.next_timer().unwrap();
+    for other in [2, 2, 3] {
+        let suspect = report(1, 1, MemberState::Suspect);
+        membership.merge(now, Some(tag(other)), &suspect, &mut Vec::new());
+    }
+    assert!(membership.next_timer().unwrap() < lone);
+}
+
+#[test]
+fn a_death_reported_of_a_daemon_believed_alive_is_a_suspicion() {
+    let now = Instant::now();
+    let mut membership = membership();
+    membership.merge(now, None, &report(1, 1, MemberState::Alive), &mut Vec::new());
+    membership.merge(now, Some(tag(2)), &report(1, 1, MemberState::Dead), &mut Vec::new());
+    assert_eq!(membership.peer(tag(1)).unwrap().report.state, MemberState::Suspect);
+}
+
+#[test]
+fn a_dead_daemon_is_forgotten_in_the_end() {
+    let now = Instant::now();
+    let mut membership = membership();
+    membership.merge(now, None, &report(1, 1, MemberState::Alive), &mut Vec::new());
+    membership.suspect(now, tag(1), &mut Vec::new());
+    membership.tick(now + Duration::from_mins(1), &mut Vec::new());
+    membership.tick(now + DEAD_MEMORY + Duration::from_mins(2), &mut Vec::new());
+    assert!(membership.peer(tag(1)).is_none());
+    // Others that still remember it do not bring it back.
+    membership.merge(now, Some(tag(2)), &report(1, 1, MemberState::Dead), &mut Vec::new());
+    assert!(membership.peer(tag(1)).is_none());
+}
+
+#[test]
+fn a_daemon_that_stops_is_not_called_back_by_the_vm_list() {
+    let mut membership = membership();
+    membership.listed_leaving(Instant::now(), tag(0), &mut Vec::new());
+    assert_eq!(membership.own().state, MemberState::Leaving);
+    membership.stay(&mut Vec::new());
+    assert_eq!(membership.own().state, MemberState::Alive);
+    membership.leave(true, &mut Vec::new());
+    membership.stay(&mut Vec::new());
+    assert_eq!(membership.own().state, MemberState::Leaving);
+}
+
+#[test]
+fn the_daemons_known_are_bounded() {
+    let now = Instant::now();
+    let mut membership = membership();
+    for index in 0..MEMBER_LIMIT + 10 {
+        let name = format!("other-{index}").into();
+        let news = MemberReport { name, ..report(1, 1, MemberState::Alive) };
+        membership.merge(now, None, &news, &mut Vec::new());
+    }
+    assert_eq!(membership.peers().count(), MEMBER_LIMIT);
+}
--- a/crates/berylpin_core/src/control/placement.rs
+++ b/crates/berylpin_core/src/control/placement.rs
@@ -16,7 +16,7 @@
 ) -> Arena<ReplicaId, Option<MemberId>> {
     let mut owners = Arena::default();
     owners.grow(topology.replicas.len(), || None);
-    let live = live_by_data_centre(members);
+    let present = candidates_by_data_centre(members);
     let mut taken = Vec::new();
     for (_, shard) in topology.shards.iter() {
         taken.clear();
@@ -24,8 +24,8 @@
             let settings = &topology.replicas[id].settings;
             let candidates = || {
                 let name = settings.data_centre.as_str();
-                let start = live.partition_point(|(data_centre, _)| *data_centre < name);
-                let here = live[start..].iter().take_while(move |(centre, _)| *centre == name);
+                let start = present.partition_point(|(data_centre, _)| *data_centre < name);
+                let here = present[start..].iter().take_while(move |(centre, _)| *centre == name);
                 here.map(|(_, member)| (score(settings.tag, &members[*member]), *member))
             };
             let best = candidates().filter(|(_, m)| !taken.contains(m)).max();
@@ -37,12 +37,26 @@
     owners
 }
 
-/// Returns the live members sorted by data centre.
-fn live_by_data_centre(members: &Arena<MemberId, Member>) -> Vec<(&str, MemberId)> {
-    let live = members.iter().filter(|(_, member)| member.live);
-    let mut sorted: Vec<_> = live.map(|(id, m)| (m.data_centre.as_str(), id)).collect();
+/// Returns the members that may own replicas, sorted by data centre.
+///
+/// Leaving ones are among them only where no other is left: until they end they serve what would
+/// else be missing.
+fn candidates_by_data_centre(members: &Arena<MemberId, Member>) -> Vec<(&str, MemberId)> {
+    let present = members.iter().filter(|(_, member)| member.live || member.leaving);
+    let mut sorted: Vec<_> =
+        present.map(|(id, m)| (m.data_centre.as_str(), m.leaving, id)).collect();
     sorted.sort_unstable();
-    sorted
+    let mut candidates: Vec<(&str, MemberId)> = Vec::with_capacity(sorted.len());
+    let mut last_resort = false;
+    for (data_centre, leaving, id) in sorted {
+        if candidates.last().is_none_or(|(last, _)| *last != data_centre) {
+            last_resort = leaving;
+        }
+        if leaving == last_resort {
+            candidates.push((data_centre, id));
+        }
+    }
+    candidates
 }
 
 fn score(replica: ReplicaTag, member: &Member) -> u64 {
--- a/crates/berylpin_core/src/control/view.rs
+++ b/crates/berylpin_core/src/control/view.rs
@@ -20,6 +20,9 @@
     pub peer_address: SocketAddr,
     /// Whether it takes part in placement.
     pub live: bool,
+    /// Whether it finishes what it has; it owns replicas only while its data centre has no live
+    /// daemon. Never together with `live`.
+    pub leaving: bool,
 }
 
 /// An immutable picture of control state.
@@ -33,7 +36,7 @@
     pub members: Arena<MemberId, Member>,
     /// The services in force.
     pub topology: Arc<Topology>,
-    /// The owner of each replica; `None` while its data centre has no live daemon.
+    /// The owner of each replica; `None` while its data centre has no daemon left.
     pub owners: Arena<ReplicaId, Option<MemberId>>,
     /// Sorted by tag; holds every daemon of `members`.
     members_by_tag: Vec<(MemberTag, MemberId)>,
--- a/crates/berylpin_core/src/replica/owner/tests/harness.rs
+++ b/crates/berylpin_core/src/replica/owner/tests/harness.rs
@@ -57,6 +57,7 @@
             data_centre: "d".to_owned(),
             peer_address: "127.0.0.1:1".parse().expect("an address"),
             live,
+            leaving: false,
         });
     }
     Arc::new(View::new(epoch, MemberId::from_index(0), members, Arc::new(topology)))
--- a/crates/berylpin_daemon/src/control/links.rs
+++ b/crates/berylpin_daemon/src/control/links.rs
@@ -66,7 +66,7 @@
         });
         let mut links = Vec::with_capacity(view.members.len());
         for (id, member) in view.members.iter() {
-            let needed = id != view.own && member.live;
+            let needed = id != view.own && (member.live || member.leaving);
             links.push(needed.then(|| self.link(now, member.peer_address).clone()));
         }
         links
