--- a/crates/berylpin_core/src/decision.rs
+++ b/crates/berylpin_core/src/decision.rs
@@ -1,9 +1,12 @@
 //! Routing and placement decisions, for the log.
 
 use crate::control::MemberState;
+use crate::execute::{self, KeyId};
 use crate::ids::{MemberTag, QueryTag, ReplicaTag, Snapshot};
 use crate::message::FailReason;
+use crate::query;
 use crate::rank::Rank;
+use crate::verdict::Verdict;
 use std::fmt;
 use std::time::Duration;
 
@@ -110,6 +113,54 @@
         /// The replica.
         replica: ReplicaTag,
     },
+    /// A query was refused before any sub-query was sent.
+    Rejected {
+        /// The query.
+        query: QueryTag,
+        /// Its rank.
+        rank: Rank,
+        /// Why.
+        reason: query::RefusalReason,
+    },
+    /// A query starts again, as its snapshot is not served any more.
+    Restarted {
+        /// The query.
+        query: QueryTag,
+        /// The snapshot that is given up.
+        from: Snapshot,
+    },
+    /// A non-idempotent request was routed to the holder of its key.
+    KeyRouted {
+        /// The key.
+        key: KeyId,
+        /// The daemon that issued it.
+        holder: MemberTag,
+    },
+    /// An execution was routed to a replica.
+    ExecutionRouted {
+        /// The key.
+        key: KeyId,
+        /// The replica chosen.
+        replica: ReplicaTag,
+        /// Counts the attempts of this key from 1.
+        attempt: u32,
+    },
+    /// An owner started an execution.
+    ExecutionStarted {
+        /// The key.
+        key: KeyId,
+        /// The replica.
+        replica: ReplicaTag,
+    },
+    /// A non-idempotent request got no result.
+    ExecutionRefused {
+        /// The key.
+        key: KeyId,
+        /// Whether the key ran.
+        verdict: Verdict,
+        /// Why.
+        reason: execute::RefusalReason,
+    },
 }
 
 impl Decision {
@@ -120,7 +171,9 @@
             | Self::Routed { query, .. }
             | Self::Started { query, .. }
             | Self::Refused { query, .. }
-            | Self::Stalled { query, .. } => Some(*query),
+            | Self::Stalled { query, .. }
+            | Self::Rejected { query, .. }
+            | Self::Restarted { query, .. } => Some(*query),
             Self::ShedLevel { .. }
             | Self::Ejected { .. }
             | Self::Returned { .. }
@@ -129,7 +182,11 @@
             | Self::Placed { .. }
             | Self::InForce { .. }
             | Self::Watching { .. }
-            | Self::Resumed { .. } => None,
+            | Self::Resumed { .. }
+            | Self::KeyRouted { .. }
+            | Self::ExecutionRouted { .. }
+            | Self::ExecutionStarted { .. }
+            | Self::ExecutionRefused { .. } => None,
         }
     }
 }
@@ -143,6 +200,8 @@
     Retry,
     /// The earlier attempt is slow.
     Hedge,
+    /// The owner of the earlier attempt was lost or changed.
+    Reroute,
 }
 
 impl AttemptCause {
@@ -152,6 +211,7 @@
             Self::First => "first",
             Self::Retry => "retry",
             Self::Hedge => "hedge",
+            Self::Reroute => "reroute",
         }
     }
 }
--- a/crates/berylpin_core/src/replica/owner/tests/harness.rs
+++ b/crates/berylpin_core/src/replica/owner/tests/harness.rs
@@ -139,7 +139,8 @@
         let query = Slab::default().insert(());
         let thread = ThreadId::from_index(0);
         let position = attempt as u32;
-        Part { attempt: AttemptId { thread, query, position, ordinal: 0 }, replica }
+        let tag = QueryTag(position.into());
+        Part { attempt: AttemptId { thread, query, tag, position, ordinal: 0 }, replica }
     }
 
     pub(super) fn arrive(&mut self, replica: usize, rank: Rank, level: u16, time_left: Duration) {
@@ -238,6 +239,10 @@
         self.owner.hint(ReplicaId::from_index(replica))
     }
 
+    pub(super) fn ejected(&self, replica: usize) -> bool {
+        self.owner.replicas[ReplicaId::from_index(replica)].health.is_ejected()
+    }
+
     /// Ends all calls until nothing is left to start.
     pub(super) fn finish(&mut self) {
         while !self.calls.is_empty() {
--- a/crates/berylpin_daemon/src/control/links.rs
+++ b/crates/berylpin_daemon/src/control/links.rs
@@ -2,7 +2,7 @@
 
 use super::mailbox::ControlMailbox;
 use crate::settings::DaemonSettings;
-use crate::traffic::{LinkContext, LinkFrame, run_link};
+use crate::traffic::{LinkContext, LinkFrame, Mailboxes, run_link};
 use berylpin_core::control::{ControlMessage, View};
 use slog::Logger;
 use std::net::SocketAddr;
@@ -24,6 +24,7 @@
     /// The runtimes of the traffic threads; links are spread over them.
     runtimes: Vec<Handle>,
     settings: DaemonSettings,
+    mailboxes: Mailboxes,
     control: ControlMailbox,
     log: Logger,
 }
@@ -38,10 +39,11 @@
     pub(super) fn new(
         runtimes: Vec<Handle>,
         settings: DaemonSettings,
+        mailboxes: Mailboxes,
         control: ControlMailbox,
         log: Logger,
     ) -> Self {
-        Self { open: Vec::new(), started: 0, runtimes, settings, control, log }
+        Self { open: Vec::new(), started: 0, runtimes, settings, mailboxes, control, log }
     }
 
     /// Sends a control message; one that does not fit counts as lost.
@@ -87,7 +89,13 @@
 
     fn start(&mut self, address: SocketAddr) -> mpsc::Sender<LinkFrame> {
         let (tx, rx) = mpsc::channel(LINK_QUEUE);
-        let cx = LinkContext::new(&self.settings, address, self.control.clone(), self.log.clone());
+        let cx = LinkContext::new(
+            &self.settings,
+            address,
+            self.mailboxes.clone(),
+            self.control.clone(),
+            self.log.clone(),
+        );
         let runtime = &self.runtimes[self.started % self.runtimes.len()];
         self.started += 1;
         runtime.spawn(run_link(cx, rx));
--- a/crates/berylpin_daemon/src/control/thread.rs
+++ b/crates/berylpin_daemon/src/control/thread.rs
@@ -72,7 +72,13 @@
 ) {
     let settings = &cx.settings;
     let platform = Platform::new(settings.platform, settings.peer_address.ip());
-    let links = Links::new(cx.runtimes.clone(), settings.clone(), cx.own.clone(), cx.log.logger());
+    let links = Links::new(
+        cx.runtimes.clone(),
+        settings.clone(),
+        cx.mailboxes.clone(),
+        cx.own.clone(),
+        cx.log.logger(),
+    );
     let (watch, vm_read, actions) = (None, None, Vec::new());
     let mut thread = ControlThread { cx, controller, links, platform, watch, vm_read, actions };
     loop {
--- a/crates/berylpin_daemon/src/logging.rs
+++ b/crates/berylpin_daemon/src/logging.rs
@@ -133,5 +133,27 @@
         Decision::Drained { replica } => {
             info!(log, "owner: replica is leaving and gets no new work"; "replica" => %replica);
         }
+        Decision::Rejected { query, rank, reason } => {
+            debug!(log, "query: rejected before any sub-query"; "query" => %query,
+                "rank" => rank.name(), "reason" => reason.name());
+        }
+        Decision::Restarted { query, from } => {
+            debug!(log, "query: starts again on a newer snapshot"; "query" => %query,
+                "from" => from.0);
+        }
+        Decision::KeyRouted { key, holder } => {
+            debug!(log, "execute: request routed to holder"; "key" => %key, "holder" => %holder);
+        }
+        Decision::ExecutionRouted { key, replica, attempt } => {
+            debug!(log, "execute: attempt sent"; "key" => %key, "replica" => %replica,
+                "attempt" => attempt);
+        }
+        Decision::ExecutionStarted { key, replica } => {
+            debug!(log, "owner: execution started"; "key" => %key, "replica" => %replica);
+        }
+        Decision::ExecutionRefused { key, verdict, reason } => {
+            debug!(log, "execute: request refused"; "key" => %key, "verdict" => %verdict,
+                "reason" => reason.name());
+        }
     }
 }
--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -20,6 +20,9 @@
 const REFUSALS: &str = "berylpin_sub_query_refusals_total";
 const STALLS: &str = "berylpin_stalled_calls_total";
 const CHANGES: &str = "berylpin_replica_changes_total";
+const RESTARTS: &str = "berylpin_query_restarts_total";
+const EXECUTION_ATTEMPTS: &str = "berylpin_execution_attempts_total";
+const EXECUTION_REFUSALS: &str = "berylpin_execution_refusals_total";
 const EPOCH: &str = "berylpin_view_epoch";
 const MEMBERS: &str = "berylpin_members_live";
 const OWNED: &str = "berylpin_replicas_owned";
@@ -97,8 +100,18 @@
         Decision::Ejected { .. } => counter!(CHANGES, "change" => "ejected").increment(1),
         Decision::Returned { .. } => counter!(CHANGES, "change" => "returned").increment(1),
         Decision::Drained { .. } => counter!(CHANGES, "change" => "drained").increment(1),
+        Decision::Restarted { .. } => counter!(RESTARTS).increment(1),
+        Decision::ExecutionRouted { .. } => counter!(EXECUTION_ATTEMPTS).increment(1),
+        Decision::ExecutionRefused { verdict, reason, .. } => {
+            let labels = [("verdict", verdict.name()), ("reason", reason.name())];
+            counter!(EXECUTION_REFUSALS, &labels).increment(1);
+        }
+        // Rejected queries are counted with the answers.
         Decision::Pinned { .. }
+        | Decision::Rejected { .. }
         | Decision::ShedLevel { .. }
+        | Decision::KeyRouted { .. }
+        | Decision::ExecutionStarted { .. }
         | Decision::Member { .. }
         | Decision::Placed { .. }
         | Decision::InForce { .. }
@@ -124,11 +137,14 @@
     describe_histogram!(LATENCY, "Time from request to answer, by rank and target");
     describe_counter!(ANSWERS, "Queries by rank, target and outcome");
     describe_histogram!(COVERAGE, "Share of shards that answers cover, by rank and target");
-    describe_counter!(ATTEMPTS, "Attempts at shards by cause: first, retry or hedge");
+    describe_counter!(ATTEMPTS, "Attempts at shards by cause: first, retry, hedge or reroute");
     describe_counter!(STARTS, "Calls to upstreams");
     describe_counter!(REFUSALS, "Sub-queries refused by their owner, by reason");
     describe_counter!(STALLS, "Calls that made no progress, with their connection replaced");
     describe_counter!(CHANGES, "Replicas that were ejected, drained or returned, by change");
+    describe_counter!(RESTARTS, "Queries that started again on a newer snapshot");
+    describe_counter!(EXECUTION_ATTEMPTS, "Attempts at non-idempotent requests");
+    describe_counter!(EXECUTION_REFUSALS, "Refusals by holders of keys, by verdict and reason");
     describe_gauge!(EPOCH, "Epoch of the view in force");
     describe_gauge!(MEMBERS, "Daemons that take part in placement");
     describe_gauge!(OWNED, "Replicas that this daemon owns");
--- a/crates/berylpin_daemon/src/traffic/link.rs
+++ b/crates/berylpin_daemon/src/traffic/link.rs
@@ -4,9 +4,11 @@
     CHALLENGE_HEADER, Handshake, MEMBER_HEADER, PROOF_HEADER, Side, challenge_text, read_challenge,
     read_proof,
 };
+use super::mailbox::Mailboxes;
 use crate::control::{ControlMail, ControlMailbox};
 use crate::settings::{DaemonSettings, Secret};
 use berylpin_core::control::ControlMessage;
+use berylpin_core::execute::{AttemptId, ExecuteMessage};
 use berylpin_core::ids::MemberTag;
 use berylpin_core::message::QueryMessage;
 use berylpin_wire::frame::{self, Frame};
@@ -44,10 +46,22 @@
 pub(crate) enum LinkFrame {
     /// A message about queries.
     Query(QueryMessage),
+    /// A message about non-idempotent requests.
+    Execute(ExecuteMessage),
     /// A message between control threads.
     Control(Box<ControlMessage>),
 }
 
+impl LinkFrame {
+    /// Returns the attempt at an execution that the frame asks for.
+    pub(super) fn run_attempt(&self) -> Option<AttemptId> {
+        match self {
+            Self::Query(_) | Self::Control(_) => None,
+            Self::Execute(message) => message.run_attempt(),
+        }
+    }
+}
+
 /// What an outgoing link is made of.
 pub(crate) struct LinkContext {
     own: MemberTag,
@@ -55,6 +69,7 @@
     /// The address that the connection leaves from.
     local: IpAddr,
     key: Secret,
+    mailboxes: Mailboxes,
     control: ControlMailbox,
     log: Logger,
 }
@@ -63,6 +78,7 @@
     pub(crate) fn new(
         settings: &DaemonSettings,
         address: SocketAddr,
+        mailboxes: Mailboxes,
         control: ControlMailbox,
         log: Logger,
     ) -> Self {
@@ -71,6 +87,7 @@
             address,
             local: settings.peer_address.ip(),
             key: settings.fleet_key.clone(),
+            mailboxes,
             control,
             log,
         }
@@ -98,18 +115,24 @@
 /// Carries frames to one daemon until all senders are gone; reconnects when there is work.
 pub(crate) async fn run_link(cx: LinkContext, mut rx: mpsc::Receiver<LinkFrame>) {
     while let Some(first) = rx.recv().await {
-        let Err(e) = carry(&cx, first, &mut rx).await else { return };
+        let mut first = Some(first);
+        let Err(e) = carry(&cx, &mut first, &mut rx).await else { return };
         info!(cx.log, "link: broken"; "peer" => %cx.address, "error" => %e);
         // What was queued or written may be lost; the entries of this daemon retry it.
-        while rx.try_recv().is_ok() {}
+        // A frame that is written is never sent again: an attempt at an execution must not repeat.
+        let queued = std::iter::from_fn(|| rx.try_recv().ok());
+        for attempt in first.into_iter().chain(queued).filter_map(|frame| frame.run_attempt()) {
+            cx.mailboxes.undelivered(attempt);
+        }
         cx.control.send(ControlMail::LinkDown(cx.address));
         sleep(RETRY_PAUSE).await;
     }
 }
 
+/// Carries frames until the link breaks; takes `first` only once it can be written.
 async fn carry(
     cx: &LinkContext,
-    first: LinkFrame,
+    first: &mut Option<LinkFrame>,
     rx: &mut mpsc::Receiver<LinkFrame>,
 ) -> Result<(), LinkError> {
     let tcp = timeout(CONNECT_TIMEOUT, connect(cx.local, cx.address))
@@ -137,12 +160,12 @@
 async fn pump(
     cx: &LinkContext,
     client: SendRequest<Bytes>,
-    first: LinkFrame,
+    first: &mut Option<LinkFrame>,
     rx: &mut mpsc::Receiver<LinkFrame>,
 ) -> Result<(), LinkError> {
     let mut stream = open(cx, client).await?;
     let mut buf = BytesMut::new();
-    let mut next = Some(first);
+    let mut next = first.take();
     while let Some(frame) = next {
         append(frame, &mut buf);
         while buf.len() < WRITE_SIZE {
@@ -191,6 +214,7 @@
     let frame = match frame {
         LinkFrame::Query(message) => Frame::Query(message),
         LinkFrame::Control(message) => Frame::Control(message),
+        LinkFrame::Execute(message) => Frame::Execute(message),
     };
     frame::encode(&frame, buf);
 }
--- a/crates/berylpin_daemon/src/traffic/mod.rs
+++ b/crates/berylpin_daemon/src/traffic/mod.rs
@@ -2,12 +2,14 @@
 
 mod authentication;
 mod connections;
+mod execute;
 mod link;
 mod mailbox;
 mod peers;
 mod thread;
 mod upstream;
 
+pub(crate) use execute::ExecuteMail;
 pub(crate) use link::{LinkContext, LinkFrame, run_link};
 pub(crate) use mailbox::{Mail, Mailbox, Mailboxes};
 pub(crate) use peers::{PeerContext, serve_peers};
--- a/crates/berylpin_daemon/src/traffic/peers.rs
+++ b/crates/berylpin_daemon/src/traffic/peers.rs
@@ -168,6 +168,11 @@
                     self.cx.mailboxes.deliver(from, message);
                 }
             }
+            Frame::Execute(message) => {
+                if let Some(from) = self.sender().await {
+                    self.cx.mailboxes.deliver_execute(from, message);
+                }
+            }
         }
     }
 
--- a/crates/berylpin_standin/src/lib.rs
+++ b/crates/berylpin_standin/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod checker;
 pub mod fleet;
+pub mod ledger;
 pub mod load;
 pub mod net;
 pub mod platform;
--- a/crates/berylpin_wire/src/frame.rs
+++ b/crates/berylpin_wire/src/frame.rs
@@ -1,6 +1,7 @@
 //! Frames on the links between daemons: a length of four bytes, then the frame in bincode.
 
 use berylpin_core::control::ControlMessage;
+use berylpin_core::execute::ExecuteMessage;
 use berylpin_core::message::QueryMessage;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
@@ -18,6 +19,8 @@
     Query(QueryMessage),
     /// A message between control threads.
     Control(Box<ControlMessage>),
+    /// A message about non-idempotent requests.
+    Execute(ExecuteMessage),
 }
 
 /// Why bytes are not a frame.
