--- a/crates/berylpin_core/src/config/mod.rs
+++ b/crates/berylpin_core/src/config/mod.rs
@@ -7,5 +7,5 @@
 
 pub use drain::set_drain;
 pub use duration::{DurationText, parse_duration};
-pub use section::{Placed, Problem, Problems, Section};
+pub use section::{ADDRESS, COUNT, FLAG, NUMBER, Placed, Problem, Problems, Section, TEXT};
 pub use service::{DOCUMENT_LIMIT, DocumentError, ReplicaSettings, ServiceSettings, ShardSettings};
--- a/crates/berylpin_core/src/config/section.rs
+++ b/crates/berylpin_core/src/config/section.rs
@@ -13,6 +13,21 @@
 /// How alike an unknown key and a known one are, from 0 to 1, for the known one to be suggested.
 const SUGGESTION_LIKENESS: f64 = 0.7;
 
+/// What a text value is, for people.
+pub const TEXT: &str = "a text in quotes";
+
+/// What a number is, for people.
+pub const NUMBER: &str = "a number like `0.5`";
+
+/// What a count is, for people.
+pub const COUNT: &str = "a whole number";
+
+/// What a flag is, for people.
+pub const FLAG: &str = "`true` or `false`";
+
+/// What an address is, for people.
+pub const ADDRESS: &str = "an address with a port like `\"10.1.0.10:8080\"`";
+
 /// What is wrong at one place of a text.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Problem {
@@ -118,14 +133,19 @@
         format!("{}{key}", self.path)
     }
 
-    /// Reads a key that may be absent.
-    pub fn optional<T>(&mut self, key: &'static str, problems: &mut Problems) -> Option<Placed<T>>
+    /// Reads a key that may be absent; `allowed` says in plain words what it takes.
+    pub fn optional<T>(
+        &mut self,
+        key: &'static str,
+        allowed: &str,
+        problems: &mut Problems,
+    ) -> Option<Placed<T>>
     where
         T: for<'de> Deserialize<'de>,
     {
         let (line, value) = self.take(key)?;
         let result = T::deserialize(ValueDeserializer::from(value));
-        self.place(key, line, result, problems)
+        self.place(key, line, result.map_err(|_| format!("this is not {allowed}")), problems)
     }
 
     /// Reads a key that may be absent, by a `serde_with` adapter.
@@ -139,11 +159,17 @@
     {
         let (line, value) = self.take(key)?;
         let result = DeserializeAsWrap::<T, A>::deserialize(ValueDeserializer::from(value));
-        self.place(key, line, result.map(DeserializeAsWrap::into_inner), problems)
+        let result = result.map(DeserializeAsWrap::into_inner).map_err(|e| e.message().to_owned());
+        self.place(key, line, result, problems)
     }
 
     /// Reads a key that has to be there.
-    pub fn required<T>(&mut self, key: &'static str, problems: &mut Problems) -> Option<Placed<T>>
+    pub fn required<T>(
+        &mut self,
+        key: &'static str,
+        allowed: &str,
+        problems: &mut Problems,
+    ) -> Option<Placed<T>>
     where
         T: for<'de> Deserialize<'de>,
     {
@@ -152,7 +178,7 @@
             problems.add(Some(self.line), &self.path_of(key), "this key is missing");
             return None;
         }
-        self.optional(key, problems)
+        self.optional(key, allowed, problems)
     }
 
     /// Reads a table that may be absent.
@@ -220,13 +246,13 @@
         &self,
         key: &str,
         line: u32,
-        result: Result<T, toml::de::Error>,
+        result: Result<T, String>,
         problems: &mut Problems,
     ) -> Option<Placed<T>> {
         match result {
             Ok(value) => Some(Placed { value, line: Some(line) }),
             Err(e) => {
-                problems.add(Some(line), &self.path_of(key), e.message());
+                problems.add(Some(line), &self.path_of(key), e);
                 None
             }
         }
--- a/crates/berylpin_core/src/config/section/tests.rs
+++ b/crates/berylpin_core/src/config/section/tests.rs
@@ -4,8 +4,8 @@
 fn an_unknown_key_is_told_with_its_line_and_the_nearest_known_one() {
     let mut problems = Problems::default();
     let mut section = Section::parse("a = 1\nthreds = 2\nzzz = 3\n", &mut problems).unwrap();
-    assert_eq!(section.optional::<u32>("a", &mut problems).unwrap().value, 1);
-    assert!(section.optional::<u32>("threads", &mut problems).is_none());
+    assert_eq!(section.optional::<u32>("a", COUNT, &mut problems).unwrap().value, 1);
+    assert!(section.optional::<u32>("threads", COUNT, &mut problems).is_none());
     section.finish(&mut problems);
     let told: Vec<_> = problems.into_sorted().iter().map(ToString::to_string).collect();
     assert_eq!(
@@ -21,9 +21,9 @@
 fn every_wrong_value_is_told() {
     let mut problems = Problems::default();
     let mut section = Section::parse("a = \"x\"\nb = -1\n", &mut problems).unwrap();
-    assert!(section.required::<u32>("a", &mut problems).is_none());
-    assert!(section.required::<u32>("b", &mut problems).is_none());
-    assert!(section.required::<u32>("c", &mut problems).is_none());
+    assert!(section.required::<u32>("a", COUNT, &mut problems).is_none());
+    assert!(section.required::<u32>("b", COUNT, &mut problems).is_none());
+    assert!(section.required::<u32>("c", COUNT, &mut problems).is_none());
     let lines: Vec<_> = problems.into_sorted().iter().map(|p| (p.line, p.key.clone())).collect();
     let expected = [(Some(1), "a"), (Some(1), "c"), (Some(2), "b")];
     assert_eq!(lines, expected.map(|(line, key)| (line, key.to_owned())));
--- a/crates/berylpin_core/src/config/service/document.rs
+++ b/crates/berylpin_core/src/config/service/document.rs
@@ -2,7 +2,7 @@
 
 use super::{ReplicaSettings, ServiceSettings, ShardSettings};
 use crate::config::duration::DurationText;
-use crate::config::section::{Placed, Problems, Section};
+use crate::config::section::{ADDRESS, COUNT, FLAG, NUMBER, Placed, Problems, Section, TEXT};
 use crate::ids::ReplicaTag;
 use crate::rank::Rank;
 use std::net::SocketAddr;
@@ -38,9 +38,9 @@
 
 /// Reads a document; `None` if something that is needed is absent or not allowed.
 pub(super) fn read(mut section: Section<'_>, problems: &mut Problems) -> Option<ServiceSettings> {
-    let service = section.required::<String>("service", problems);
+    let service = section.required::<String>("service", TEXT, problems);
     let name = service.and_then(|name| check_name("service", name, problems));
-    let group = section.optional::<String>("group", problems);
+    let group = section.optional::<String>("group", TEXT, problems);
     let group = match group {
         Some(group) => check_name("group", group, problems),
         None => name.clone(),
@@ -100,7 +100,7 @@
     default: f64,
     problems: &mut Problems,
 ) -> f64 {
-    let Some(Placed { value, line }) = section.optional::<f64>(key, problems) else {
+    let Some(Placed { value, line }) = section.optional::<f64>(key, NUMBER, problems) else {
         return default;
     };
     if !(0.0..=1.0).contains(&value) {
@@ -142,7 +142,7 @@
     problems: &mut Problems,
 ) -> Option<ShardSettings> {
     let line = section.line();
-    let name = section.required::<String>("name", problems);
+    let name = section.required::<String>("name", TEXT, problems);
     let name = name.and_then(|name| check_name("shard.name", name, problems));
     let sections = section.sections("replica", problems);
     if sections.is_empty() || sections.len() > REPLICA_LIMIT {
@@ -172,13 +172,13 @@
     shard: &str,
     problems: &mut Problems,
 ) -> Option<ReplicaSettings> {
-    let address = section.required::<SocketAddr>("address", problems);
-    let data_centre = section.required::<String>("data_centre", problems);
+    let address = section.required::<SocketAddr>("address", ADDRESS, problems);
+    let data_centre = section.required::<String>("data_centre", TEXT, problems);
     let data_centre =
         data_centre.and_then(|name| check_name("shard.replica.data_centre", name, problems));
-    let slots = section.required::<u16>("slots", problems);
-    let connections = section.required::<u16>("connections", problems);
-    let drain = section.optional::<bool>("drain", problems).is_some_and(|drain| drain.value);
+    let slots = section.required::<u16>("slots", COUNT, problems);
+    let connections = section.required::<u16>("connections", COUNT, problems);
+    let drain = section.optional::<bool>("drain", FLAG, problems).is_some_and(|drain| drain.value);
     section.finish(problems);
     let (slots, connections) = (slots?, connections?);
     if !(1..=SLOT_LIMIT).contains(&slots.value) {
--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -134,7 +134,13 @@
             listen("admin_address", settings.admin_address)?
         };
         let admin_state =
-            AdminState::new(&settings, view, stopping.clone(), control_mailbox.clone());
+            AdminState::new(
+                &settings,
+                view,
+                stopping.clone(),
+                control_mailbox.clone(),
+                log.clone(),
+            );
         let mut all_runtimes = runtimes.clone();
         all_runtimes.push(runtime.handle().clone());
         let cx = ControlContext {
--- a/crates/berylpin_daemon/src/http/admin.rs
+++ b/crates/berylpin_daemon/src/http/admin.rs
@@ -6,16 +6,17 @@
 
 use super::reply::json;
 use crate::control::ControlMailbox;
+use crate::logging::Log;
 use crate::metrics::metrics_page;
 use crate::platform::Platform;
 use crate::settings::{DaemonSettings, Secret};
 use berylpin_core::control::View;
-use berylpin_wire::admin::Problem;
+use berylpin_wire::admin::{LogLevelBody, Problem};
 use poem::http::StatusCode;
 use poem::http::header::AUTHORIZATION;
-use poem::web::Data;
+use poem::web::{Data, Json};
 use poem::{
-    Endpoint, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, get, handler, post,
+    Endpoint, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, get, handler, post, put,
 };
 use serde::Serialize;
 use std::sync::Arc;
@@ -31,6 +32,7 @@
     stopping: Arc<AtomicBool>,
     control: ControlMailbox,
     platform: Platform,
+    log: Log,
 }
 
 /// Body of `GET /v1/status`.
@@ -50,6 +52,7 @@
         view: watch::Receiver<Arc<View>>,
         stopping: Arc<AtomicBool>,
         control: ControlMailbox,
+        log: Log,
     ) -> Self {
         Self {
             name: settings.name.as_str().into(),
@@ -58,6 +61,7 @@
             stopping,
             control,
             platform: Platform::new(settings.platform, settings.peer_address.ip()),
+            log,
         }
     }
 
@@ -85,6 +89,7 @@
         .at("/revision/:revision", get(members::get_revision))
         .at("/members", get(members::list_members))
         .at("/routing/:target", get(members::get_routing))
+        .at("/log", put(put_log_level))
         .around(move |routes, request| authenticate(token.clone(), routes, request));
     Route::new()
         .at("/live", get(get_live))
@@ -160,3 +165,11 @@
     };
     json(StatusCode::OK, &body)
 }
+
+#[handler]
+fn put_log_level(state: Data<&AdminState>, Json(body): Json<LogLevelBody>) -> Response {
+    match state.log.levels().set(&body.part, &body.level) {
+        Ok(()) => Response::builder().status(StatusCode::OK).finish(),
+        Err(e) => problem(StatusCode::UNPROCESSABLE_ENTITY, e.to_string()),
+    }
+}
--- a/crates/berylpin_daemon/src/settings.rs
+++ b/crates/berylpin_daemon/src/settings.rs
@@ -6,8 +6,7 @@
 pub use builder::DaemonSettingsBuilder;
 pub use secret::Secret;
 
-use berylpin_core::config::{Placed, Problem, Problems, Section};
-use serde::Deserialize;
+use berylpin_core::config::{ADDRESS, COUNT, Placed, Problem, Problems, Section, TEXT};
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -32,6 +31,9 @@
 /// Seeds that settings may name.
 const SEEDS_LIMIT: usize = 64;
 
+/// What a list of addresses is, for people.
+const ADDRESSES: &str = "a list of addresses like `[\"10.1.0.10:7001\"]`";
+
 /// The environment variable that goes before `admin_token`.
 const ADMIN_TOKEN_VARIABLE: &str = "BERYLPIN_ADMIN_TOKEN";
 
@@ -173,25 +175,25 @@
     {
         let mut secret = |section: &mut Section<'_>, key, variable| {
             if env(variable).is_some() {
-                return section.optional(key, problems);
+                return section.optional(key, TEXT, problems);
             }
-            section.required(key, problems)
+            section.required(key, TEXT, problems)
         };
         let admin_token = secret(&mut section, "admin_token", ADMIN_TOKEN_VARIABLE);
         let fleet_key = secret(&mut section, "fleet_key", FLEET_KEY_VARIABLE);
         let options = Self {
-            name: required(&mut section, "name", problems),
-            data_centre: required(&mut section, "data_centre", problems),
-            region: required(&mut section, "region", problems),
-            caller_address: required(&mut section, "caller_address", problems),
-            peer_address: required(&mut section, "peer_address", problems),
-            admin_address: required(&mut section, "admin_address", problems),
-            platform: required(&mut section, "platform", problems),
-            seeds: section.optional("seeds", problems),
+            name: section.required("name", TEXT, problems),
+            data_centre: section.required("data_centre", TEXT, problems),
+            region: section.required("region", TEXT, problems),
+            caller_address: section.required("caller_address", ADDRESS, problems),
+            peer_address: section.required("peer_address", ADDRESS, problems),
+            admin_address: section.required("admin_address", ADDRESS, problems),
+            platform: section.required("platform", ADDRESS, problems),
+            seeds: section.optional("seeds", ADDRESSES, problems),
             admin_token,
             fleet_key,
-            threads: section.optional("threads", problems),
-            stop_notice_ms: section.optional("stop_notice_ms", problems),
+            threads: section.optional("threads", COUNT, problems),
+            stop_notice_ms: section.optional("stop_notice_ms", COUNT, problems),
         };
         section.finish(problems);
         options
@@ -224,17 +226,6 @@
     }
 }
 
-fn required<T>(
-    section: &mut Section<'_>,
-    key: &'static str,
-    problems: &mut Problems,
-) -> Option<Placed<T>>
-where
-    T: for<'de> Deserialize<'de>,
-{
-    section.required(key, problems)
-}
-
 fn check_name(key: &str, name: Option<Placed<String>>, problems: &mut Problems) -> Option<String> {
     let Placed { value, line } = name?;
     if (1..=NAME_LIMIT).contains(&value.len()) {
--- a/crates/berylpin_standin/src/fleet.rs
+++ b/crates/berylpin_standin/src/fleet.rs
@@ -51,6 +51,8 @@
     seeds: Vec<SocketAddr>,
     /// `None` once it was killed.
     controller: Option<Controller>,
+    /// When the controller wants its next tick.
+    due: Instant,
     /// Nodes of different groups cannot reach each other.
     group: u32,
     platform_reachable: bool,
@@ -88,6 +90,7 @@
                 report,
                 seeds: Vec::new(),
                 controller: None,
+                due: now,
                 group: 0,
                 platform_reachable: true,
                 paused_until: now,
@@ -173,6 +176,7 @@
         state.leaving = false;
         state.watching = false;
         state.paused_until = self.now;
+        state.due = self.now;
         let seed = self.seed ^ (node as u64) << 20 ^ state.report.incarnation;
         let (report, seeds) = (state.report.clone(), state.seeds.clone());
         state.controller = Some(Controller::new(report, seeds, seed, self.now));
@@ -233,10 +237,8 @@
     }
 
     fn next_event(&mut self, end: Instant) -> Option<(Instant, NodeIndex, Event)> {
-        let timers = self.nodes.iter().enumerate().filter_map(|(index, node)| {
-            let due = node.controller.as_ref()?.next_timer();
-            Some((due.max(node.paused_until), index))
-        });
+        let running = self.nodes.iter().enumerate().filter(|(_, node)| node.controller.is_some());
+        let timers = running.map(|(index, node)| (node.due.max(node.paused_until), index));
         let timer = timers.min().filter(|(at, _)| *at <= end);
         let mail = self.network.next().filter(|at| *at <= end);
         match (timer, mail) {
@@ -256,6 +258,7 @@
         let Some(controller) = &mut state.controller else { return };
         let mut actions = Vec::new();
         controller.handle(now, event, &mut actions);
+        state.due = controller.next_timer();
         for action in actions {
             self.act(node, action);
         }
