--- a/crates/berylpin_daemon/src/control/thread.rs
+++ b/crates/berylpin_daemon/src/control/thread.rs
@@ -71,7 +71,7 @@
     mut rx: mpsc::Receiver<ControlMail>,
 ) {
     let settings = &cx.settings;
-    let platform = Platform::new(settings.platform, settings.peer_address.ip());
+    let platform = Platform::new(settings.platform, settings.peer_listen_address.ip());
     let links = Links::new(
         cx.runtimes.clone(),
         settings.clone(),
--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -111,7 +111,9 @@
             };
             let callers = listen("caller_address", settings.caller_address)?;
             let first = index == 0;
-            let peers = first.then(|| listen("peer_address", settings.peer_address)).transpose()?;
+            let peers = first
+                .then(|| listen("peer_listen_address", settings.peer_listen_address))
+                .transpose()?;
             let peers = peers.map(|listener| {
                 let (view, boxes, log) = (view.clone(), mailboxes.clone(), log.logger());
                 let control = control_mailbox.clone();
@@ -133,14 +135,13 @@
             let _guard = runtime.enter();
             listen("admin_address", settings.admin_address)?
         };
-        let admin_state =
-            AdminState::new(
-                &settings,
-                view,
-                stopping.clone(),
-                control_mailbox.clone(),
-                log.clone(),
-            );
+        let admin_state = AdminState::new(
+            &settings,
+            view,
+            stopping.clone(),
+            control_mailbox.clone(),
+            log.clone(),
+        );
         let mut all_runtimes = runtimes.clone();
         all_runtimes.push(runtime.handle().clone());
         let cx = ControlContext {
--- a/crates/berylpin_daemon/src/http/admin.rs
+++ b/crates/berylpin_daemon/src/http/admin.rs
@@ -16,7 +16,8 @@
 use poem::http::header::AUTHORIZATION;
 use poem::web::{Data, Json};
 use poem::{
-    Endpoint, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, get, handler, post, put,
+    Endpoint, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, get, handler,
+    post, put,
 };
 use serde::Serialize;
 use std::sync::Arc;
@@ -60,7 +61,7 @@
             view,
             stopping,
             control,
-            platform: Platform::new(settings.platform, settings.peer_address.ip()),
+            platform: Platform::new(settings.platform, settings.peer_listen_address.ip()),
             log,
         }
     }
--- a/crates/berylpin_daemon/src/settings.rs
+++ b/crates/berylpin_daemon/src/settings.rs
@@ -81,6 +81,7 @@
     region: Option<Placed<String>>,
     caller_address: Option<Placed<SocketAddr>>,
     peer_address: Option<Placed<SocketAddr>>,
+    peer_listen_address: Option<Placed<SocketAddr>>,
     admin_address: Option<Placed<SocketAddr>>,
     platform: Option<Placed<SocketAddr>>,
     seeds: Option<Placed<Vec<SocketAddr>>>,
@@ -103,6 +104,8 @@
     pub caller_address: SocketAddr,
     /// Where other daemons connect.
     pub peer_address: SocketAddr,
+    /// Where links from them are accepted; differs from `peer_address` behind a proxy.
+    pub peer_listen_address: SocketAddr,
     /// Where operators and the balancer connect.
     pub admin_address: SocketAddr,
     /// The address of the platform.
@@ -187,6 +190,7 @@
             region: section.required("region", TEXT, problems),
             caller_address: section.required("caller_address", ADDRESS, problems),
             peer_address: section.required("peer_address", ADDRESS, problems),
+            peer_listen_address: section.optional("peer_listen_address", ADDRESS, problems),
             admin_address: section.required("admin_address", ADDRESS, problems),
             platform: section.required("platform", ADDRESS, problems),
             seeds: section.optional("seeds", ADDRESSES, problems),
@@ -209,12 +213,14 @@
         let seeds = check_seeds(self.seeds, problems);
         let threads = check_threads(self.threads, problems);
         let stop_notice = check_stop_notice(self.stop_notice_ms, problems);
+        let peer_address = self.peer_address?.value;
         Some(DaemonSettings {
             name: name?,
             data_centre: data_centre?,
             region: region?,
             caller_address: self.caller_address?.value,
-            peer_address: self.peer_address?.value,
+            peer_address,
+            peer_listen_address: self.peer_listen_address.map_or(peer_address, |a| a.value),
             admin_address: self.admin_address?.value,
             platform: self.platform?.value,
             seeds,
--- a/crates/berylpin_daemon/src/settings/builder.rs
+++ b/crates/berylpin_daemon/src/settings/builder.rs
@@ -36,6 +36,8 @@
         caller_address: SocketAddr => |address| address;
         /// Sets where other daemons connect; needed.
         peer_address: SocketAddr => |address| address;
+        /// Sets where links are accepted; `peer_address` by default.
+        peer_listen_address: SocketAddr => |address| address;
         /// Sets where operators and the balancer connect; needed.
         admin_address: SocketAddr => |address| address;
         /// Sets the address of the platform; needed.
--- a/crates/berylpin_daemon/src/traffic/link.rs
+++ b/crates/berylpin_daemon/src/traffic/link.rs
@@ -85,7 +85,7 @@
         Self {
             own: MemberTag::of([settings.name.as_str()]),
             address,
-            local: settings.peer_address.ip(),
+            local: settings.peer_listen_address.ip(),
             key: settings.fleet_key.clone(),
             mailboxes,
             control,
--- /dev/null
+++ b/crates/berylpin_daemon/tests/fleet/mod.rs
@@ -0,0 +1,103 @@
+//! A few daemons in one process with a stand-in of the platform.
+
+use berylpin_daemon::{Daemon, DaemonSettings, SystemClock, discard_log};
+use berylpin_standin::platform::Platform;
+use berylpin_wire::platform::Vm;
+use std::fmt::Write;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// What operators authenticate with.
+pub(crate) const TOKEN: &str = "admin-test-token";
+
+/// How long anything may take in the end.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Daemons of one data centre and their platform.
+pub(crate) struct Fleet {
+    pub(crate) platform: Platform,
+    pub(crate) daemons: Vec<Daemon>,
+}
+
+impl Fleet {
+    /// Starts daemons that share one key.
+    pub(crate) async fn start(daemons: usize) -> Self {
+        Self::start_with(daemons, |_| "the-fleet-key-0000").await
+    }
+
+    /// Starts daemons with a key for each.
+    pub(crate) async fn start_with<F>(daemons: usize, key: F) -> Self
+    where
+        F: Fn(usize) -> &'static str,
+    {
+        let platform = Platform::start().await.unwrap();
+        let settings: Vec<DaemonSettings> =
+            (0..daemons).map(|index| settings(index, key(index), platform.address())).collect();
+        let vm = |settings: &DaemonSettings| Vm {
+            name: settings.name.clone(),
+            data_centre: settings.data_centre.clone(),
+            peer_address: settings.peer_address,
+            leaving: false,
+        };
+        platform.set_vms(settings.iter().map(vm).collect());
+        let start = |settings| Daemon::start(settings, Arc::new(SystemClock), discard_log());
+        let daemons = settings.into_iter().map(start).collect::<Result<Vec<_>, _>>().unwrap();
+        Self { platform, daemons }
+    }
+
+    /// Stops all daemons.
+    pub(crate) async fn stop(self) {
+        for daemon in self.daemons {
+            tokio::task::spawn_blocking(|| daemon.stop()).await.unwrap();
+        }
+    }
+}
+
+fn settings(index: usize, key: &str, platform: SocketAddr) -> DaemonSettings {
+    DaemonSettings::builder()
+        .name(&format!("entry-{index}"))
+        .data_centre("palermo-1")
+        .region("palermo")
+        .caller_address(free_address())
+        .peer_address(free_address())
+        .admin_address(free_address())
+        .platform(platform)
+        .admin_token(TOKEN)
+        .fleet_key(key)
+        .threads(1)
+        .stop_notice(Duration::from_millis(50))
+        .build()
+        .unwrap()
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap()
+}
+
+/// Waits until something holds.
+pub(crate) async fn eventually<F>(what: &str, holds: F)
+where
+    F: AsyncFn() -> bool,
+{
+    let end = Instant::now() + LIMIT;
+    while !holds().await {
+        assert!(Instant::now() < end, "not within {LIMIT:?}: {what}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Returns a document with one shard of some replicas.
+pub(crate) fn document(name: &str, replicas: usize) -> String {
+    let mut text = format!("service = \"{name}\"\n\n[[shard]]\nname = \"main\"\n");
+    for replica in 0..replicas {
+        let _ = write!(
+            text,
+            "\n[[shard.replica]]\naddress = \"127.0.0.1:{}\"\n\
+             data_centre = \"palermo-1\"\nslots = 2\nconnections = 25\n",
+            replica + 1
+        );
+    }
+    text
+}
