--- a/crates/berylpin_daemon/src/traffic/upstream/tests.rs
+++ b/crates/berylpin_daemon/src/traffic/upstream/tests.rs
@@ -127,6 +127,7 @@
         data_centre: "d".to_owned(),
         peer_address: "127.0.0.1:1".parse().expect("an address"),
         live: true,
+        leaving: false,
     });
     View::new(1, MemberId::from_index(0), members, Arc::new(topology))
 }
