--- a/crates/berylpin/src/bench.rs
+++ b/crates/berylpin/src/bench.rs
@@ -2,9 +2,7 @@
 
 use berylpin_core::ids::Snapshot;
 use berylpin_core::message::SnapshotRange;
-use berylpin_daemon::{
-    Daemon, DaemonSettings, SettingsError, StartError, SystemClock, discard_log,
-};
+use berylpin_daemon::{Daemon, DaemonSettings, Log, SettingsError, StartError, SystemClock};
 use berylpin_standin::checker::Layout;
 use berylpin_standin::load::Balancer;
 use berylpin_standin::net::{Net, Proxy, Target, Zone};
@@ -88,6 +86,7 @@
     pub(crate) documents: Vec<Document>,
     pub(crate) entries: Vec<Entry>,
     pub(crate) balancer: Balancer,
+    log: Log,
     platform_proxy: Proxy,
     site: Site,
 }
@@ -106,11 +105,11 @@
 impl Bench {
     /// Starts the platform, all upstreams of a site and as many daemons.
     ///
-    /// `edit` changes each document before it is stored.
+    /// All daemons write to one log; `edit` changes each document before it is stored.
     pub(crate) async fn start<F>(
         site: &Site,
         daemons: usize,
-        seed: u64,
+        (seed, log): (u64, Log),
         edit: F,
     ) -> Result<Self, BenchError>
     where
@@ -129,6 +128,7 @@
             documents: Vec::new(),
             entries: Vec::new(),
             balancer: Balancer::default(),
+            log,
             platform_proxy,
             site: site.clone(),
         };
@@ -236,7 +236,7 @@
             .fleet_key(FLEET_KEY)
             .stop_notice(STOP_NOTICE)
             .build()?;
-        entry.daemon = Some(Daemon::start(settings, Arc::new(SystemClock), discard_log())?);
+        entry.daemon = Some(Daemon::start(settings, Arc::new(SystemClock), self.log.clone())?);
         self.balancer.set(index, Some(entry.caller_address));
         Ok(())
     }
--- a/crates/berylpin/src/commands/demo.rs
+++ b/crates/berylpin/src/commands/demo.rs
@@ -3,6 +3,7 @@
 use crate::args::{Command, CommandError, finish};
 use crate::bench::{Bench, layout};
 use berylpin_core::rank::Rank;
+use berylpin_daemon::discard_log;
 use berylpin_standin::load::{Sample, Stream, Tally, caller_client, drive};
 use berylpin_standin::sites::Site;
 use comfy_table::Table;
@@ -65,8 +66,9 @@
 async fn demo(options: DemoOptions) -> Result<(), CommandError> {
     let fail = |e: &dyn std::fmt::Display| CommandError::Failed(e.to_string());
     eprintln!("starting stand-ins of {} and {DAEMONS} daemons", options.site.name);
-    let bench =
-        Bench::start(&options.site, DAEMONS, options.seed, |_| ()).await.map_err(|e| fail(&e))?;
+    let bench = Bench::start(&options.site, DAEMONS, (options.seed, discard_log()), |_| ())
+        .await
+        .map_err(|e| fail(&e))?;
     bench.wait_ready().await.map_err(|e| fail(&e))?;
     eprintln!("running the load for {} s; Ctrl-C ends it early", options.run_time.as_secs());
     let before = bench.work().ran;
--- a/crates/berylpin/src/experiment/run.rs
+++ b/crates/berylpin/src/experiment/run.rs
@@ -6,6 +6,7 @@
 use super::scenario::{Action, Charges, Scenario};
 use super::usage::{control_cpu_s, memory_mb};
 use crate::bench::{Bench, BenchError, TotalWork};
+use berylpin_daemon::Log;
 use berylpin_standin::charges::{Charge, drive_charges};
 use berylpin_standin::checker::Layout;
 use berylpin_standin::load::{Sample, Stream, caller_client, drive};
@@ -33,14 +34,14 @@
 }
 
 /// Runs a scenario to its end.
-pub(crate) async fn run(mut scenario: Scenario, seed: u64) -> Result<Report, BenchError> {
+pub(crate) async fn run(mut scenario: Scenario, seed: u64, log: Log) -> Result<Report, BenchError> {
     scenario.choose_faults(seed);
     let site = site_of(&scenario);
     let extra_load = scenario.extra_load;
     let edit = |document: &mut Document| {
         document.extra_load = extra_load;
     };
-    let mut bench = Bench::start(&site, scenario.daemons, seed, edit).await?;
+    let mut bench = Bench::start(&site, scenario.daemons, (seed, log), edit).await?;
     bench.wait_ready().await?;
     sleep(WARM_UP).await;
     let control = measure_control(&bench).await;
@@ -54,7 +55,7 @@
     let observed = Observations::default();
     let mut watchers = watch_canary(&bench, &observed);
 
-    let mut log = FaultLog::default();
+    let mut faults = FaultLog::default();
     let mut works = vec![(start, bench.work())];
     for event in timeline(&scenario, fault_start) {
         sleep_until(event.at).await;
@@ -63,16 +64,16 @@
             continue;
         };
         let (index, apply) = step;
-        carry_out(&mut bench, &scenario.fault[index], apply, &mut log).await?;
+        carry_out(&mut bench, &scenario.fault[index], apply, &mut faults).await?;
         watchers.abort_all();
         watchers = watch_canary(&bench, &observed);
     }
     let samples = drivers.join_all().await.concat();
     works.push((end, bench.work()));
     let charges = charges.join_all().await.concat();
-    log.settle().await;
+    faults.settle().await;
     let mut edits = Vec::new();
-    for edit in log.edits.drain(..) {
+    for edit in faults.edits.drain(..) {
         edits.push(edit.await.unwrap_or(canary::Edit::Unknown));
     }
     watchers.shutdown().await;
@@ -86,7 +87,7 @@
         charges: &charges,
         observations: &observations,
         works: &works,
-        stops: &log.stops,
+        stops: &faults.stops,
         edits: &edits,
         start,
         fault_start,
