--- a/crates/berylpin/src/bench.rs
+++ b/crates/berylpin/src/bench.rs
@@ -21,6 +21,9 @@
 /// How long daemons may take to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
+/// How long the list of VMs names a daemon that has ended.
+const VM_LIST_LAG: Duration = Duration::from_secs(3);
+
 /// How long daemons may take to end.
 const END_LIMIT: Duration = Duration::from_secs(5);
 
@@ -72,6 +75,8 @@
     caller_address: SocketAddr,
     peer_address: SocketAddr,
     admin_address: SocketAddr,
+    /// When it was told to end.
+    ended: Option<Instant>,
     /// `None` once it has ended.
     pub(crate) daemon: Option<Daemon>,
     _proxy: Proxy,
@@ -80,7 +85,7 @@
 /// Daemons and stand-ins of one site on loopback.
 pub(crate) struct Bench {
     pub(crate) net: Arc<Net>,
-    pub(crate) platform: Platform,
+    pub(crate) platform: Arc<Platform>,
     pub(crate) replicas: Vec<Replica>,
     /// The documents as the operators last wrote them.
     pub(crate) documents: Vec<Document>,
@@ -116,7 +121,7 @@
         F: Fn(&mut Document),
     {
         let net = Net::new(site.region_delay);
-        let platform = Platform::start().await?;
+        let platform = Arc::new(Platform::start().await?);
         let limit = usize::MAX;
         let target =
             Target { zone: Zone::PLATFORM, address: platform.address(), limit, counted: true };
@@ -215,6 +220,7 @@
             zone,
             caller_address: free_address(host)?,
             admin_address: free_address(host)?,
+            ended: None,
             daemon: None,
             peer_address: address,
             _proxy: proxy,
@@ -253,15 +259,24 @@
     /// Ends a daemon, gracefully or at once; the task returns when it has ended.
     pub(crate) fn end_daemon(&mut self, index: usize, graceful: bool) -> Option<JoinHandle<()>> {
         let daemon = self.entries[index].daemon.take()?;
-        self.entries[index].vm.leaving = graceful;
+        let entry = &mut self.entries[index];
+        entry.vm.leaving = graceful;
+        entry.ended = Some(Instant::now());
+        let (platform, name) = (self.platform.clone(), entry.vm.name.clone());
         self.publish_vms();
+        tokio::spawn(async move {
+            sleep(VM_LIST_LAG).await;
+            platform.remove_vm(&name);
+        });
         let end = move || if graceful { daemon.stop() } else { daemon.kill() };
         Some(tokio::task::spawn_blocking(end))
     }
 
     /// Hands the list of VMs to the platform.
     pub(crate) fn publish_vms(&self) {
-        self.platform.set_vms(self.entries.iter().map(|entry| entry.vm.clone()).collect());
+        let listed = |entry: &&Entry| entry.ended.is_none_or(|at| at.elapsed() < VM_LIST_LAG);
+        let vms = self.entries.iter().filter(listed).map(|entry| entry.vm.clone());
+        self.platform.set_vms(vms.collect());
     }
 
     /// Waits until all daemons are ready.
--- a/crates/berylpin_standin/src/platform.rs
+++ b/crates/berylpin_standin/src/platform.rs
@@ -83,6 +83,11 @@
         self.state.store().vms = vms;
     }
 
+    /// Takes a VM off the list.
+    pub fn remove_vm(&self, name: &str) {
+        self.state.store().vms.retain(|vm| vm.name != name);
+    }
+
     /// Replaces the faults.
     pub fn set_faults(&self, faults: PlatformFaults) {
         let mut store = self.state.store();
