Leave silent owners and refuse by what owners say only

Cause: an entry went on asking an owner that answered nothing until its link broke (a ping takes 2 s, urgent work has 250 ms), and refused queries by its own latency samples, which are as long as the deadline after a fault.

- An owner that said nothing since an attempt that is late by p99 is avoided until it says something or 10 s pass; inquiries go on and serve as probes.
With three open attempts it counts as lost, and the attempt is made again outside the budget, unless overload closed it.
- Admission counts shed levels and the owner's queue delay.

--- a/crates/berylpin_core/src/query/attempts.rs
+++ b/crates/berylpin_core/src/query/attempts.rs
@@ -75,7 +75,7 @@
             let share = self.view.topology.services[progress.service].settings.extra_load;
             self.budgets[progress.service][rank.index()].earn(share);
         }
-        self.replicas.started(route.replica);
+        self.replicas.started(route.replica, route.owner);
         let replica = self.view.topology.replicas[route.replica].settings.tag;
         let attempt = AttemptId { thread: self.thread, query: key, tag, position, ordinal };
         self.outbox.send(route.owner, Part { attempt, replica });
@@ -103,9 +103,9 @@
         let ended = *attempt;
         attempt.state = AttemptState::Ended;
         if ended.state == AttemptState::Open {
-            self.replicas.ended(ended.replica);
+            self.replicas.ended(&ended);
         }
-        self.replicas.trust_owner(ended.owner);
+        self.replicas.owners.heard(now, ended.owner);
         let failure = match reply.outcome {
             Outcome::Rows { snapshot, rows } if Some(snapshot) == query.snapshot => {
                 let elapsed = now.saturating_duration_since(query.moment(ended.sent));
@@ -143,7 +143,7 @@
         let attempts = query.shards[position as usize].attempts_mut().iter_mut().enumerate();
         for (ordinal, attempt) in attempts.filter(|(_, attempt)| attempt.is_awaited()) {
             if attempt.state == AttemptState::Open {
-                self.replicas.ended(attempt.replica);
+                self.replicas.ended(attempt);
                 let age = now.saturating_duration_since(attempt.sent_at(started));
                 self.replicas.sample_unanswered(now, attempt.replica, age);
             }
--- a/crates/berylpin_core/src/query/coordinator.rs
+++ b/crates/berylpin_core/src/query/coordinator.rs
@@ -179,6 +179,9 @@
         for (tag, hint) in hints {
             if let Some(replica) = self.view.topology.replica(*tag) {
                 self.learn(now, replica, *hint);
+                if let Some(owner) = self.view.owner(replica) {
+                    self.replicas.owners.heard(now, owner);
+                }
             }
         }
         let mut waiting = std::mem::take(&mut self.waiting);
--- a/crates/berylpin_core/src/query/coordinator/tests.rs
+++ b/crates/berylpin_core/src/query/coordinator/tests.rs
@@ -3,7 +3,7 @@
 
 use super::{TIMER_SLACK, TIMERS_PER_QUERY};
 use crate::decision::AttemptCause;
-use crate::ids::{QueryTag, Snapshot};
+use crate::ids::{Key, MemberId, QueryTag, Snapshot};
 use crate::message::{FailReason, SnapshotRange};
 use crate::query::{Event, RefusalReason};
 use crate::rank::Rank;
@@ -51,6 +51,40 @@
     assert!(world.result(ticket).unwrap().as_ref().unwrap().coverage.missing.is_empty());
 }
 
+#[test]
+fn an_owner_that_answers_nothing_is_left_without_any_budget() {
+    let shape = Shape { services: 1, shards: 20, extra_load: 0.0, ..SMALL };
+    let mut world = warmed(shape);
+    let dead = MemberId::from_index(2);
+    let answer_others = |world: &mut World| {
+        while let Some(index) = world
+            .sent
+            .iter()
+            .position(|sent| !sent.replied && !sent.cancelled && sent.owner != dead)
+        {
+            let rows = world.rows(&world.sent[index]);
+            world.reply(index, rows);
+        }
+    };
+    world.wait(MILLIS);
+    let ticket = world.request(Rank::Urgent, SECOND);
+    assert!(world.sent.iter().filter(|sent| sent.owner == dead).count() >= 3);
+    world.wait(2 * MILLIS);
+    answer_others(&mut world);
+    world.wait(5 * MILLIS);
+    answer_others(&mut world);
+    assert!(world.result(ticket).unwrap().as_ref().unwrap().coverage.missing.is_empty());
+    world.sent.clear();
+    world.request(Rank::Urgent, SECOND);
+    assert!(world.sent.iter().all(|sent| sent.owner != dead), "it is avoided");
+    world.wait(2 * SECOND);
+    world.request(Rank::Urgent, SECOND);
+    world.hint();
+    world.sent.clear();
+    world.request(Rank::Urgent, SECOND);
+    assert!(world.sent.iter().any(|sent| sent.owner == dead), "it said something");
+}
+
 #[test]
 fn no_hedge_is_sent_while_an_owner_sheds() {
     let mut world = warmed(SMALL);
@@ -81,6 +115,16 @@
     assert!(!world.sent.is_empty());
 }
 
+#[test]
+fn latencies_of_a_fault_refuse_nothing() {
+    let mut world = World::new(SMALL);
+    for _ in 0..40 {
+        world.run(Rank::Urgent, SECOND / 2);
+    }
+    let ticket = world.request(Rank::Urgent, SECOND / 4);
+    assert!(world.result(ticket).is_none());
+}
+
 #[test]
 fn a_shed_level_is_forgotten_without_news() {
     let mut world = warmed(SMALL);
--- a/crates/berylpin_core/src/query/hedge.rs
+++ b/crates/berylpin_core/src/query/hedge.rs
@@ -82,8 +82,26 @@
         }
     }
 
+    /// Avoids the owner of a late attempt if it said nothing since; returns whether it is lost.
+    ///
+    /// A lost owner answers none of several attempts. Overload looks the same for a moment, so
+    /// an owner does not count as lost while the budget is closed.
+    fn suspect_owner(&mut self, now: Instant, key: SlabKey, position: u32) -> bool {
+        let Some(query) = self.queries.get(key) else { return false };
+        let progress = &query.shards[position as usize];
+        let Some((_, attempt)) = progress.open().next() else { return false };
+        let owners = &mut self.replicas.owners;
+        if !owners.is_silent_since(attempt.owner, attempt.sent_at(query.started)) {
+            return false;
+        }
+        owners.avoid(now, attempt.owner);
+        let calm = self.budgets[progress.service][query.rank.index()].is_open(now);
+        calm && owners.has_many_open(attempt.owner)
+    }
+
     /// Sends a hedge on a replica that was not tried; returns false if the budget has none left.
     fn hedge(&mut self, now: Instant, key: SlabKey, position: u32, out: &mut Vec<Action>) -> bool {
+        let lost = self.suspect_owner(now, key, position);
         let route = self.choose(now, key, position);
         let Some(query) = self.queries.get_mut(key) else { return true };
         let time_left = query.deadline.saturating_duration_since(now);
@@ -93,11 +111,12 @@
             progress.hedged = true;
             return true;
         };
-        if !self.budgets[progress.service][rank].take(now) {
+        if !lost && !self.budgets[progress.service][rank].take(now) {
             return false;
         }
         progress.hedged = true;
-        self.attempt(now, key, position, route, AttemptCause::Hedge, out);
+        let cause = if lost { AttemptCause::Reroute } else { AttemptCause::Hedge };
+        self.attempt(now, key, position, route, cause, out);
         true
     }
 }
--- a/crates/berylpin_core/src/query/mod.rs
+++ b/crates/berylpin_core/src/query/mod.rs
@@ -7,6 +7,7 @@
 mod hedge;
 mod latency;
 mod outbox;
+mod owners;
 mod progress;
 mod replicas;
 mod reroute;
--- /dev/null
+++ b/crates/berylpin_core/src/query/owners.rs
@@ -0,0 +1,71 @@
+//! What the entry knows of the daemons that own replicas.
+
+use crate::arena::Arena;
+use crate::ids::MemberId;
+use std::time::{Duration, Instant};
+
+/// How long a silent owner is avoided, unless something is heard of it.
+const AVOID: Duration = Duration::from_secs(10);
+
+/// Open attempts at an owner that have to be late together before it counts as lost.
+const LATE_TOGETHER: u32 = 3;
+
+/// What the entry knows of one owner.
+#[derive(Clone, Copy, Debug, Default)]
+struct OwnerState {
+    /// Open attempts of this thread.
+    in_flight: u32,
+    /// When the last reply or hint came.
+    heard: Option<Instant>,
+    avoid_until: Option<Instant>,
+}
+
+/// What the entry knows of all owners; as long as the member arena of the view.
+#[derive(Debug, Default)]
+pub(super) struct Owners {
+    states: Arena<MemberId, OwnerState>,
+}
+
+impl Owners {
+    /// Follows a change of control state.
+    pub(super) fn grow(&mut self, members: usize) {
+        self.states.grow(members, OwnerState::default);
+    }
+
+    /// Counts an attempt as in flight.
+    pub(super) fn started(&mut self, owner: MemberId) {
+        self.states[owner].in_flight += 1;
+    }
+
+    /// Counts an attempt as over.
+    pub(super) fn ended(&mut self, owner: MemberId) {
+        self.states[owner].in_flight -= 1;
+    }
+
+    /// Notes that an owner said something, which ends its avoidance.
+    pub(super) fn heard(&mut self, now: Instant, owner: MemberId) {
+        let state = &mut self.states[owner];
+        state.heard = Some(now);
+        state.avoid_until = None;
+    }
+
+    /// Avoids an owner for a while.
+    pub(super) fn avoid(&mut self, now: Instant, owner: MemberId) {
+        self.states[owner].avoid_until = Some(now + AVOID);
+    }
+
+    /// Returns whether other owners are to be asked first.
+    pub(super) fn is_avoided(&self, now: Instant, owner: MemberId) -> bool {
+        self.states[owner].avoid_until.is_some_and(|until| until > now)
+    }
+
+    /// Returns whether nothing was heard of an owner since an attempt was sent.
+    pub(super) fn is_silent_since(&self, owner: MemberId, sent: Instant) -> bool {
+        self.states[owner].heard.is_none_or(|heard| heard < sent)
+    }
+
+    /// Returns whether so many attempts are open that a silent owner counts as lost.
+    pub(super) fn has_many_open(&self, owner: MemberId) -> bool {
+        self.states[owner].in_flight >= LATE_TOGETHER
+    }
+}
--- a/crates/berylpin_core/src/query/replicas.rs
+++ b/crates/berylpin_core/src/query/replicas.rs
@@ -1,10 +1,11 @@
 //! What the entry knows of each replica, and which one it asks.
 
 use super::latency::Latency;
-use super::progress::Progress;
+use super::owners::Owners;
+use super::progress::{Attempt, Progress};
 use crate::arena::Arena;
 use crate::control::View;
-use crate::ids::{Key, MemberId, ReplicaId, ShardId, Snapshot};
+use crate::ids::{MemberId, ReplicaId, ShardId, Snapshot};
 use crate::limits::{HINT_TRUST, shed_level};
 use crate::message::{FailReason, Hint, SnapshotRange};
 use crate::rank::Rank;
@@ -22,9 +23,6 @@
 /// How long a replica is avoided after a failure.
 const AVOID_REPLICA: Duration = Duration::from_millis(500);
 
-/// How long the replicas of a daemon are avoided after its link broke.
-const AVOID_OWNER: Duration = Duration::from_secs(2);
-
 /// Time after which the measured latency of an unused replica counts half.
 const FORGET_LATENCY: Duration = Duration::from_secs(10);
 
@@ -85,14 +83,13 @@
 #[derive(Debug, Default)]
 pub(super) struct Replicas {
     states: Arena<ReplicaId, ReplicaState>,
-    /// Until when the replicas of a daemon are avoided.
-    owners_down: Arena<MemberId, Option<Instant>>,
+    pub(super) owners: Owners,
 }
 
 impl Replicas {
     /// Follows a change of control state.
     pub(super) fn install(&mut self, view: &View) {
-        self.owners_down.grow(view.members.len(), || None);
+        self.owners.grow(view.members.len());
         self.states.grow(view.topology.replicas.len(), ReplicaState::default);
         let own = &view.members[view.own].data_centre;
         for (id, replica) in view.topology.replicas.iter() {
@@ -111,13 +108,15 @@
     }
 
     /// Counts an attempt as in flight.
-    pub(super) fn started(&mut self, replica: ReplicaId) {
+    pub(super) fn started(&mut self, replica: ReplicaId, owner: MemberId) {
         self.states[replica].in_flight += 1;
+        self.owners.started(owner);
     }
 
     /// Counts an attempt as over.
-    pub(super) fn ended(&mut self, replica: ReplicaId) {
-        self.states[replica].in_flight -= 1;
+    pub(super) fn ended(&mut self, attempt: &Attempt) {
+        self.states[attempt.replica].in_flight -= 1;
+        self.owners.ended(attempt.owner);
     }
 
     /// Takes how long an attempt took.
@@ -139,20 +138,6 @@
         self.states[replica].avoid_until = Some(now + AVOID_REPLICA);
     }
 
-    /// Avoids all replicas of a daemon for a moment.
-    pub(super) fn avoid_owner(&mut self, now: Instant, owner: MemberId) {
-        if owner.index() < self.owners_down.len() {
-            self.owners_down[owner] = Some(now + AVOID_OWNER);
-        }
-    }
-
-    /// Ends the avoidance of a daemon's replicas.
-    pub(super) fn trust_owner(&mut self, owner: MemberId) {
-        if owner.index() < self.owners_down.len() {
-            self.owners_down[owner] = None;
-        }
-    }
-
     /// Returns all open attempts of this thread.
     #[cfg(test)]
     pub(super) fn in_flight(&self) -> u32 {
@@ -207,11 +192,13 @@
                 .is_some_and(|(first, _)| now.saturating_duration_since(first) < INQUIRY_WAIT)
     }
 
-    /// Returns whether a replica would shed the query or reply too late.
+    /// Returns whether a replica would shed the query or start it too late.
+    ///
+    /// Only what its owner said counts: the entry's own latencies outlast a fault by seconds.
     pub(super) fn is_overloaded(&self, now: Instant, replica: ReplicaId, load: Load) -> bool {
         let state = &self.states[replica];
-        let delay = Duration::from_micros(state.expected_micros(now, 0).into());
-        state.sheds(now, load.rank, load.level) || delay > load.time_left
+        let waiting = Duration::from_micros(state.waiting_micros(now));
+        state.sheds(now, load.rank, load.level) || waiting > load.time_left
     }
 
     /// Returns why no replica of a shard can be asked.
@@ -245,12 +232,11 @@
                 return None;
             }
             let tried = progress.was_tried(replica);
-            let avoided =
-                is_future(now, state.avoid_until) || is_future(now, self.owners_down[owner]);
+            let avoided = is_future(now, state.avoid_until) || self.owners.is_avoided(now, owner);
             let serves = state.hint.snapshots.is_some_and(|range| range.contains(wanted.snapshot));
             let sheds = state.sheds(now, wanted.rank, wanted.level);
             let noise = spread.rotate_left(8 * index as u32) as u32;
-            let expected = state.expected_micros(now, state.unmeasured_micros());
+            let expected = state.expected_micros(now);
             let delay = Duration::from_micros(expected.into());
             let jittered = expected.saturating_add(expected / 128 * (noise % 32)) / DELAY_STEP;
             let score = (tried, avoided, !serves, sheds, jittered, !state.local, noise);
@@ -293,24 +279,24 @@
         self.age(now).is_some_and(|age| level >= shed_level(shed_above, age))
     }
 
-    /// Returns the latency assumed while none is measured, in microseconds.
-    fn unmeasured_micros(&self) -> u32 {
-        if self.local { 0 } else { REMOTE_MICROS }
+    /// Returns how long a sub-query waits at the owner, in microseconds; less as the hint ages.
+    fn waiting_micros(&self, now: Instant) -> u64 {
+        let trust = HINT_TRUST.as_micros() as u64;
+        let age = self.age(now).map_or(trust, |age| age.as_micros().min(trust.into()) as u64);
+        let queue = self.hint.queue_delay.as_micros().min(u32::MAX.into()) as u64;
+        queue * (trust - age) / trust
     }
 
     /// Returns the delay of one more sub-query, in microseconds.
-    fn expected_micros(&self, now: Instant, unmeasured: u32) -> u32 {
+    fn expected_micros(&self, now: Instant) -> u32 {
+        let unmeasured = if self.local { 0 } else { REMOTE_MICROS };
         let mean = self.latency.mean().map_or(unmeasured, |mean| mean.as_micros() as u32);
         let idle = self
             .sampled
             .map_or(0, |at| now.saturating_duration_since(at).as_secs() / FORGET_LATENCY.as_secs());
         let service = mean >> idle.min(16);
-        let trust = HINT_TRUST.as_micros() as u64;
-        let age = self.age(now).map_or(trust, |age| age.as_micros().min(trust.into()) as u64);
-        let queue = self.hint.queue_delay.as_micros().min(u32::MAX.into()) as u64;
-        let waiting = queue * (trust - age) / trust;
         let own = u64::from(service) * u64::from(self.in_flight) / u64::from(self.slots.max(1));
-        (u64::from(service) + waiting + own).min(u32::MAX.into()) as u32
+        (u64::from(service) + self.waiting_micros(now) + own).min(u32::MAX.into()) as u32
     }
 }
 
--- a/crates/berylpin_core/src/query/reroute.rs
+++ b/crates/berylpin_core/src/query/reroute.rs
@@ -29,7 +29,7 @@
 
     /// Makes new attempts in place of those sent over a link that broke.
     pub(super) fn reroute_lost(&mut self, now: Instant, owner: MemberId, out: &mut Vec<Action>) {
-        self.replicas.avoid_owner(now, owner);
+        self.replicas.owners.avoid(now, owner);
         self.reroute(now, |attempt| attempt.owner == owner, out);
     }
 
@@ -69,7 +69,7 @@
         for attempt in query.shards[position as usize].attempts_mut() {
             if attempt.state == AttemptState::Open && lost(attempt) {
                 attempt.state = AttemptState::Lost;
-                self.replicas.ended(attempt.replica);
+                self.replicas.ended(attempt);
                 let age = now.saturating_duration_since(attempt.sent_at(started));
                 self.replicas.sample_unanswered(now, attempt.replica, age);
                 any = true;
