--- a/crates/berylpin/src/experiment/faults.rs
+++ b/crates/berylpin/src/experiment/faults.rs
@@ -2,7 +2,7 @@
 
 use super::canary::{self, Edit};
 use super::scenario::{Action, Fault, Pick, PlatformAction, UpstreamAction};
-use crate::bench::{Bench, BenchError};
+use crate::bench::{Bench, BenchError, wait_for_ends};
 use berylpin_standin::net::Zone;
 use berylpin_standin::platform::PlatformFaults;
 use berylpin_standin::sites::Document;
@@ -30,10 +30,7 @@
 impl FaultLog {
     /// Waits until all daemons that were told to end have ended.
     pub(super) async fn settle(&mut self) {
-        for ending in self.endings.drain(..) {
-            // A daemon that panicked has already said so.
-            let _ = ending.await;
-        }
+        wait_for_ends(std::mem::take(&mut self.endings)).await;
     }
 }
 
@@ -46,6 +43,11 @@
 ) -> Result<(), BenchError> {
     match &fault.what {
         Action::Upstream(action) => set_upstreams(bench, action, apply),
+        Action::LoseReplies(pick) => {
+            for replica in bench.replicas.iter().filter(|r| pick.names(&r.service, r.number)) {
+                replica.upstream.ledger().set_lose_replies(apply);
+            }
+        }
         Action::DrainByDocument(pick) => drain_by_document(bench, pick, apply),
         Action::Platform(action) => bench.platform.set_faults(platform_faults(action, apply)),
         Action::Cut { between: [a, b] } => bench.net.set_cut(Zone(*a), Zone(*b), apply),
--- a/crates/berylpin_core/src/replica/state.rs
+++ b/crates/berylpin_core/src/replica/state.rs
@@ -15,7 +15,7 @@
 
 /// Part of the backlog of lower ranks that counts as delay in any case, as a divisor; it makes
 /// entries prefer the replica with the shorter queue also for work that is not urgent.
-const BACKLOG_DIVISOR: u32 = 64;
+const BACKLOG_DIVISOR: u32 = 256;
 
 /// What an owner keeps of one replica; bounded by the limits of its queue.
 #[derive(Debug, Default)]
@@ -30,6 +30,8 @@
     pub(super) adjusting: bool,
     /// When its connections were last replaced.
     pub(super) reconnected: Option<Instant>,
+    /// When calls may start again after the upstream shed load.
+    pub(super) paused_until: Option<Instant>,
     /// Sorted by name; holds the jobs that wait or whose reply is wanted.
     pub(super) jobs: Vec<(JobName, SlabKey)>,
     pub(super) queue: Queue,
@@ -47,8 +49,8 @@
     }
 
     /// Returns how many more calls may start.
-    pub(super) fn free_slots(&self, settings: &ReplicaSettings) -> u16 {
-        if self.is_draining() {
+    pub(super) fn free_slots(&self, now: Instant, settings: &ReplicaSettings) -> u16 {
+        if self.is_draining() || self.paused_until.is_some_and(|until| now < until) {
             return 0;
         }
         self.health.slots(settings.slots).saturating_sub(self.running)
@@ -66,12 +68,15 @@
     }
 
     /// Returns its state for entries.
+    ///
+    /// An ejected replica stays usable: the owner cannot see whether the shard has another one.
     pub(super) fn hint(&self, settings: &ReplicaSettings) -> Hint {
         Hint {
             snapshots: self.snapshots.trusted(),
             queue_delay: self.queue_delay(settings),
             shed_above: self.levels.levels(),
-            usable: self.health.is_usable() && !self.withdrawn,
+            usable: !self.is_draining(),
+            ejected: self.health.is_ejected(),
         }
     }
 
