Start no execution at a draining replica or late after a pause

Cause: the runner knew only the document's drain key, so a replica that refused as draining was sent every further execution; and a process that was paused could start what had waited in its sockets.

The runner now asks the owner of the same thread whether a replica drains. A thread that wakes over 200 ms late counts as paused: for a second, executions are given only what time is left beyond the pause. A frame that a silent link holds back is not seen by this; it can start late, but only once.

--- a/crates/berylpin_core/src/execute/run.rs
+++ b/crates/berylpin_core/src/execute/run.rs
@@ -25,6 +25,9 @@
 /// Executions that may wait for a replica, for each that may run.
 const QUEUE_PER_PLACE: usize = 4;
 
+/// How long after a pause messages that waited in sockets may still arrive.
+const RESUME_BACKLOG: Duration = Duration::from_secs(1);
+
 /// How often an outcome is sent again until the holder has it.
 const RESEND_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -88,6 +91,8 @@
     Acknowledged(AttemptId),
     /// A call ended.
     Called(CallKey, CallResult),
+    /// The process was paused for so long; messages may have waited for it meanwhile.
+    Resumed(Duration),
     /// A timer may be due.
     Tick,
 }
@@ -102,6 +107,8 @@
     replicas: Arena<ReplicaId, ReplicaState>,
     jobs: Slab<Job>,
     guard: ReplayGuard,
+    /// How long the process was paused, and until when messages from then may arrive.
+    resumed: Option<(Duration, Instant)>,
     /// Sorted by attempt.
     unacknowledged: Vec<Ended>,
     /// Whether a `Resend` timer is set; there is never more than one.
@@ -152,6 +159,7 @@
             replicas: Arena::default(),
             jobs: Slab::default(),
             guard: ReplayGuard::default(),
+            resumed: None,
             unacknowledged: Vec::new(),
             resend_set: false,
             timers: Timers::default(),
@@ -170,16 +178,22 @@
     }
 
     /// Handles one event and appends what the shell is to do.
-    pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+    ///
+    /// `is_draining` says which replicas take no new work.
+    pub fn handle<F>(&mut self, now: Instant, event: Event, is_draining: F, out: &mut Vec<Action>)
+    where
+        F: Fn(ReplicaId) -> bool,
+    {
         match event {
             Event::View(view) => self.view = view,
-            Event::Run(from, run) => self.run(now, from, run, out),
+            Event::Run(from, run) => self.run(now, from, run, is_draining, out),
+            Event::Resumed(pause) => self.resumed = Some((pause, now + RESUME_BACKLOG)),
             Event::Acknowledged(attempt) => {
                 if let Ok(at) = self.find_unacknowledged(attempt) {
                     self.unacknowledged.remove(at);
                 }
             }
-            Event::Called(key, result) => self.called(now, key, result, out),
+            Event::Called(key, result) => self.called(now, key, result, is_draining, out),
             Event::Tick => {
                 while let Some(timer) = self.timers.pop_due(now) {
                     match timer {
@@ -191,25 +205,45 @@
         }
     }
 
-    fn run(&mut self, now: Instant, from: MemberId, run: Run, out: &mut Vec<Action>) {
+    fn run<F>(
+        &mut self,
+        now: Instant,
+        from: MemberId,
+        run: Run,
+        is_draining: F,
+        out: &mut Vec<Action>,
+    ) where
+        F: Fn(ReplicaId) -> bool,
+    {
         if !self.guard.is_new(run.attempt) {
             return;
         }
-        let tag = run.replica;
-        let replica = match self.admit(tag) {
+        let time_left = run.time_left.saturating_sub(self.possible_delay(now));
+        let admitted = match self.admit(run.replica) {
+            Ok(_) if time_left.is_zero() => Err(FailReason::Deadline),
+            Ok(replica) if is_draining(replica) => Err(FailReason::Draining),
+            admitted => admitted,
+        };
+        let replica = match admitted {
             Ok(replica) => replica,
             Err(reason) => {
                 let outcome = Outcome::Failed { verdict: Verdict::NotRun, reason };
                 return self.end(now, from, &run, outcome, out);
             }
         };
-        let (rank, deadline) = (run.rank, now + run.time_left);
+        let (rank, deadline) = (run.rank, now + time_left);
         let key = self.jobs.insert(Job { from, replica, run, request: None });
         let queue = &mut self.replicas[replica].queue;
         let at = queue.partition_point(|(r, d, _)| (*r, *d) <= (rank, deadline));
         queue.insert(at, (rank, deadline, key));
         self.timers.set(deadline, Timer::Queue(replica));
-        self.start_waiting(now, replica, out);
+        self.start_waiting(now, replica, is_draining, out);
+    }
+
+    /// Returns how long a message that arrives now may have waited for this process.
+    fn possible_delay(&self, now: Instant) -> Duration {
+        let resumed = self.resumed.filter(|(_, until)| now < *until);
+        resumed.map_or(Duration::ZERO, |(pause, _)| pause)
     }
 
     /// Returns the replica if it takes another execution.
@@ -223,9 +257,6 @@
         if !owned {
             return Err(FailReason::NotOwner);
         }
-        if settings.drain {
-            return Err(FailReason::Draining);
-        }
         self.replicas.grow(topology.replicas.len(), ReplicaState::default);
         let places = QUEUE_PER_PLACE * usize::from(places(settings.slots));
         if self.replicas[replica].queue.len() >= places {
@@ -235,9 +266,18 @@
     }
 
     /// Starts waiting executions while the replica has room for them.
-    fn start_waiting(&mut self, now: Instant, replica: ReplicaId, out: &mut Vec<Action>) {
+    fn start_waiting<F>(
+        &mut self,
+        now: Instant,
+        replica: ReplicaId,
+        is_draining: F,
+        out: &mut Vec<Action>,
+    ) where
+        F: Fn(ReplicaId) -> bool,
+    {
         let settings = &self.view.topology.replicas[replica].settings;
-        let (tag, limit, drain) = (settings.tag, places(settings.slots), settings.drain);
+        let (tag, limit) = (settings.tag, places(settings.slots));
+        let drain = is_draining(replica);
         while self.replicas[replica].running < limit && !self.replicas[replica].queue.is_empty() {
             let (rank, deadline, key) = self.replicas[replica].queue.remove(0);
             if drain || deadline <= now {
@@ -263,7 +303,16 @@
         }
     }
 
-    fn called(&mut self, now: Instant, key: CallKey, result: CallResult, out: &mut Vec<Action>) {
+    fn called<F>(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        result: CallResult,
+        is_draining: F,
+        out: &mut Vec<Action>,
+    ) where
+        F: Fn(ReplicaId) -> bool,
+    {
         let Some(job) = self.jobs.get(key) else { return };
         let Some(request) = job.request else { return };
         let replica = job.replica;
@@ -283,7 +332,7 @@
         if let Some(job) = self.jobs.remove(key) {
             self.end(now, job.from, &job.run, outcome, out);
         }
-        self.start_waiting(now, replica, out);
+        self.start_waiting(now, replica, is_draining, out);
     }
 
     fn drop_expired(&mut self, now: Instant, replica: ReplicaId, out: &mut Vec<Action>) {
@@ -352,3 +401,6 @@
 fn places(slots: u16) -> u16 {
     (slots / SLOT_SHARE).max(1)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/execute/run/tests.rs
@@ -0,0 +1,142 @@
+use super::super::key::Issuer;
+use super::*;
+use crate::config::ServiceSettings;
+use crate::control::{Member, Topology};
+use crate::ids::{Key, MemberTag};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+struct Bench {
+    runner: Runner,
+    issuer: Issuer,
+    now: Instant,
+    replica: ReplicaTag,
+    attempts: u64,
+}
+
+impl Bench {
+    /// A replica of 2 slots, of which executions get one.
+    fn new() -> Self {
+        let document = "service = \"quota\"\n[[shard]]\nname = \"main\"\n[[shard.replica]]\n\
+                        address = \"127.0.0.1:1\"\ndata_centre = \"a\"\nslots = 2\nconnections = 2\n";
+        let document = Arc::new(ServiceSettings::parse(document).unwrap());
+        let replica = document.shards[0].replicas[0].tag;
+        let topology = Arc::new(Topology::default().with_documents(&[document]));
+        let mut members = Arena::default();
+        let tag = MemberTag(1);
+        let own = members.push(Member {
+            tag,
+            name: "vm".to_owned(),
+            data_centre: "a".to_owned(),
+            peer_address: ([127, 0, 0, 1], 2).into(),
+            live: true,
+        });
+        let (now, thread) = (Instant::now(), ThreadId::from_index(0));
+        let view = Arc::new(View::new(1, own, members, topology));
+        let issuer = Issuer::new(tag, thread, 9, b"secret", now);
+        Self { runner: Runner::new(thread, 1, view, 1), issuer, now, replica, attempts: 0 }
+    }
+
+    fn handle(&mut self, event: Event, draining: bool) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.runner.handle(self.now, event, |_| draining, &mut out);
+        out.retain(|action| !matches!(action, Action::Decided(_)));
+        out
+    }
+
+    fn run(&mut self, time_left: Duration, draining: bool) -> Vec<Action> {
+        self.attempts += 1;
+        let place = Slab::default().insert(());
+        let thread = ThreadId::from_index(0);
+        let attempt = AttemptId { incarnation: 9, thread, place, number: self.attempts };
+        let run = Run {
+            attempt,
+            key: self.issuer.issue(self.now),
+            replica: self.replica,
+            rank: Rank::Urgent,
+            time_left,
+            body: Bytes::from_static(b"charge"),
+        };
+        self.handle(Event::Run(MemberId::from_index(0), run), draining)
+    }
+}
+
+fn call(actions: &[Action]) -> &Call {
+    match actions {
+        [Action::Call(call)] => call,
+        other => panic!("one call expected, not {other:?}"),
+    }
+}
+
+fn failure(action: &Action) -> (Verdict, FailReason) {
+    match action {
+        Action::Send(
+            _,
+            ExecuteMessage::Ended { outcome: Outcome::Failed { verdict, reason }, .. },
+        ) => (*verdict, *reason),
+        other => panic!("a failure expected, not {other:?}"),
+    }
+}
+
+#[test]
+fn a_draining_replica_gets_nothing_and_its_queue_comes_back_as_not_run() {
+    let mut bench = Bench::new();
+    let key = call(&bench.run(SECOND, false)).key;
+    assert!(bench.run(SECOND, false).is_empty(), "the second waits for a slot");
+    let refused = bench.run(SECOND, true);
+    assert_eq!(failure(&refused[0]), (Verdict::NotRun, FailReason::Draining));
+    let (verdict, reason) = (Verdict::MayHaveRun, FailReason::Connection);
+    let ended = bench.handle(Event::Called(key, CallResult::Failed { verdict, reason }), true);
+    assert_eq!(failure(&ended[0]), (Verdict::MayHaveRun, FailReason::Connection));
+    assert_eq!(failure(&ended[1]), (Verdict::NotRun, FailReason::Draining));
+}
+
+#[test]
+fn after_a_pause_nothing_starts_whose_deadline_may_have_passed() {
+    let mut bench = Bench::new();
+    bench.handle(Event::Resumed(SECOND), false);
+    let refused = bench.run(SECOND, false);
+    assert_eq!(failure(&refused[0]), (Verdict::NotRun, FailReason::Deadline));
+    assert_eq!(call(&bench.run(SECOND * 3, false)).time_left, SECOND * 2);
+}
+
+#[test]
+fn what_waits_past_its_deadline_never_starts() {
+    let mut bench = Bench::new();
+    let key = call(&bench.run(SECOND * 9, false)).key;
+    assert!(bench.run(SECOND, false).is_empty());
+    bench.now += SECOND;
+    let ended = bench.handle(Event::Tick, false);
+    let refused: Vec<_> = ended.iter().rev().take(1).map(failure).collect();
+    assert_eq!(refused, [(Verdict::NotRun, FailReason::Deadline)]);
+    let (verdict, reason) = (Verdict::NotRun, FailReason::Overloaded);
+    let ended = bench.handle(Event::Called(key, CallResult::Failed { verdict, reason }), false);
+    assert_eq!(ended.len(), 1, "no call follows");
+}
+
+#[test]
+fn a_crossed_reply_may_have_run() {
+    let mut bench = Bench::new();
+    let (key, request) = {
+        let actions = bench.run(SECOND, false);
+        (call(&actions).key, call(&actions).request)
+    };
+    let crossed = CallResult::Replied {
+        request: QueryTag(request.0 ^ 1),
+        shard: "main".to_owned(),
+        result: "done".to_owned(),
+    };
+    let ended = bench.handle(Event::Called(key, crossed), false);
+    assert_eq!(failure(&ended[0]), (Verdict::MayHaveRun, FailReason::BadReply));
+}
+
+#[test]
+fn a_queue_beyond_its_bound_is_refused_as_not_run() {
+    let mut bench = Bench::new();
+    call(&bench.run(SECOND, false));
+    for _ in 0..QUEUE_PER_PLACE {
+        assert!(bench.run(SECOND, false).is_empty());
+    }
+    let refused = bench.run(SECOND, false);
+    assert_eq!(failure(&refused[0]), (Verdict::NotRun, FailReason::Overloaded));
+}
--- a/crates/berylpin_core/src/execute/tests/world.rs
+++ b/crates/berylpin_core/src/execute/tests/world.rs
@@ -260,7 +260,7 @@
             let mut out = Vec::new();
             thread.forwarder.handle(self.now, ForwardEvent::View(view.clone()), &mut out);
             thread.holder.handle(self.now, HolderEvent::View(view.clone()), &mut out);
-            thread.runner.handle(self.now, RunEvent::View(view.clone()), &mut out);
+            thread.runner.handle(self.now, RunEvent::View(view.clone()), |_| false, &mut out);
         }
     }
 
@@ -296,7 +296,7 @@
                 self.with(index, thread, |thread, now, out| {
                     thread.forwarder.handle(now, ForwardEvent::Tick, out);
                     thread.holder.handle(now, HolderEvent::Tick, out);
-                    thread.runner.handle(now, RunEvent::Tick, out);
+                    thread.runner.handle(now, RunEvent::Tick, |_| false, out);
                 });
             }
         }
@@ -324,7 +324,8 @@
             Job::Called { to, thread, generation, key, result } => {
                 if self.daemons[to].generation == generation {
                     self.with(to, thread, |thread, now, out| {
-                        thread.runner.handle(now, RunEvent::Called(key, result), out);
+                        let event = RunEvent::Called(key, result);
+                        thread.runner.handle(now, event, |_| false, out);
                     });
                 }
             }
@@ -352,14 +353,15 @@
                 thread.forwarder.handle(now, event, out);
             }
             ExecuteMessage::Run(run) => {
-                thread.runner.handle(now, RunEvent::Run(from, run), out);
+                thread.runner.handle(now, RunEvent::Run(from, run), |_| false, out);
             }
             ExecuteMessage::Ended { attempt, replica, outcome } => {
                 let event = HolderEvent::Ended(from, attempt, replica, outcome);
                 thread.holder.handle(now, event, out);
             }
             ExecuteMessage::Acknowledged { attempt, .. } => {
-                thread.runner.handle(now, RunEvent::Acknowledged(attempt), out);
+                let event = RunEvent::Acknowledged(attempt);
+                thread.runner.handle(now, event, |_| false, out);
             }
         });
     }
--- a/crates/berylpin_core/src/replica/owner.rs
+++ b/crates/berylpin_core/src/replica/owner.rs
@@ -114,6 +114,11 @@
         self.timers.next()
     }
 
+    /// Returns whether a replica of this thread takes no new work.
+    pub fn is_draining(&self, replica: ReplicaId) -> bool {
+        self.replicas.get(replica).is_some_and(ReplicaState::is_draining)
+    }
+
     /// Returns how many sub-queries wait or run.
     pub fn jobs(&self) -> usize {
         self.jobs.len()
--- a/crates/berylpin_daemon/src/traffic/execute/mod.rs
+++ b/crates/berylpin_daemon/src/traffic/execute/mod.rs
@@ -13,9 +13,10 @@
 };
 use berylpin_core::ids::{MemberId, ThreadId};
 use berylpin_core::query::Ticket;
+use berylpin_core::replica::Owner;
 use rand::Rng;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 use upstream::ExecutionClient;
 
@@ -79,7 +80,7 @@
         }
     }
 
-    pub(super) fn handle(&mut self, now: Instant, mail: ExecuteMail) {
+    pub(super) fn handle(&mut self, now: Instant, mail: ExecuteMail, owner: &Owner) {
         match mail {
             ExecuteMail::Issue { count, reply } => {
                 let keys = (0..count).map(|_| self.holder.issue(now)).collect();
@@ -97,13 +98,14 @@
                 let event = ForwardEvent::CallerGone(ticket);
                 self.forwarder.handle(now, event, &mut self.actions);
             }
-            ExecuteMail::Message(from, message) => self.message(now, from, message),
+            ExecuteMail::Message(from, message) => self.message(now, from, message, owner),
             ExecuteMail::Undelivered(attempt) => {
                 let event = HolderEvent::Undelivered(attempt);
                 self.holder.handle(now, event, &mut self.actions);
             }
             ExecuteMail::Called(key, result) => {
-                self.runner.handle(now, RunEvent::Called(key, result), &mut self.actions);
+                let event = RunEvent::Called(key, result);
+                self.runner.handle(now, event, |id| owner.is_draining(id), &mut self.actions);
             }
         }
         self.carry_out();
@@ -113,17 +115,23 @@
         self.view = view.clone();
         self.forwarder.handle(now, ForwardEvent::View(view.clone()), &mut self.actions);
         self.holder.handle(now, HolderEvent::View(view.clone()), &mut self.actions);
-        self.runner.handle(now, RunEvent::View(view), &mut self.actions);
+        self.runner.handle(now, RunEvent::View(view), |_| false, &mut self.actions);
         self.carry_out();
     }
 
     pub(super) fn tick(&mut self, now: Instant) {
         self.forwarder.handle(now, ForwardEvent::Tick, &mut self.actions);
         self.holder.handle(now, HolderEvent::Tick, &mut self.actions);
-        self.runner.handle(now, RunEvent::Tick, &mut self.actions);
+        self.runner.handle(now, RunEvent::Tick, |_| false, &mut self.actions);
         self.carry_out();
     }
 
+    /// Notes that the process was paused.
+    pub(super) fn resume(&mut self, now: Instant, pause: Duration) {
+        let event = RunEvent::Resumed(pause);
+        self.runner.handle(now, event, |_| false, &mut self.actions);
+    }
+
     /// Soon starts no further key.
     pub(super) fn stop(&mut self, now: Instant) {
         self.holder.handle(now, HolderEvent::Stop, &mut self.actions);
@@ -146,7 +154,7 @@
         std::mem::take(&mut self.outbox)
     }
 
-    fn message(&mut self, now: Instant, from: MemberId, message: ExecuteMessage) {
+    fn message(&mut self, now: Instant, from: MemberId, message: ExecuteMessage, owner: &Owner) {
         let out = &mut self.actions;
         match message {
             ExecuteMessage::Submit(submit) => {
@@ -155,12 +163,15 @@
             ExecuteMessage::Answered { request, key, answer } => {
                 self.forwarder.handle(now, ForwardEvent::Answered(request, key, answer), out);
             }
-            ExecuteMessage::Run(run) => self.runner.handle(now, RunEvent::Run(from, run), out),
+            ExecuteMessage::Run(run) => {
+                let event = RunEvent::Run(from, run);
+                self.runner.handle(now, event, |id| owner.is_draining(id), out);
+            }
             ExecuteMessage::Ended { attempt, replica, outcome } => {
                 self.holder.handle(now, HolderEvent::Ended(from, attempt, replica, outcome), out);
             }
             ExecuteMessage::Acknowledged { attempt, .. } => {
-                self.runner.handle(now, RunEvent::Acknowledged(attempt), out);
+                self.runner.handle(now, RunEvent::Acknowledged(attempt), |_| false, out);
             }
         }
     }
--- a/crates/berylpin_daemon/src/traffic/thread.rs
+++ b/crates/berylpin_daemon/src/traffic/thread.rs
@@ -22,6 +22,9 @@
 /// Messages handled before timers are looked at again.
 const MAIL_BURST: usize = 256;
 
+/// How late a thread has to wake for the process to count as paused.
+const PAUSE_THRESHOLD: Duration = Duration::from_millis(200);
+
 /// How often a thread that is done looks whether all are.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -90,12 +93,18 @@
         cx,
     };
     let mut quiet_polls = 0;
+    let mut last_run = now;
     while quiet_polls < QUIET_POLLS {
-        let sleep = tokio::time::sleep_until(thread.next_wake().into());
+        let wake = thread.next_wake();
         quiet_polls += 1;
-        tokio::select! {
-            mail = rx.recv() => {
-                let Some(mail) = mail else { return };
+        let mail = tokio::select! {
+            mail = rx.recv() => Some(mail),
+            () = tokio::time::sleep_until(wake.into()) => None,
+        };
+        last_run = thread.notice_pause(last_run, wake);
+        match mail {
+            Some(None) => return,
+            Some(Some(mail)) => {
                 quiet_polls = 0;
                 thread.handle(mail);
                 for _ in 1..MAIL_BURST {
@@ -103,7 +112,7 @@
                     thread.handle(mail);
                 }
             }
-            () = sleep => {}
+            None => {}
         }
         thread.tick();
         if !thread.cx.stop_gate.update(thread.cx.id, thread.is_done()) {
@@ -122,6 +131,16 @@
             && self.executions.is_done()
     }
 
+    /// Notes a pause of the process if the thread runs much later than it had to; returns now.
+    fn notice_pause(&mut self, last_run: Instant, wake: Instant) -> Instant {
+        let now = self.cx.clock.now();
+        if now.saturating_duration_since(wake.max(last_run)) > PAUSE_THRESHOLD {
+            let pause = now.saturating_duration_since(last_run);
+            self.execution_event(|executions, _, now| executions.resume(now, pause));
+        }
+        now
+    }
+
     /// Returns when to look at timers, and at other threads once this one is done.
     fn next_wake(&self) -> Instant {
         let timer = self.next_timer();
@@ -145,7 +164,7 @@
                 self.view = view.clone();
                 self.query_event(query::Event::View(view.clone()));
                 self.replica_event(replica::Event::View(view.clone()));
-                self.execution_event(|executions, now| executions.install(now, view));
+                self.execution_event(|executions, _, now| executions.install(now, view));
             }
             Mail::Request { ticket, request, reply } => {
                 self.callers.push((ticket, reply));
@@ -160,11 +179,11 @@
             Mail::Probed(id, result) => self.replica_event(replica::Event::Probed(id, result)),
             Mail::LinkDown(member) => self.query_event(query::Event::LinkDown(member)),
             Mail::Execute(mail) => {
-                self.execution_event(|executions, now| executions.handle(now, mail));
+                self.execution_event(|executions, owner, now| executions.handle(now, mail, owner));
             }
             Mail::Stop => {
                 self.stopping = true;
-                self.execution_event(Executions::stop);
+                self.execution_event(|executions, _, now| executions.stop(now));
             }
         }
     }
@@ -186,7 +205,7 @@
     fn tick(&mut self) {
         self.query_event(query::Event::Tick);
         self.replica_event(replica::Event::Tick);
-        self.execution_event(Executions::tick);
+        self.execution_event(|executions, _, now| executions.tick(now));
     }
 
     fn query_event(&mut self, event: query::Event) {
@@ -229,9 +248,9 @@
 
     fn execution_event<F>(&mut self, handle: F)
     where
-        F: FnOnce(&mut Executions, Instant),
+        F: FnOnce(&mut Executions, &Owner, Instant),
     {
-        handle(&mut self.executions, self.cx.clock.now());
+        handle(&mut self.executions, &self.owner, self.cx.clock.now());
         for (to, message) in self.executions.take_outbox() {
             let link = self.links.get(to.index()).and_then(Option::as_ref);
             let attempt = message.run_attempt();
