--- a/crates/berylpin_core/src/execute/run/tests.rs
+++ b/crates/berylpin_core/src/execute/run/tests.rs
@@ -30,6 +30,7 @@
             data_centre: "a".to_owned(),
             peer_address: ([127, 0, 0, 1], 2).into(),
             live: true,
+            leaving: false,
         });
         let (now, thread) = (Instant::now(), ThreadId::from_index(0));
         let view = Arc::new(View::new(1, own, members, topology));
--- a/crates/berylpin_core/src/execute/tests/world.rs
+++ b/crates/berylpin_core/src/execute/tests/world.rs
@@ -163,6 +163,7 @@
                 data_centre: if index < 2 { "a" } else { "b" }.to_owned(),
                 peer_address: ([127, 0, 0, 1], 1).into(),
                 live: index == own || live & (1 << index) != 0,
+                leaving: false,
             });
         }
         Arc::new(View::new(1, MemberId::from_index(own), members, self.topology.clone()))
--- a/crates/berylpin_core/src/query/coordinator/tests/world.rs
+++ b/crates/berylpin_core/src/query/coordinator/tests/world.rs
@@ -270,6 +270,7 @@
         minimum_coverage: shape.minimum_coverage,
         extra_load: shape.extra_load,
         targets: [Duration::from_secs(1); Rank::COUNT],
+        shares: [0.7, 0.2, 0.1],
         shards: (0..shape.shards).map(|index| shard(service, index)).collect(),
     };
     (0..shape.services).map(|index| Arc::new(service(index))).collect()
@@ -285,6 +286,7 @@
             data_centre: DATA_CENTRES[index % DATA_CENTRES.len()].to_owned(),
             peer_address: "127.0.0.1:9100".parse().unwrap(),
             live: *live,
+            leaving: false,
         });
     }
     View::new(epoch, MemberId::from_index(0), members, topology)
--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -111,7 +111,12 @@
         | Decision::Rejected { .. }
         | Decision::ShedLevel { .. }
         | Decision::KeyRouted { .. }
-        | Decision::ExecutionStarted { .. } => {}
+        | Decision::ExecutionStarted { .. }
+        | Decision::Member { .. }
+        | Decision::Placed { .. }
+        | Decision::InForce { .. }
+        | Decision::Watching { .. }
+        | Decision::Resumed { .. } => {}
     }
 }
 
--- a/crates/berylpin_daemon/src/traffic/mod.rs
+++ b/crates/berylpin_daemon/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! Traffic threads: queries, replicas and links.
 
+mod authentication;
 mod connections;
 mod execute;
 mod link;
@@ -10,8 +11,8 @@
 mod upstream;
 
 pub(crate) use execute::ExecuteMail;
-pub(crate) use link::{LinkFrame, run_link};
+pub(crate) use link::{LinkContext, LinkFrame, run_link};
 pub(crate) use mailbox::{Mail, Mailbox, Mailboxes};
-pub(crate) use peers::serve_peers;
+pub(crate) use peers::{PeerContext, serve_peers};
 pub(crate) use stop::StopGate;
 pub(crate) use thread::{ThreadContext, run_thread};
