--- a/crates/berylpin_daemon/tests/admin.rs
+++ b/crates/berylpin_daemon/tests/admin.rs
@@ -1,13 +1,13 @@
 //! The administration API of running daemons against a platform that fails.
 
-mod fleet;
+mod members;
 
 use berylpin_standin::platform::PlatformFaults;
 use berylpin_wire::admin::{
     Accepted, Conflict, Document, DrainBody, EDITOR, InForce, MemberList, NotStored, Rejected,
 };
 use berylpin_wire::platform::SERVICE_PREFIX;
-use fleet::{Fleet, TOKEN, document, eventually};
+use members::{Fleet, TOKEN, document, eventually};
 use reqwest::{Method, Response, StatusCode};
 use serde::de::DeserializeOwned;
 use std::time::Duration;
--- a/crates/berylpin_standin/examples/control_cost.rs
+++ b/crates/berylpin_standin/examples/control_cost.rs
@@ -8,7 +8,7 @@
 const SIZES: [(usize, usize); 4] = [(9, 3), (100, 7), (300, 7), (600, 7)];
 
 /// How long a fleet settles before its cost is measured, in virtual time.
-const SETTLE: Duration = Duration::from_secs(120);
+const SETTLE: Duration = Duration::from_mins(2);
 
 /// How long a fleet settles before a daemon is lost, in virtual time.
 const JOIN: Duration = Duration::from_secs(20);
