--- a/crates/berylpin/src/bench.rs
+++ b/crates/berylpin/src/bench.rs
@@ -305,9 +305,10 @@
         running.map(|(index, entry)| (index, entry.caller_address))
     }
 
-    /// Returns where stand-ins of operators reach the platform.
-    pub(crate) fn platform_address(&self) -> SocketAddr {
-        self.platform.address()
+    /// Returns where operators reach each daemon that runs.
+    pub(crate) fn admins(&self) -> Vec<SocketAddr> {
+        let running = self.entries.iter().filter(|entry| entry.daemon.is_some());
+        running.map(|entry| entry.admin_address).collect()
     }
 
     /// Returns the work of all upstreams, from their own record.
--- a/crates/berylpin/src/client.rs
+++ b/crates/berylpin/src/client.rs
@@ -57,6 +57,11 @@
             Some(token) => token,
             None => from_environment(TOKEN_VARIABLE, "--token TOKEN")?,
         };
+        Self::new(address, token)
+    }
+
+    /// Returns a client of the daemon with this administration address.
+    pub(crate) fn new(address: SocketAddr, token: String) -> Result<Self, CommandError> {
         let client = Client::builder().timeout(CALL_TIMEOUT).build();
         let client = client.map_err(|e| CommandError::Failed(e.to_string()))?;
         Ok(Self { client, base: format!("http://{address}"), token })
--- a/crates/berylpin/src/experiment/canary.rs
+++ b/crates/berylpin/src/experiment/canary.rs
@@ -3,13 +3,16 @@
 //! Its only shard is named after the change that named it, and replicas echo that name in their
 //! rows, so the version comes from a stand-in and not from the daemon's word.
 
-use crate::bench::{Bench, CANARY};
+use crate::args::CommandError;
+use crate::bench::{ADMIN_TOKEN, Bench, CANARY};
+use crate::client::{AdminClient, Base, document_path};
 use berylpin_core::rank::Rank;
 use berylpin_standin::checker::Origin;
 use berylpin_standin::sites::{FIRST_SHARD, GroupShape, group};
+use berylpin_wire::admin::{Accepted, Document};
 use berylpin_wire::caller::{AnswerBody, QueryBody};
-use berylpin_wire::platform::{Object, SERVICE_PREFIX};
-use reqwest::{Client, StatusCode};
+use berylpin_wire::platform::{SERVICE_PREFIX, StoredDocument};
+use reqwest::Client;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -21,6 +24,10 @@
 /// How long an answer may take.
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time between two tries of an editor, and how much more each further editor takes.
+const EDIT_PAUSE: Duration = Duration::from_millis(20);
+const EDIT_STAGGER: Duration = Duration::from_millis(7);
+
 /// How long an editor tries.
 const EDIT_LIMIT: Duration = Duration::from_secs(10);
 
@@ -41,9 +48,14 @@
 /// What one editor was told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Edit {
-    /// The change is stored with this number.
-    Accepted(u64),
-    /// The change may be stored.
+    /// The text is stored under a version.
+    Accepted {
+        /// Counts the changes of the document from 0.
+        change: u64,
+        version: u64,
+        text: String,
+    },
+    /// The change may be stored, or nothing came of it in time.
     Unknown,
 }
 
@@ -81,27 +93,30 @@
 }
 
 /// Raises the number of the document by one, whoever else does the same.
-pub(super) async fn edit(platform: SocketAddr, number: usize) -> Edit {
-    let client = Client::new();
+pub(super) async fn edit(admins: Vec<SocketAddr>, number: usize) -> Edit {
     let start = Instant::now();
-    let url = format!("http://{platform}/v1/objects/{SERVICE_PREFIX}{CANARY}");
-    while start.elapsed() < EDIT_LIMIT {
-        if let Some(result) = try_edit(&client, &url).await {
+    for attempt in number.. {
+        if start.elapsed() > EDIT_LIMIT {
+            break;
+        }
+        let address = admins[attempt % admins.len()];
+        let Ok(client) = AdminClient::new(address, ADMIN_TOKEN.to_owned()) else { break };
+        if let Some(result) = try_edit(&client).await {
             return result;
         }
-        sleep(Duration::from_millis(20 + 7 * number as u64)).await;
+        sleep(EDIT_PAUSE + EDIT_STAGGER * number as u32).await;
     }
     Edit::Unknown
 }
 
-async fn try_edit(client: &Client, url: &str) -> Option<Edit> {
-    let object: Object = client.get(url).send().await.ok()?.json().await.ok()?;
-    let (text, change) = next_text(&object.value)?;
-    let put = client.put(url).header("if-match", object.version).body(text);
-    match put.send().await.ok()?.status() {
-        StatusCode::OK => Some(Edit::Accepted(change)),
-        StatusCode::PRECONDITION_FAILED => None,
-        _ => Some(Edit::Unknown),
+/// Edits once; returns `None` if nothing was stored and another try may succeed.
+async fn try_edit(client: &AdminClient) -> Option<Edit> {
+    let document: Document = client.get(&document_path(CANARY)).await.ok()?;
+    let (text, change) = next_text(&document.text)?;
+    match client.put(CANARY, text.clone(), Base::Version(document.version)).await {
+        Ok(Accepted { version, .. }) => Some(Edit::Accepted { change, version, text }),
+        Err(CommandError::Conflict(_)) => None,
+        Err(_) => Some(Edit::Unknown),
     }
 }
 
@@ -114,9 +129,14 @@
     Some((text.replacen(&line(name), &line(&format!("r{change}")), 1), change))
 }
 
+/// Returns every version of the document that the platform ever stored, with its text.
+pub(super) fn history(bench: &Bench) -> Vec<(u64, String)> {
+    let history = bench.platform.history(&format!("{SERVICE_PREFIX}{CANARY}"));
+    history.into_iter().map(|(at, value)| (at, StoredDocument::read(&value).text)).collect()
+}
+
 /// Returns the number of the change that the platform holds.
 pub(super) fn stored_change(bench: &Bench) -> u64 {
-    let objects = bench.platform.objects(&format!("{SERVICE_PREFIX}{CANARY}")).objects;
-    let next = objects.first().and_then(|object| next_text(&object.value));
-    next.map_or(0, |(_, change)| change - 1)
+    let newest = history(bench).pop().and_then(|(_, text)| next_text(&text));
+    newest.map_or(0, |(_, change)| change - 1)
 }
--- a/crates/berylpin/src/experiment/faults.rs
+++ b/crates/berylpin/src/experiment/faults.rs
@@ -76,7 +76,7 @@
         Action::Silence {} => bench.net.silence(),
         Action::Config { editors } => {
             for number in 0..*editors {
-                log.edits.push(tokio::spawn(canary::edit(bench.platform_address(), number)));
+                log.edits.push(tokio::spawn(canary::edit(bench.admins(), number)));
             }
         }
     }
--- a/crates/berylpin/src/experiment/report.rs
+++ b/crates/berylpin/src/experiment/report.rs
@@ -7,7 +7,9 @@
 use berylpin_core::rank::Rank;
 use berylpin_core::verdict::Verdict;
 use berylpin_standin::charges::Charge;
-use berylpin_standin::checker::{Violations, false_not_run, ran_twice, reverted};
+use berylpin_standin::checker::{
+    Violations, false_not_run, lost_changes, ran_twice, reverted,
+};
 use berylpin_standin::load::{Sample, Seen, Stream, Tally};
 use comfy_table::Table;
 use serde::Serialize;
@@ -237,6 +239,24 @@
     }
 }
 
+/// Counts accepted changes that the platform never stored or that a later one did not build on.
+fn lost_edits(edits: &[Edit], bench: &Bench) -> u64 {
+    let mut accepted = Vec::new();
+    let mut changes = Vec::new();
+    for edit in edits {
+        if let Edit::Accepted { change, version, text } = edit {
+            accepted.push((*version, text.clone()));
+            changes.push(*change);
+        }
+    }
+    let newest = canary::stored_change(bench);
+    changes.sort_unstable();
+    // Every change raises the number by one, so two with the same number hide each other.
+    let hidden = changes.windows(2).filter(|pair| pair[0] == pair[1]).count();
+    let gone = changes.iter().filter(|change| **change > newest).count();
+    lost_changes(&accepted, &canary::history(bench)) + (hidden + gone) as u64
+}
+
 fn violations(facts: &Facts<'_>, bench: &Bench) -> Violations {
     let mut all = charge_violations(facts.charges, &executions(bench));
     facts.samples.iter().for_each(|sample| all += sample.violations);
@@ -255,9 +275,7 @@
         let seen = by_daemon(facts.observations, daemon);
         all.reverted_config += reverted(&seen.iter().map(|s| s.change).collect::<Vec<_>>());
     }
-    // Every accepted change raises the number by one, so a lower number means a lost change.
-    let accepted = facts.edits.iter().filter(|edit| matches!(edit, Edit::Accepted(_))).count();
-    all.lost_accepted_change += (accepted as u64).saturating_sub(canary::stored_change(bench));
+    all.lost_accepted_change += lost_edits(facts.edits, bench);
     all
 }
 
