--- a/crates/berylpin/src/experiment/report.rs
+++ b/crates/berylpin/src/experiment/report.rs
@@ -7,9 +7,7 @@
 use berylpin_core::rank::Rank;
 use berylpin_core::verdict::Verdict;
 use berylpin_standin::charges::Charge;
-use berylpin_standin::checker::{
-    Violations, false_not_run, lost_changes, ran_twice, reverted,
-};
+use berylpin_standin::checker::{Violations, false_not_run, lost_changes, ran_twice, reverted};
 use berylpin_standin::load::{Sample, Seen, Stream, Tally};
 use comfy_table::Table;
 use serde::Serialize;
