--- a/crates/berylpin_core/src/control/view.rs
+++ b/crates/berylpin_core/src/control/view.rs
@@ -20,6 +20,9 @@
     pub peer_address: SocketAddr,
     /// Whether it takes part in placement.
     pub live: bool,
+    /// Whether it finishes what it has; it owns replicas only while its data centre has no live
+    /// daemon. Never together with `live`.
+    pub leaving: bool,
 }
 
 /// An immutable picture of control state.
@@ -33,8 +36,10 @@
     pub members: Arena<MemberId, Member>,
     /// The services in force.
     pub topology: Arc<Topology>,
-    /// The owner of each replica; `None` while its data centre has no live daemon.
+    /// The owner of each replica; `None` while its data centre has no daemon left.
     pub owners: Arena<ReplicaId, Option<MemberId>>,
+    /// Sorted by tag; holds every daemon of `members`.
+    members_by_tag: Vec<(MemberTag, MemberId)>,
 }
 
 impl View {
@@ -46,7 +51,9 @@
         topology: Arc<Topology>,
     ) -> Self {
         let owners = place(&topology, &members);
-        Self { epoch, own, members, topology, owners }
+        let mut members_by_tag: Vec<_> = members.iter().map(|(id, m)| (m.tag, id)).collect();
+        members_by_tag.sort_unstable();
+        Self { epoch, own, members, topology, owners, members_by_tag }
     }
 
     /// Returns the owner of a replica that may get work.
@@ -56,6 +63,13 @@
 
     /// Finds a daemon by its tag.
     pub fn member(&self, tag: MemberTag) -> Option<MemberId> {
-        self.members.iter().find(|(_, member)| member.tag == tag).map(|(id, _)| id)
+        let at = self.members_by_tag.binary_search_by_key(&tag, |(t, _)| *t).ok()?;
+        Some(self.members_by_tag[at].1)
+    }
+
+    /// Counts the replicas with another owner than in an earlier view of the same daemon.
+    pub fn moved_since(&self, earlier: &Self) -> u32 {
+        let moved = self.owners.iter().filter(|(id, owner)| earlier.owner(*id) != **owner);
+        moved.count() as u32
     }
 }
--- a/crates/berylpin_daemon/src/http/admin.rs
+++ b/crates/berylpin_daemon/src/http/admin.rs
@@ -1,11 +1,24 @@
 //! The front end of operators and the balancer.
 
+mod change;
+mod documents;
+mod members;
+
 use super::reply::json;
+use crate::control::ControlMailbox;
+use crate::logging::Log;
 use crate::metrics::metrics_page;
+use crate::platform::Platform;
+use crate::settings::{DaemonSettings, Secret};
 use berylpin_core::control::View;
+use berylpin_wire::admin::{LogLevelBody, Problem};
 use poem::http::StatusCode;
-use poem::web::Data;
-use poem::{EndpointExt, IntoEndpoint, Response, Route, get, handler};
+use poem::http::header::AUTHORIZATION;
+use poem::web::{Data, Json};
+use poem::{
+    Endpoint, EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, get, handler,
+    post, put,
+};
 use serde::Serialize;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -14,9 +27,13 @@
 /// What the front end needs.
 #[derive(Clone)]
 pub(crate) struct AdminState {
-    pub(crate) name: Arc<str>,
-    pub(crate) view: watch::Receiver<Arc<View>>,
-    pub(crate) stopping: Arc<AtomicBool>,
+    name: Arc<str>,
+    token: Secret,
+    view: watch::Receiver<Arc<View>>,
+    stopping: Arc<AtomicBool>,
+    control: ControlMailbox,
+    platform: Platform,
+    log: Log,
 }
 
 /// Body of `GET /v1/status`.
@@ -30,31 +47,100 @@
     owned_replicas: usize,
 }
 
+impl AdminState {
+    pub(crate) fn new(
+        settings: &DaemonSettings,
+        view: watch::Receiver<Arc<View>>,
+        stopping: Arc<AtomicBool>,
+        control: ControlMailbox,
+        log: Log,
+    ) -> Self {
+        Self {
+            name: settings.name.as_str().into(),
+            token: settings.admin_token.clone(),
+            view,
+            stopping,
+            control,
+            platform: Platform::new(settings.platform, settings.peer_listen_address.ip()),
+            log,
+        }
+    }
+
+    /// A daemon without any configuration is not ready, nor is one that stops.
+    fn is_ready(&self) -> bool {
+        let configured = !self.view.borrow().topology.services.is_empty();
+        configured && !self.stopping.load(Ordering::Relaxed)
+    }
+}
+
 /// Returns the routes of operators and the balancer.
 pub(crate) fn admin_routes(state: AdminState) -> impl IntoEndpoint {
+    let token = state.token.clone();
+    let operators = Route::new()
+        .at("/status", get(get_status))
+        .at("/documents", get(documents::list_documents))
+        .at(
+            "/documents/:name",
+            get(documents::get_document)
+                .put(documents::put_document)
+                .delete(documents::delete_document),
+        )
+        .at("/check", post(documents::check_document))
+        .at("/drain", post(documents::drain_replica))
+        .at("/revision/:revision", get(members::get_revision))
+        .at("/members", get(members::list_members))
+        .at("/routing/:target", get(members::get_routing))
+        .at("/log", put(put_log_level))
+        .around(move |routes, request| authenticate(token.clone(), routes, request));
     Route::new()
-        .at("/live", get(live))
-        .at("/ready", get(ready))
-        .at("/metrics", get(metrics))
-        .at("/v1/status", get(status))
+        .at("/live", get(get_live))
+        .at("/ready", get(get_ready))
+        .at("/metrics", get(get_metrics))
+        .nest("/v1", operators)
         .data(state)
 }
 
-impl AdminState {
-    /// A daemon without any configuration is not ready, nor is one that stops.
-    fn is_ready(&self) -> bool {
-        let configured = !self.view.borrow().topology.services.is_empty();
-        configured && !self.stopping.load(Ordering::Relaxed)
+/// Lets only requests with the operators' token through.
+async fn authenticate<E>(token: Secret, routes: Arc<E>, request: Request) -> poem::Result<Response>
+where
+    E: Endpoint,
+{
+    let given = request.header(AUTHORIZATION).and_then(|text| text.strip_prefix("Bearer "));
+    if given.is_some_and(|given| token.matches(given.as_bytes())) {
+        return routes.call(request).await.map(IntoResponse::into_response);
     }
+    let message = "send `Authorization: Bearer TOKEN` with the daemon's admin_token";
+    Ok(problem(StatusCode::UNAUTHORIZED, message))
+}
+
+/// Makes an error without a body of its own.
+fn problem<S>(status: StatusCode, message: S) -> Response
+where
+    S: Into<String>,
+{
+    json(status, &Problem { message: message.into() })
+}
+
+/// Makes an error without a body of its own, to be returned with `?`.
+fn refusal<S>(status: StatusCode, message: S) -> poem::Error
+where
+    S: Into<String>,
+{
+    poem::Error::from_response(problem(status, message))
+}
+
+/// Makes the answer while the daemon stops.
+fn stopped() -> Response {
+    problem(StatusCode::SERVICE_UNAVAILABLE, "the daemon stops; ask another one")
 }
 
 #[handler]
-fn live() -> Response {
+fn get_live() -> Response {
     Response::builder().status(StatusCode::OK).body("live\n")
 }
 
 #[handler]
-fn ready(state: Data<&AdminState>) -> Response {
+fn get_ready(state: Data<&AdminState>) -> Response {
     if state.is_ready() {
         return Response::builder().status(StatusCode::OK).body("ready\n");
     }
@@ -62,12 +148,12 @@
 }
 
 #[handler]
-fn metrics() -> Response {
+fn get_metrics() -> Response {
     Response::builder().content_type("text/plain; version=0.0.4").body(metrics_page())
 }
 
 #[handler]
-fn status(state: Data<&AdminState>) -> Response {
+fn get_status(state: Data<&AdminState>) -> Response {
     let view = state.view.borrow().clone();
     let services = view.topology.services.iter().filter(|(_, s)| !s.shards.is_empty());
     let body = StatusBody {
@@ -80,3 +166,11 @@
     };
     json(StatusCode::OK, &body)
 }
+
+#[handler]
+fn put_log_level(state: Data<&AdminState>, Json(body): Json<LogLevelBody>) -> Response {
+    match state.log.levels().set(&body.part, &body.level) {
+        Ok(()) => Response::builder().status(StatusCode::OK).finish(),
+        Err(e) => problem(StatusCode::UNPROCESSABLE_ENTITY, e.to_string()),
+    }
+}
