Repeat first failures, avoid failing replicas for longer, ask shedding owners more often

In floods the shed levels of hints rose while a thread heard little, so queries were sent that owners then refused in part.

- Avoidance grows fourfold with each failure in a row, to 32 s, and ends with a success.
- A budget starts with 2 attempts, unless the share is 0.
- Unusable replicas come last instead of being left out; hedges do not go to them.
- A shed level holds for 0.5 s before it rises, and hints of shedding owners are asked for after 200 ms.

--- a/crates/berylpin_core/src/limits/admission.rs
+++ b/crates/berylpin_core/src/limits/admission.rs
@@ -11,12 +11,12 @@
 
 /// Returns the shed level that a hint of the given age stands for.
 ///
-/// The level rises to `LEVELS` while the hint ages: the first queries that come back are those
-/// just above the level, so an owner whose load fell hears of it from a few of them.
+/// The level holds for half of `HINT_TRUST` and then rises to `LEVELS`: the first queries that come
+/// back are those just above the level, so an owner whose load fell hears of it from a few of them.
 pub(crate) fn shed_level(shed_above: u16, age: Duration) -> u16 {
     let missing = u128::from(QueryTag::LEVELS.saturating_sub(shed_above));
-    let trust = HINT_TRUST.as_micros();
-    let risen = missing * age.as_micros().min(trust) / trust;
+    let rise = (HINT_TRUST / 2).as_micros();
+    let risen = missing * age.as_micros().saturating_sub(rise).min(rise) / rise;
     shed_above + risen as u16
 }
 
--- a/crates/berylpin_core/src/limits/admission/tests.rs
+++ b/crates/berylpin_core/src/limits/admission/tests.rs
@@ -7,6 +7,7 @@
         let (young, old) = (ages.0.min(ages.1), ages.0.max(ages.1));
         let at = |millis| shed_level(level, Duration::from_millis(millis));
         prop_assert!(level <= at(young) && at(young) <= at(old) && at(old) <= QueryTag::LEVELS);
+        prop_assert_eq!(at(HINT_TRUST.as_millis() as u64 / 2), level);
         prop_assert_eq!(shed_level(level, HINT_TRUST), QueryTag::LEVELS);
     }
 }
--- a/crates/berylpin_core/src/limits/budget.rs
+++ b/crates/berylpin_core/src/limits/budget.rs
@@ -5,24 +5,34 @@
 /// Attempts that may be saved up.
 const BURST: f64 = 8.0;
 
+/// Attempts that a new budget holds, unless the share is 0.
+const INITIAL: f64 = 2.0;
+
 /// How long a sign of overload keeps the budget closed.
 const CLOSED_FOR: Duration = Duration::from_secs(1);
 
 /// A token bucket that fills with the first attempts of sub-queries and not with time.
 ///
-/// Hedges and retries together stay below the share of first attempts. A sign of
+/// Hedges and retries together stay below the share of first attempts and a few for the start, so
+/// that a thread with little work may repeat its first failures. A sign of
 /// overload closes it: extra attempts would then take the place of other queries.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Budget {
     /// From 0 to `BURST`.
     tokens: f64,
     closed_until: Option<Instant>,
 }
 
+impl Default for Budget {
+    fn default() -> Self {
+        Self { tokens: INITIAL, closed_until: None }
+    }
+}
+
 impl Budget {
     /// Counts the first attempt at a sub-query; `share` is from 0 to 1.
     pub fn earn(&mut self, share: f64) {
-        self.tokens = (self.tokens + share).min(BURST);
+        self.tokens = if share > 0.0 { (self.tokens + share).min(BURST) } else { 0.0 };
     }
 
     /// Takes one attempt, if the budget has one and is open.
--- a/crates/berylpin_core/src/limits/budget/tests.rs
+++ b/crates/berylpin_core/src/limits/budget/tests.rs
@@ -18,6 +18,13 @@
     ]
 }
 
+#[test]
+fn no_share_allows_nothing() {
+    let mut budget = Budget::default();
+    budget.earn(0.0);
+    assert!(!budget.take(Instant::now()));
+}
+
 proptest! {
     #[test]
     fn taken_attempts_stay_below_the_share(
@@ -44,7 +51,7 @@
                 }
                 Step::Wait(millis) => now += Duration::from_millis(millis),
             }
-            prop_assert!(f64::from(taken) <= share * f64::from(earned) + 1e-6);
+            prop_assert!(f64::from(taken) <= INITIAL + share * f64::from(earned) + 1e-6);
         }
     }
 }
--- a/crates/berylpin_core/src/query/attempts.rs
+++ b/crates/berylpin_core/src/query/attempts.rs
@@ -3,7 +3,7 @@
 use super::coordinator::Coordinator;
 use super::event::Action;
 use super::progress::{AttemptState, Parked, ShardState};
-use super::replicas::{Route, Wanted};
+use super::replicas::{Replicas, Route, Wanted};
 use super::state::Query;
 use crate::arena::SlabKey;
 use crate::decision::{AttemptCause, Decision};
@@ -42,7 +42,7 @@
         for position in 0..shards {
             match self.choose(now, key, position) {
                 Some(route) => self.attempt(now, key, position, route, AttemptCause::First, out),
-                None => self.miss_first(now, key, position),
+                None => self.miss_first(key, position),
             }
         }
         self.plan_wake(now, key);
@@ -109,7 +109,7 @@
         let failure = match reply.outcome {
             Outcome::Rows { snapshot, rows } if Some(snapshot) == query.snapshot => {
                 let elapsed = now.saturating_duration_since(query.moment(ended.sent));
-                self.replicas.sample(now, ended.replica, elapsed);
+                self.replicas.succeeded(now, ended.replica, elapsed);
                 self.merge(now, key, position, rows);
                 return self.settle(now, key, out);
             }
@@ -265,10 +265,10 @@
         }
     }
 
-    fn miss_first(&mut self, now: Instant, key: SlabKey, position: u32) {
+    fn miss_first(&mut self, key: SlabKey, position: u32) {
         let Some(query) = self.queries.get_mut(key) else { return };
         let shard = query.shards[position as usize].shard;
-        query.miss(position, self.replicas.absence(now, &self.view, shard));
+        query.miss(position, Replicas::absence(&self.view, shard));
     }
 }
 
--- a/crates/berylpin_core/src/query/coordinator/tests.rs
+++ b/crates/berylpin_core/src/query/coordinator/tests.rs
@@ -85,6 +85,37 @@
     assert!(world.sent.iter().any(|sent| sent.owner == dead), "it said something");
 }
 
+#[test]
+fn a_replica_that_keeps_failing_is_avoided_for_longer_each_time() {
+    let mut world = World::new(Shape { services: 1, shards: 1, extra_load: 1.0, ..SMALL });
+    let local = world.view.topology.replicas.iter().next().unwrap().1.settings.tag;
+    let mut asked = 0;
+    for _ in 0..40 {
+        world.request(Rank::Urgent, SECOND);
+        world.hint();
+        if world.sent.last().unwrap().part.replica == local {
+            asked += 1;
+            let last = world.sent.len() - 1;
+            world.fail(last, Verdict::MayHaveRun, FailReason::UpstreamError);
+        }
+        world.answer_all();
+        world.wait(SECOND);
+    }
+    assert!((2..=4).contains(&asked), "{asked} failures in 40 s");
+    assert!(world.answers.iter().all(|(_, result)| result.is_ok()));
+}
+
+#[test]
+fn an_ejected_replica_is_asked_if_there_is_no_other() {
+    let mut world = World::new(Shape { replicas: 1, ..SMALL });
+    for hint in &mut world.hints {
+        hint.usable = false;
+    }
+    world.hint_all();
+    world.request(Rank::Urgent, SECOND);
+    assert_eq!(world.sent.len(), 6);
+}
+
 #[test]
 fn no_hedge_is_sent_while_an_owner_sheds() {
     let mut world = warmed(SMALL);
--- a/crates/berylpin_core/src/query/hedge.rs
+++ b/crates/berylpin_core/src/query/hedge.rs
@@ -107,7 +107,9 @@
         let time_left = query.deadline.saturating_duration_since(now);
         let rank = query.rank.index();
         let progress = &mut query.shards[position as usize];
-        let Some(route) = route.filter(|route| !route.tried && route.delay < time_left) else {
+        let Some(route) =
+            route.filter(|route| !route.tried && route.healthy && route.delay < time_left)
+        else {
             progress.hedged = true;
             return true;
         };
--- a/crates/berylpin_core/src/query/replicas.rs
+++ b/crates/berylpin_core/src/query/replicas.rs
@@ -5,7 +5,7 @@
 use super::progress::{Attempt, Progress};
 use crate::arena::Arena;
 use crate::control::View;
-use crate::ids::{MemberId, ReplicaId, ShardId, Snapshot};
+use crate::ids::{MemberId, QueryTag, ReplicaId, ShardId, Snapshot};
 use crate::limits::{HINT_TRUST, shed_level};
 use crate::message::{FailReason, Hint, SnapshotRange};
 use crate::rank::Rank;
@@ -20,9 +20,16 @@
 /// How long a query waits for owners to say which snapshots they serve.
 pub(super) const INQUIRY_WAIT: Duration = Duration::from_millis(50);
 
-/// How long a replica is avoided after a failure.
+/// How long a replica is avoided after a failure; each further one in a row makes it four times
+/// as long.
 const AVOID_REPLICA: Duration = Duration::from_millis(500);
 
+/// Failures in a row after which the avoidance does not become longer.
+const AVOID_STEPS: u32 = 3;
+
+/// Age from which on a hint that says its owner sheds is asked for again.
+const SHED_REFRESH: Duration = Duration::from_millis(200);
+
 /// Time after which the measured latency of an unused replica counts half.
 const FORGET_LATENCY: Duration = Duration::from_secs(10);
 
@@ -41,6 +48,8 @@
     /// The first and the last inquiry that no hint followed.
     inquired: Option<(Instant, Instant)>,
     avoid_until: Option<Instant>,
+    /// Failures in a row, at most `AVOID_STEPS`.
+    failures: u32,
     sampled: Option<Instant>,
     /// Open attempts of this thread.
     in_flight: u32,
@@ -75,6 +84,8 @@
     pub(super) owner: MemberId,
     /// Whether an earlier attempt at the shard went there.
     pub(super) tried: bool,
+    /// Whether its owner takes work for it and it did not fail lately.
+    pub(super) healthy: bool,
     /// When its reply is expected, from now.
     pub(super) delay: Duration,
 }
@@ -124,8 +135,14 @@
         self.owners.ended(attempt.owner);
     }
 
-    /// Takes how long an attempt took.
-    pub(super) fn sample(&mut self, now: Instant, replica: ReplicaId, elapsed: Duration) {
+    /// Takes how long an attempt took that gave rows.
+    pub(super) fn succeeded(&mut self, now: Instant, replica: ReplicaId, elapsed: Duration) {
+        self.states[replica].failures = 0;
+        self.states[replica].avoid_until = None;
+        self.sample(now, replica, elapsed);
+    }
+
+    fn sample(&mut self, now: Instant, replica: ReplicaId, elapsed: Duration) {
         let state = &mut self.states[replica];
         state.latency.record(elapsed);
         state.sampled = Some(now);
@@ -138,9 +155,11 @@
         }
     }
 
-    /// Avoids a replica for a moment.
+    /// Avoids a replica for a while after a failure.
     pub(super) fn avoid(&mut self, now: Instant, replica: ReplicaId) {
-        self.states[replica].avoid_until = Some(now + AVOID_REPLICA);
+        let state = &mut self.states[replica];
+        state.avoid_until = Some(now + AVOID_REPLICA * 4u32.pow(state.failures));
+        state.failures = (state.failures + 1).min(AVOID_STEPS);
     }
 
     /// Returns all open attempts of this thread.
@@ -176,7 +195,12 @@
     /// Returns whether an inquiry is due, and marks it as made.
     pub(super) fn inquire(&mut self, now: Instant, replica: ReplicaId) -> bool {
         let known = &mut self.states[replica];
-        let refresh = if known.hint.snapshots.is_some() { HINT_TRUST } else { INQUIRY_PAUSE };
+        let sheds = known.hint.shed_above.iter().any(|level| *level < QueryTag::LEVELS);
+        let refresh = match known.hint.snapshots {
+            None => INQUIRY_PAUSE,
+            Some(_) if sheds => SHED_REFRESH,
+            Some(_) => HINT_TRUST,
+        };
         let paused = |(_, last)| now.saturating_duration_since(last) < INQUIRY_PAUSE;
         let due =
             known.age(now).is_none_or(|age| age >= refresh) && !known.inquired.is_some_and(paused);
@@ -207,14 +231,10 @@
     }
 
     /// Returns why no replica of a shard can be asked.
-    pub(super) fn absence(&self, now: Instant, view: &View, shard: ShardId) -> FailReason {
-        let replicas = view.topology.shards[shard].replicas.iter();
-        let owned = replicas.filter(|replica| view.owner(**replica).is_some());
-        let reasons = owned.map(|replica| {
-            let usable = self.is_usable(now, *replica);
-            if usable { FailReason::SnapshotGone } else { FailReason::Draining }
-        });
-        reasons.min_by_key(|r| *r != FailReason::SnapshotGone).unwrap_or(FailReason::Unreachable)
+    pub(super) fn absence(view: &View, shard: ShardId) -> FailReason {
+        let mut replicas = view.topology.shards[shard].replicas.iter();
+        let owned = replicas.any(|replica| view.owner(*replica).is_some());
+        if owned { FailReason::SnapshotGone } else { FailReason::Unreachable }
     }
 
     /// Chooses the replica with the least expected delay; one that was not tried goes first.
@@ -244,8 +264,10 @@
             let expected = state.expected_micros(now);
             let delay = Duration::from_micros(expected.into());
             let jittered = expected.saturating_add(expected / 128 * (noise % 32)) / DELAY_STEP;
-            let score = (tried, avoided, !serves, sheds, jittered, !state.local, noise);
-            Some((score, Route { replica, owner, tried, delay }))
+            let usable = self.is_usable(now, replica);
+            let score = (tried, !usable, avoided, !serves, sheds, jittered, !state.local, noise);
+            let healthy = usable && !avoided;
+            Some((score, Route { replica, owner, tried, healthy, delay }))
         });
         routes.min_by_key(|(score, _)| *score).map(|(_, route)| route)
     }
@@ -258,6 +280,7 @@
             heard: None,
             inquired: None,
             avoid_until: None,
+            failures: 0,
             sampled: None,
             in_flight: 0,
             slots: 1,
@@ -276,7 +299,7 @@
     fn is_excluded(&self, now: Instant, snapshot: Snapshot) -> bool {
         let Some(age) = self.age(now) else { return false };
         let gone = self.hint.snapshots.is_some_and(|range| !range.contains(snapshot));
-        (age < HINT_EXPIRY && !self.hint.usable) || (age < HINT_TRUST && gone)
+        age < HINT_TRUST && gone
     }
 
     fn sheds(&self, now: Instant, rank: Rank, level: u16) -> bool {
