Send entries of an ejected replica elsewhere at no cost

An entry's own avoidance of 0.5 s replaced the longer one from the hint, so it now keeps the later of both. And 18 coordinators each sent a call to learn of the ejection; a first attempt is now refused before it runs, which needs no retry budget. An attempt that comes again has no better replica and is tried.

--- a/crates/berylpin_core/src/query/replicas.rs
+++ b/crates/berylpin_core/src/query/replicas.rs
@@ -141,7 +141,8 @@
 
     /// Avoids a replica for a moment.
     pub(super) fn avoid(&mut self, now: Instant, replica: ReplicaId) {
-        self.states[replica].avoid_until = Some(now + AVOID_REPLICA);
+        let avoided = &mut self.states[replica].avoid_until;
+        *avoided = (*avoided).max(Some(now + AVOID_REPLICA));
     }
 
     /// Avoids all replicas of a daemon for a moment.
--- a/crates/berylpin_core/src/replica/intake.rs
+++ b/crates/berylpin_core/src/replica/intake.rs
@@ -6,7 +6,7 @@
 use super::shedding::ADJUST_INTERVAL;
 use crate::decision::Decision;
 use crate::ids::{MemberId, QueryTag, ReplicaId, ReplicaTag, ThreadId};
-use crate::message::{Batch, FailReason, Hint, Outcome, Part, PartReply, QueryMessage};
+use crate::message::{AttemptId, Batch, FailReason, Hint, Outcome, Part, PartReply, QueryMessage};
 use crate::rank::Rank;
 use crate::verdict::Verdict;
 use std::time::Instant;
@@ -29,7 +29,7 @@
             let admitted = known
                 .filter(|id| self.replicas[*id].owned)
                 .ok_or(FailReason::NotOwner)
-                .and_then(|replica| self.admit(replica, batch));
+                .and_then(|replica| self.admit(replica, part.attempt, batch));
             match admitted {
                 Ok(replica) => self.enqueue(now, replica, (from, part.attempt), batch, out),
                 Err(reason) => self.refuse_part(from, *part, batch, reason, out),
@@ -37,11 +37,20 @@
         }
     }
 
-    fn admit(&mut self, replica: ReplicaId, batch: &Batch) -> Result<ReplicaId, FailReason> {
+    fn admit(
+        &mut self,
+        replica: ReplicaId,
+        attempt: AttemptId,
+        batch: &Batch,
+    ) -> Result<ReplicaId, FailReason> {
         let state = &mut self.replicas[replica];
         if state.is_draining() {
             return Err(FailReason::Draining);
         }
+        // An entry that asks again knows of the ejection and has no better replica.
+        if state.health.is_ejected() && attempt.ordinal == 0 {
+            return Err(FailReason::Unreachable);
+        }
         if batch.time_left.is_zero() {
             return Err(FailReason::Deadline);
         }
--- a/crates/berylpin_core/src/replica/owner/tests.rs
+++ b/crates/berylpin_core/src/replica/owner/tests.rs
@@ -189,10 +189,14 @@
     }
     assert!(world.ejected(0));
     assert!(world.hint(0).ejected && world.hint(0).usable);
-    // An entry that knows no better replica may still try it, with one call at a time.
+    let replica = world.replicas()[0];
     world.arrive(0, Rank::Urgent, 0, Duration::from_secs(1));
+    assert_eq!(world.running(replica), 0);
+    // An entry that knows no better replica asks again, and gets one call at a time.
+    world.ordinal = 1;
     world.arrive(0, Rank::Urgent, 0, Duration::from_secs(1));
-    assert_eq!(world.running(world.replicas()[0]), 1);
+    world.arrive(0, Rank::Urgent, 0, Duration::from_secs(1));
+    assert_eq!(world.running(replica), 1);
 }
 
 #[test]
--- a/crates/berylpin_core/src/replica/owner/tests/harness.rs
+++ b/crates/berylpin_core/src/replica/owner/tests/harness.rs
@@ -30,6 +30,8 @@
     pub(super) calls: Vec<Call>,
     pub(super) started: usize,
     pub(super) reconnects: usize,
+    /// The ordinal of attempts that arrive.
+    pub(super) ordinal: u8,
     probes: Vec<ReplicaId>,
     slots: u16,
     drain: bool,
@@ -91,6 +93,7 @@
             calls: Vec::new(),
             started: 0,
             reconnects: 0,
+            ordinal: 0,
             probes: Vec::new(),
             slots,
             drain: false,
@@ -139,7 +142,7 @@
         let thread = ThreadId::from_index(0);
         let position = attempt as u32;
         let tag = QueryTag(position.into());
-        Part { attempt: AttemptId { thread, query, tag, position, ordinal: 0 }, replica }
+        Part { attempt: AttemptId { thread, query, tag, position, ordinal: self.ordinal }, replica }
     }
 
     pub(super) fn arrive(&mut self, replica: usize, rank: Rank, level: u16, time_left: Duration) {
