--- a/crates/berylpin/src/bench.rs
+++ b/crates/berylpin/src/bench.rs
@@ -2,9 +2,7 @@
 
 use berylpin_core::ids::Snapshot;
 use berylpin_core::message::SnapshotRange;
-use berylpin_daemon::{
-    Daemon, DaemonSettings, SettingsError, StartError, SystemClock, discard_log,
-};
+use berylpin_daemon::{Daemon, DaemonSettings, Log, SettingsError, StartError, SystemClock};
 use berylpin_standin::checker::Layout;
 use berylpin_standin::load::Balancer;
 use berylpin_standin::net::{Net, Proxy, Target, Zone};
@@ -18,11 +16,17 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// How long daemons may take to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
+/// How long the list of VMs names a daemon that has ended.
+const VM_LIST_LAG: Duration = Duration::from_secs(3);
+
+/// How long daemons may take to end.
+const END_LIMIT: Duration = Duration::from_secs(5);
+
 /// The snapshots that upstreams serve at first.
 const FIRST_SNAPSHOTS: SnapshotRange = SnapshotRange { oldest: Snapshot(1), newest: Snapshot(3) };
 
@@ -71,6 +75,8 @@
     caller_address: SocketAddr,
     peer_address: SocketAddr,
     admin_address: SocketAddr,
+    /// When it was told to end.
+    ended: Option<Instant>,
     /// `None` once it has ended.
     pub(crate) daemon: Option<Daemon>,
     _proxy: Proxy,
@@ -79,12 +85,13 @@
 /// Daemons and stand-ins of one site on loopback.
 pub(crate) struct Bench {
     pub(crate) net: Arc<Net>,
-    pub(crate) platform: Platform,
+    pub(crate) platform: Arc<Platform>,
     pub(crate) replicas: Vec<Replica>,
     /// The documents as the operators last wrote them.
     pub(crate) documents: Vec<Document>,
     pub(crate) entries: Vec<Entry>,
     pub(crate) balancer: Balancer,
+    log: Log,
     platform_proxy: Proxy,
     site: Site,
 }
@@ -92,7 +99,7 @@
 /// Work of all upstreams.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct TotalWork {
-    /// Sub-queries that ran to their end, were cancelled or failed.
+    /// Sub-queries, without executions, that ran to their end, were cancelled or failed.
     pub(crate) ran: u64,
     pub(crate) busy: Duration,
     pub(crate) after_drain: u64,
@@ -103,18 +110,18 @@
 impl Bench {
     /// Starts the platform, all upstreams of a site and as many daemons.
     ///
-    /// `edit` changes each document before it is stored.
+    /// All daemons write to one log; `edit` changes each document before it is stored.
     pub(crate) async fn start<F>(
         site: &Site,
         daemons: usize,
-        seed: u64,
+        (seed, log): (u64, Log),
         edit: F,
     ) -> Result<Self, BenchError>
     where
         F: Fn(&mut Document),
     {
         let net = Net::new(site.region_delay);
-        let platform = Platform::start().await?;
+        let platform = Arc::new(Platform::start().await?);
         let limit = usize::MAX;
         let target =
             Target { zone: Zone::PLATFORM, address: platform.address(), limit, counted: true };
@@ -126,6 +133,7 @@
             documents: Vec::new(),
             entries: Vec::new(),
             balancer: Balancer::default(),
+            log,
             platform_proxy,
             site: site.clone(),
         };
@@ -212,6 +220,7 @@
             zone,
             caller_address: free_address(host)?,
             admin_address: free_address(host)?,
+            ended: None,
             daemon: None,
             peer_address: address,
             _proxy: proxy,
@@ -226,14 +235,15 @@
             .data_centre(&entry.vm.data_centre)
             .region(entry.vm.data_centre.trim_end_matches("-1"))
             .caller_address(entry.caller_address)
-            .peer_address(entry.peer_address)
+            .peer_address(entry.vm.peer_address)
+            .peer_listen_address(entry.peer_address)
             .admin_address(entry.admin_address)
             .platform(platform)
             .admin_token(ADMIN_TOKEN)
             .fleet_key(FLEET_KEY)
             .stop_notice(STOP_NOTICE)
             .build()?;
-        entry.daemon = Some(Daemon::start(settings, Arc::new(SystemClock), discard_log())?);
+        entry.daemon = Some(Daemon::start(settings, Arc::new(SystemClock), self.log.clone())?);
         self.balancer.set(index, Some(entry.caller_address));
         Ok(())
     }
@@ -250,22 +260,31 @@
     /// Ends a daemon, gracefully or at once; the task returns when it has ended.
     pub(crate) fn end_daemon(&mut self, index: usize, graceful: bool) -> Option<JoinHandle<()>> {
         let daemon = self.entries[index].daemon.take()?;
-        self.entries[index].vm.leaving = graceful;
+        let entry = &mut self.entries[index];
+        entry.vm.leaving = graceful;
+        entry.ended = Some(Instant::now());
+        let (platform, name) = (self.platform.clone(), entry.vm.name.clone());
         self.publish_vms();
+        tokio::spawn(async move {
+            sleep(VM_LIST_LAG).await;
+            platform.remove_vm(&name);
+        });
         let end = move || if graceful { daemon.stop() } else { daemon.kill() };
         Some(tokio::task::spawn_blocking(end))
     }
 
     /// Hands the list of VMs to the platform.
     pub(crate) fn publish_vms(&self) {
-        self.platform.set_vms(self.entries.iter().map(|entry| entry.vm.clone()).collect());
+        let listed = |entry: &&Entry| entry.ended.is_none_or(|at| at.elapsed() < VM_LIST_LAG);
+        let vms = self.entries.iter().filter(listed).map(|entry| entry.vm.clone());
+        self.platform.set_vms(vms.collect());
     }
 
     /// Waits until all daemons are ready.
     pub(crate) async fn wait_ready(&self) -> Result<(), BenchError> {
         let client = reqwest::Client::new();
         let limit = Instant::now() + READY_LIMIT;
-        for entry in &self.entries {
+        for entry in self.entries.iter().filter(|entry| entry.daemon.is_some()) {
             let url = format!("http://{}/ready", entry.admin_address);
             loop {
                 let response = client.get(&url).send().await;
@@ -297,7 +316,8 @@
         let mut total = TotalWork::default();
         for replica in self.replicas.iter().filter(|replica| replica.group != CANARY) {
             let work = replica.upstream.work();
-            total.ran += work.ran + work.cancelled + work.failed;
+            let executions = replica.upstream.ledger().entries().len() as u64;
+            total.ran += work.ran + work.cancelled + work.failed - executions;
             total.busy += work.busy;
             total.after_drain += work.after_drain;
             total.last_drained_arrival = total.last_drained_arrival.max(work.last_drained_arrival);
@@ -309,10 +329,20 @@
     pub(crate) async fn stop(mut self) {
         let indexes: Vec<usize> = self.callers().map(|(index, _)| index).collect();
         let stops = indexes.into_iter().filter_map(|index| self.end_daemon(index, true));
-        for stop in stops.collect::<Vec<_>>() {
+        wait_for_ends(stops.collect()).await;
+    }
+}
+
+/// Waits until daemons have ended, but not for ever.
+pub(crate) async fn wait_for_ends(ends: Vec<JoinHandle<()>>) {
+    let all = async {
+        for end in ends {
             // A daemon that panicked has already said so.
-            let _ = stop.await;
+            let _ = end.await;
         }
+    };
+    if timeout(END_LIMIT, all).await.is_err() {
+        eprintln!("a daemon did not end within {END_LIMIT:?}");
     }
 }
 
--- a/crates/berylpin/src/experiment/run.rs
+++ b/crates/berylpin/src/experiment/run.rs
@@ -3,9 +3,11 @@
 use super::canary::{self, Observation, Observations};
 use super::faults::{FaultLog, carry_out, split};
 use super::report::{Facts, Report};
-use super::scenario::{Action, Scenario};
+use super::scenario::{Action, Charges, Scenario};
 use super::usage::{control_cpu_s, memory_mb};
 use crate::bench::{Bench, BenchError, TotalWork};
+use berylpin_daemon::Log;
+use berylpin_standin::charges::{Charge, drive_charges};
 use berylpin_standin::checker::Layout;
 use berylpin_standin::load::{Sample, Stream, caller_client, drive};
 use berylpin_standin::sites::{Document, Site, TARGETS};
@@ -32,14 +34,14 @@
 }
 
 /// Runs a scenario to its end.
-pub(crate) async fn run(mut scenario: Scenario, seed: u64) -> Result<Report, BenchError> {
+pub(crate) async fn run(mut scenario: Scenario, seed: u64, log: Log) -> Result<Report, BenchError> {
     scenario.choose_faults(seed);
     let site = site_of(&scenario);
     let extra_load = scenario.extra_load;
     let edit = |document: &mut Document| {
         document.extra_load = extra_load;
     };
-    let mut bench = Bench::start(&site, scenario.daemons, seed, edit).await?;
+    let mut bench = Bench::start(&site, scenario.daemons, (seed, log), edit).await?;
     bench.wait_ready().await?;
     sleep(WARM_UP).await;
     let control = measure_control(&bench).await;
@@ -49,10 +51,11 @@
     let end = fault_start + Duration::from_secs_f64(scenario.fault_s);
     let streams = streams(&bench, &scenario, &site);
     let drivers = start_load(&bench, &scenario, &streams, seed, (fault_start, end));
+    let charges = start_charges(&bench, &scenario, seed, end);
     let observed = Observations::default();
     let mut watchers = watch_canary(&bench, &observed);
 
-    let mut log = FaultLog::default();
+    let mut faults = FaultLog::default();
     let mut works = vec![(start, bench.work())];
     for event in timeline(&scenario, fault_start) {
         sleep_until(event.at).await;
@@ -61,15 +64,16 @@
             continue;
         };
         let (index, apply) = step;
-        carry_out(&mut bench, &scenario.fault[index], apply, &mut log).await?;
+        carry_out(&mut bench, &scenario.fault[index], apply, &mut faults).await?;
         watchers.abort_all();
         watchers = watch_canary(&bench, &observed);
     }
     let samples = drivers.join_all().await.concat();
     works.push((end, bench.work()));
-    log.settle().await;
+    let charges = charges.join_all().await.concat();
+    faults.settle().await;
     let mut edits = Vec::new();
-    for edit in log.edits.drain(..) {
+    for edit in faults.edits.drain(..) {
         edits.push(edit.await.unwrap_or(canary::Edit::Unknown));
     }
     watchers.shutdown().await;
@@ -80,9 +84,10 @@
         seed,
         streams: &streams,
         samples: &samples,
+        charges: &charges,
         observations: &observations,
         works: &works,
-        stops: &log.stops,
+        stops: &faults.stops,
         edits: &edits,
         start,
         fault_start,
@@ -168,6 +173,20 @@
     drivers
 }
 
+fn start_charges(
+    bench: &Bench,
+    scenario: &Scenario,
+    seed: u64,
+    end: Instant,
+) -> JoinSet<Vec<Charge>> {
+    let mut drivers = JoinSet::new();
+    for Charges { service, rate } in scenario.charges.iter().cloned() {
+        let caller = (bench.balancer.clone(), caller_client());
+        drivers.spawn(drive_charges(caller, (service, rate), end, seed));
+    }
+    drivers
+}
+
 fn watch_canary(bench: &Bench, seen: &Observations) -> JoinSet<()> {
     let client = caller_client();
     let mut watchers = JoinSet::new();
--- a/crates/berylpin_core/benches/sub_query.rs
+++ b/crates/berylpin_core/benches/sub_query.rs
@@ -161,6 +161,7 @@
         minimum_coverage: 0.9,
         extra_load: 0.05,
         targets: [Duration::from_millis(250); Rank::COUNT],
+        shares: [0.7, 0.2, 0.1],
         shards: (0..shards).map(shard).collect(),
     };
     let topology = Topology::default().with_documents(&[Arc::new(service)]);
@@ -173,6 +174,7 @@
             data_centre: DATA_CENTRES[index % DATA_CENTRES.len()].to_owned(),
             peer_address: ([127, 0, 0, 1], 9100).into(),
             live: true,
+            leaving: false,
         });
     }
     Arc::new(View::new(1, MemberId::from_index(0), members, Arc::new(topology)))
--- a/crates/berylpin_daemon/src/lib.rs
+++ b/crates/berylpin_daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod log_levels;
 mod logging;
 mod metrics;
+mod platform;
 mod settings;
 mod traffic;
 
--- a/crates/berylpin_daemon/src/logging.rs
+++ b/crates/berylpin_daemon/src/logging.rs
@@ -100,6 +100,22 @@
             debug!(log, "owner: sub-query refused"; "query" => %query, "replica" => %replica,
                 "reason" => reason.name());
         }
+        Decision::Member { member, state, incarnation } => {
+            info!(log, "membership: member changed"; "member" => %member, "state" => state.name(),
+                "incarnation" => incarnation);
+        }
+        Decision::Placed { epoch, moved } => {
+            info!(log, "placement: view published"; "epoch" => epoch, "moved" => moved);
+        }
+        Decision::InForce { revision } => {
+            info!(log, "control: revision in force"; "revision" => revision);
+        }
+        Decision::Watching { watching } => {
+            info!(log, "control: watcher changed"; "watching" => watching);
+        }
+        Decision::Resumed { late } => {
+            info!(log, "control: process was paused"; "late_ms" => late.as_millis() as u64);
+        }
         Decision::Stalled { query, replica } => {
             info!(log, "owner: call made no progress, connection replaced";
                 "query" => %query, "replica" => %replica);
--- /dev/null
+++ b/crates/berylpin_standin/src/fleet.rs
@@ -0,0 +1,327 @@
+//! The control state of many daemons in virtual time, with a network and a platform between them.
+//!
+//! Nothing here has a thread, a socket or a real clock, so a fleet of any size runs in one test and
+//! the same seed gives the same run.
+
+mod network;
+
+use berylpin_core::control::{
+    Action, Controller, Entry, Event, ListedVm, MemberReport, MemberState, View,
+};
+use berylpin_core::ids::MemberTag;
+use berylpin_wire::frame::{Frame, encode};
+use bytes::BytesMut;
+use network::Network;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+/// How long the platform takes to answer.
+const PLATFORM_DELAY: Duration = Duration::from_millis(5);
+
+/// Names one daemon of a fleet.
+pub type NodeIndex = usize;
+
+/// What a daemon sent and asked, since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Messages sent to other daemons.
+    pub messages: u64,
+    /// Bytes of those messages, as on a link.
+    pub bytes: u64,
+    /// Calls to the platform; a watch counts as one when it starts and when it tells something.
+    pub platform_calls: u64,
+}
+
+/// The control state of many daemons in virtual time.
+#[derive(Debug)]
+pub struct Fleet {
+    start: Instant,
+    now: Instant,
+    nodes: Vec<Node>,
+    network: Network,
+    revision: u64,
+    /// Sorted by name.
+    documents: Vec<Entry>,
+    seed: u64,
+}
+
+#[derive(Debug)]
+struct Node {
+    report: MemberReport,
+    seeds: Vec<SocketAddr>,
+    /// `None` once it was killed.
+    controller: Option<Controller>,
+    /// When the controller wants its next tick.
+    due: Instant,
+    /// Nodes of different groups cannot reach each other.
+    group: u32,
+    platform_reachable: bool,
+    /// It neither hears nor does anything until then.
+    paused_until: Instant,
+    watching: bool,
+    leaving: bool,
+    traffic: Traffic,
+    /// Views published since it started.
+    views: u64,
+}
+
+impl Fleet {
+    /// Makes daemons, spread evenly over data centres, that all start now.
+    pub fn new(daemons: usize, data_centres: usize, seed: u64) -> Self {
+        let now = Instant::now();
+        let mut fleet = Self {
+            start: now,
+            now,
+            nodes: Vec::new(),
+            network: Network::new(seed),
+            revision: 0,
+            documents: Vec::new(),
+            seed,
+        };
+        for index in 0..daemons {
+            let report = MemberReport {
+                name: format!("entry-{index}").into(),
+                data_centre: format!("dc-{}", index % data_centres).into(),
+                peer_address: node_address(index),
+                incarnation: 1,
+                state: MemberState::Alive,
+            };
+            fleet.nodes.push(Node {
+                report,
+                seeds: Vec::new(),
+                controller: None,
+                due: now,
+                group: 0,
+                platform_reachable: true,
+                paused_until: now,
+                watching: false,
+                leaving: false,
+                traffic: Traffic::default(),
+                views: 0,
+            });
+            fleet.restart(index);
+        }
+        fleet
+    }
+
+    /// Returns how long the fleet has run.
+    pub fn elapsed(&self) -> Duration {
+        self.now - self.start
+    }
+
+    /// Returns the control state of a daemon that runs.
+    pub fn controller(&self, node: NodeIndex) -> Option<&Controller> {
+        self.nodes[node].controller.as_ref()
+    }
+
+    /// Visits the daemons that run.
+    pub fn running(&self) -> impl Iterator<Item = (NodeIndex, &Controller)> {
+        let controllers = self.nodes.iter().enumerate();
+        controllers.filter_map(|(index, node)| Some((index, node.controller.as_ref()?)))
+    }
+
+    /// Returns the tag of a daemon.
+    pub fn tag(&self, node: NodeIndex) -> MemberTag {
+        self.nodes[node].report.tag()
+    }
+
+    /// Returns the newest view of a daemon that runs.
+    pub fn view(&self, node: NodeIndex) -> Option<&View> {
+        self.controller(node).map(|controller| &**controller.view())
+    }
+
+    /// Returns what a daemon sent so far.
+    pub fn traffic(&self, node: NodeIndex) -> Traffic {
+        self.nodes[node].traffic
+    }
+
+    /// Returns the revision of the platform.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Stores a document, or deletes it; watches tell it.
+    pub fn store(&mut self, name: &str, text: Option<&str>) {
+        self.revision += 1;
+        self.documents.retain(|entry| &*entry.name != name);
+        if let Some(text) = text {
+            let at = self.documents.partition_point(|entry| &*entry.name < name);
+            let (version, text) = (self.revision, text.into());
+            let entry = Entry { name: name.into(), version, text, editor: "test".into() };
+            self.documents.insert(at, entry);
+        }
+        for node in 0..self.nodes.len() {
+            self.tell_documents(node);
+        }
+    }
+
+    /// Ends a daemon; its peers notice broken links unless the whole VM is gone.
+    pub fn kill(&mut self, node: NodeIndex, silently: bool) {
+        self.nodes[node].controller = None;
+        if silently {
+            return;
+        }
+        let down = self.nodes[node].report.peer_address;
+        let others = (0..self.nodes.len()).filter(|other| *other != node);
+        for other in others.collect::<Vec<_>>() {
+            let at = self.now + self.network.delay();
+            self.network.push(at, other, Event::LinkDown(down));
+        }
+    }
+
+    /// Starts a daemon again, with no memory of its life before.
+    pub fn restart(&mut self, node: NodeIndex) {
+        let state = &mut self.nodes[node];
+        state.report.incarnation += 1_000;
+        state.leaving = false;
+        state.watching = false;
+        state.paused_until = self.now;
+        state.due = self.now;
+        let seed = self.seed ^ (node as u64) << 20 ^ state.report.incarnation;
+        let (report, seeds) = (state.report.clone(), state.seeds.clone());
+        state.controller = Some(Controller::new(report, seeds, seed, self.now));
+    }
+
+    /// Sets the seeds of a daemon that is restarted later.
+    pub fn set_seeds(&mut self, node: NodeIndex, seeds: &[NodeIndex]) {
+        self.nodes[node].seeds = seeds.iter().map(|seed| node_address(*seed)).collect();
+    }
+
+    /// Tells a daemon to leave.
+    pub fn leave(&mut self, node: NodeIndex) {
+        self.nodes[node].leaving = true;
+        self.event(node, Event::Leave);
+    }
+
+    /// Keeps a daemon from doing anything for a while.
+    pub fn pause(&mut self, node: NodeIndex, length: Duration) {
+        self.nodes[node].paused_until = self.now + length;
+    }
+
+    /// Puts a daemon into a group that only reaches itself.
+    pub fn set_group(&mut self, node: NodeIndex, group: u32) {
+        self.nodes[node].group = group;
+    }
+
+    /// Cuts a daemon off from the platform, or heals that.
+    pub fn set_platform_reachable(&mut self, node: NodeIndex, reachable: bool) {
+        self.nodes[node].platform_reachable = reachable;
+        self.tell_documents(node);
+    }
+
+    /// Lets time pass.
+    pub fn run_for(&mut self, length: Duration) {
+        let end = self.now + length;
+        while let Some((at, node, event)) = self.next_event(end) {
+            self.now = self.now.max(at);
+            self.event(node, event);
+        }
+        self.now = end;
+    }
+
+    /// Lets time pass until something holds; returns how long that took.
+    pub fn run_until<F>(&mut self, limit: Duration, mut holds: F) -> Option<Duration>
+    where
+        F: FnMut(&Self) -> bool,
+    {
+        /// How often the condition is looked at.
+        const STEP: Duration = Duration::from_millis(10);
+        let start = self.now;
+        while self.now < start + limit {
+            if holds(self) {
+                return Some(self.now - start);
+            }
+            self.run_for(STEP);
+        }
+        None
+    }
+
+    fn next_event(&mut self, end: Instant) -> Option<(Instant, NodeIndex, Event)> {
+        let running = self.nodes.iter().enumerate().filter(|(_, node)| node.controller.is_some());
+        let timers = running.map(|(index, node)| (node.due.max(node.paused_until), index));
+        let timer = timers.min().filter(|(at, _)| *at <= end);
+        let mail = self.network.next().filter(|at| *at <= end);
+        match (timer, mail) {
+            (Some((at, _)), Some(mail)) if mail <= at => self.network.pop(),
+            (Some((at, node)), _) => Some((at, node, Event::Tick)),
+            (None, Some(_)) => self.network.pop(),
+            (None, None) => None,
+        }
+    }
+
+    fn event(&mut self, node: NodeIndex, event: Event) {
+        let now = self.now;
+        let state = &mut self.nodes[node];
+        if now < state.paused_until {
+            return self.network.push(state.paused_until, node, event);
+        }
+        let Some(controller) = &mut state.controller else { return };
+        let mut actions = Vec::new();
+        controller.handle(now, event, &mut actions);
+        state.due = controller.next_timer();
+        for action in actions {
+            self.act(node, action);
+        }
+    }
+
+    fn act(&mut self, node: NodeIndex, action: Action) {
+        match action {
+            Action::Send(to, message) => {
+                let mut buf = BytesMut::new();
+                encode(&Frame::Control(Box::new(message.clone())), &mut buf);
+                let traffic = &mut self.nodes[node].traffic;
+                traffic.messages += 1;
+                traffic.bytes += buf.len() as u64;
+                let Some(to) = self.reach(node, to) else { return };
+                let at = self.now + self.network.delay();
+                self.network.push(at, to, Event::Message(self.tag(node), message));
+            }
+            Action::Watch(watching) => {
+                self.nodes[node].watching = watching;
+                if watching {
+                    self.nodes[node].traffic.platform_calls += 1;
+                    self.tell_documents(node);
+                }
+            }
+            Action::ReadVms => self.tell_vms(node),
+            Action::Publish(_) => self.nodes[node].views += 1,
+            Action::Rejected(_) | Action::Decided(_) => {}
+        }
+    }
+
+    /// Returns the daemon at an address if it can be reached.
+    fn reach(&self, from: NodeIndex, to: SocketAddr) -> Option<NodeIndex> {
+        let to = self.nodes.iter().position(|node| node.report.peer_address == to)?;
+        (self.nodes[from].group == self.nodes[to].group).then_some(to)
+    }
+
+    fn tell_documents(&mut self, node: NodeIndex) {
+        let state = &mut self.nodes[node];
+        let Some(controller) = &state.controller else { return };
+        let news = controller.revisions().revision() < self.revision;
+        if state.watching && state.platform_reachable && news {
+            state.traffic.platform_calls += 1;
+            let event = Event::Documents(self.revision, self.documents.clone());
+            self.network.push(self.now + PLATFORM_DELAY, node, event);
+        }
+    }
+
+    fn tell_vms(&mut self, node: NodeIndex) {
+        self.nodes[node].traffic.platform_calls += 1;
+        if !self.nodes[node].platform_reachable {
+            return;
+        }
+        let listed = |node: &Node| ListedVm {
+            name: node.report.name.clone(),
+            peer_address: node.report.peer_address,
+            leaving: node.leaving,
+        };
+        let vms = self.nodes.iter().map(listed).collect();
+        self.network.push(self.now + PLATFORM_DELAY, node, Event::Vms(vms));
+    }
+}
+
+fn node_address(node: NodeIndex) -> SocketAddr {
+    let [_, _, high, low] = (node as u32).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, 0, high, low), 7001))
+}
--- /dev/null
+++ b/crates/berylpin_standin/src/fleet/network.rs
@@ -0,0 +1,51 @@
+//! Events on their way to daemons.
+
+use berylpin_core::arena::{Slab, SlabKey};
+use berylpin_core::control::Event;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+
+/// The shortest and the longest time that a message takes.
+const DELAYS: (Duration, Duration) = (Duration::from_micros(200), Duration::from_millis(12));
+
+/// Events on their way, ordered by arrival.
+#[derive(Debug)]
+pub(super) struct Network {
+    /// The number keeps events of one moment in the order of their sending.
+    arrivals: BinaryHeap<Reverse<(Instant, u64, usize, SlabKey)>>,
+    events: Slab<Event>,
+    sent: u64,
+    rng: SmallRng,
+}
+
+impl Network {
+    pub(super) fn new(seed: u64) -> Self {
+        let rng = SmallRng::seed_from_u64(seed);
+        Self { arrivals: BinaryHeap::new(), events: Slab::default(), sent: 0, rng }
+    }
+
+    /// Draws how long a message takes.
+    pub(super) fn delay(&mut self) -> Duration {
+        self.rng.random_range(DELAYS.0..DELAYS.1)
+    }
+
+    pub(super) fn push(&mut self, at: Instant, to: usize, event: Event) {
+        self.sent += 1;
+        let key = self.events.insert(event);
+        self.arrivals.push(Reverse((at, self.sent, to, key)));
+    }
+
+    /// Returns when the next event arrives.
+    pub(super) fn next(&self) -> Option<Instant> {
+        self.arrivals.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    /// Removes the next event.
+    pub(super) fn pop(&mut self) -> Option<(Instant, usize, Event)> {
+        let Reverse((at, _, to, key)) = self.arrivals.pop()?;
+        Some((at, to, self.events.remove(key)?))
+    }
+}
--- a/crates/berylpin_standin/src/lib.rs
+++ b/crates/berylpin_standin/src/lib.rs
@@ -1,6 +1,8 @@
 //! Small stand-ins for what surrounds the system: the platform, upstreams and callers.
 
+pub mod charges;
 pub mod checker;
+pub mod fleet;
 pub mod ledger;
 pub mod load;
 pub mod net;
