--- a/crates/berylpin_core/src/replica/owner/tests/flood.rs
+++ b/crates/berylpin_core/src/replica/owner/tests/flood.rs
@@ -126,11 +126,16 @@
 
     /// Owners that never talk to each other answer the same queries of a flood.
     #[test]
-    fn independent_owners_drop_the_same_queries(excess in 1.3_f64..3.0, seed in any::<u64>()) {
+    fn independent_owners_drop_the_same_queries(
+        rank in prop::sample::select(&Rank::ALL),
+        excess in 1.3_f64..6.0,
+        seed in any::<u64>(),
+    ) {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut replicas: Vec<_> = (0..5).map(|n| Replica::new(seed ^ n)).collect();
+        let mut replicas: Vec<_> = (0..6).map(|n| Replica::new(seed ^ n)).collect();
         let start = replicas[0].world.now;
-        let rates = [0.0, excess * CAPACITY, 0.0];
+        let mut rates = [0.0; Rank::COUNT];
+        rates[rank.index()] = excess * CAPACITY;
         let arrivals = arrivals(&mut rng, rates, FLOOD);
         for replica in &mut replicas {
             let offset = replica.world.now - start;
@@ -138,7 +143,7 @@
                 replica.wait_until(start + offset + at);
                 replica.arrive(rank, level);
             }
-            replica.wait_until(start + offset + FLOOD + Duration::from_secs(2));
+            replica.wait_until(start + offset + FLOOD + TIME_LEFT[rank.index()]);
         }
         let late = arrivals.iter().enumerate().filter(|(_, (at, ..))| *at > FLOOD / 3);
         let whole = late
