Take minimum shares from the service's document

The owner used fixed shares of 0.7, 0.2 and 0.1, while documents have a key `shares` now. Each view sets them; what a rank has earned stays.

--- a/crates/berylpin_core/src/replica/owner.rs
+++ b/crates/berylpin_core/src/replica/owner.rs
@@ -4,6 +4,7 @@
 use super::health::Change;
 use super::job::{Job, JobName};
 use super::probes::{PROBE_INTERVAL, Probe, ProbeResult};
+use super::shares::MinimumShares;
 use super::shedding::ADJUST_INTERVAL;
 use super::state::ReplicaState;
 use crate::arena::{Arena, Slab, SlabKey};
@@ -148,6 +149,8 @@
                 state.health.reset();
             }
             state.withdrawn = withdrawn;
+            let shares = view.topology.service_of(id).settings.shares;
+            state.queue.set_shares(MinimumShares::new(shares));
             state.owned = replica.listed
                 && view.owner(id) == Some(view.own)
                 && settings.tag.thread(self.threads) == self.thread;
@@ -215,7 +218,7 @@
         self.drop_late(now, replica, out);
         let tag = self.tag(replica);
         let state = &mut self.replicas[replica];
-        let changes = state.levels.adjust(state.queue.ages(now), state.queue.shares().shares());
+        let changes = state.levels.adjust(state.queue.ages(now), state.queue.shares());
         let mut shed = Vec::new();
         for (rank, level) in Rank::ALL.into_iter().zip(changes) {
             let Some(level) = level else { continue };
--- a/crates/berylpin_core/src/replica/queue.rs
+++ b/crates/berylpin_core/src/replica/queue.rs
@@ -1,6 +1,6 @@
 //! Sub-queries that wait for a slot of one replica.
 
-use super::shares::ShareAccount;
+use super::shares::{MinimumShares, ShareAccount};
 use crate::arena::SlabKey;
 use crate::rank::Rank;
 use std::time::{Duration, Instant};
@@ -90,9 +90,14 @@
         self.ranks.iter().all(Vec::is_empty)
     }
 
-    /// Returns the account of minimum shares.
-    pub(super) fn shares(&self) -> &ShareAccount {
-        &self.shares
+    /// Returns the minimum shares.
+    pub(super) fn shares(&self) -> MinimumShares {
+        self.shares.shares()
+    }
+
+    /// Changes the minimum shares.
+    pub(super) fn set_shares(&mut self, shares: MinimumShares) {
+        self.shares.set_shares(shares);
     }
 
     fn waiting(&self) -> [bool; Rank::COUNT] {
--- a/crates/berylpin_core/src/replica/shares.rs
+++ b/crates/berylpin_core/src/replica/shares.rs
@@ -6,22 +6,27 @@
 /// What a rank keeps of a replica's slots while others want them too.
 ///
 /// What a rank does not use goes to the others, the most urgent first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct MinimumShares {
-    /// In thousandths, indexed by rank; together at most 1000.
-    thousandths: [u16; Rank::COUNT],
+    /// From 0 to 1, indexed by rank; together at most 1.
+    shares: [f64; Rank::COUNT],
 }
 
 impl Default for MinimumShares {
     fn default() -> Self {
-        Self { thousandths: [700, 200, 100] }
+        Self::new([0.7, 0.2, 0.1])
     }
 }
 
 impl MinimumShares {
+    /// Takes the shares of a document.
+    pub(super) fn new(shares: [f64; Rank::COUNT]) -> Self {
+        Self { shares }
+    }
+
     /// Returns the part of an amount of work that a rank keeps.
     pub(super) fn of(self, rank: Rank, work: f64) -> f64 {
-        work * f64::from(self.thousandths[rank.index()]) / 1000.0
+        work * self.shares[rank.index()]
     }
 }
 
@@ -61,6 +66,11 @@
         *earned = (*earned - work).max(0.0);
     }
 
+    /// Changes the shares; what was earned stays.
+    pub(super) fn set_shares(&mut self, shares: MinimumShares) {
+        self.shares = shares;
+    }
+
     /// Returns the shares kept.
     pub(super) fn shares(&self) -> MinimumShares {
         self.shares
--- a/crates/berylpin_core/src/replica/shares/tests.rs
+++ b/crates/berylpin_core/src/replica/shares/tests.rs
@@ -7,9 +7,12 @@
     fn ranks_keep_their_shares_of_the_work(
         cost_ms in prop::array::uniform3(1_u64..100),
         waiting in prop::array::uniform3(any::<bool>()),
+        weights in prop::array::uniform3(0.0_f64..1.0),
     ) {
         let cost = cost_ms.map(Duration::from_millis);
         let mut account = ShareAccount::default();
+        let sum = weights.iter().sum::<f64>().max(1.0);
+        account.set_shares(MinimumShares::new(weights.map(|weight| weight / sum)));
         let mut work = [0.0; Rank::COUNT];
         while work.iter().sum::<f64>() < 100.0 {
             let Some(rank) = account.next(waiting, cost) else { return Ok(()) };
--- a/crates/berylpin_core/src/replica/state.rs
+++ b/crates/berylpin_core/src/replica/state.rs
@@ -17,6 +17,9 @@
 /// entries prefer the replica with the shorter queue also for work that is not urgent.
 const BACKLOG_DIVISOR: u32 = 256;
 
+/// The share of urgent work that is reckoned with at least.
+const LEAST_SHARE: f64 = 0.01;
+
 /// What an owner keeps of one replica; bounded by the limits of its queue.
 #[derive(Debug, Default)]
 pub(super) struct ReplicaState {
@@ -110,7 +113,7 @@
         let backlog = |rank: Rank| means[rank.index()] * self.queue.len_of(rank) as u32;
         let urgent = means[Rank::Urgent.index()] * u32::from(self.running) + backlog(Rank::Urgent);
         let lower = backlog(Rank::Standard) + backlog(Rank::Background);
-        let share = self.queue.shares().shares().of(Rank::Urgent, 1.0);
+        let share = self.queue.shares().of(Rank::Urgent, 1.0).max(LEAST_SHARE);
         let ahead = lower.min(urgent.mul_f64(1.0 / share - 1.0));
         let slots = u32::from(self.health.slots(settings.slots).max(1));
         (urgent + ahead + lower / BACKLOG_DIVISOR) / slots
