Let executions and sub-queries learn from each other about replicas

Cause: half of the executions kept going to a replica that failed, since only sub-queries counted for ejection, and a drained replica was known only from the next probe.

The runner tells the owner how executions end and asks it whether a replica is used. An ejected replica refuses, as not run, unless it is the holder's last choice. Counting failures in the runner as well was ruled out: two views of one replica.

--- a/crates/berylpin_core/src/execute/holder.rs
+++ b/crates/berylpin_core/src/execute/holder.rs
@@ -73,6 +73,14 @@
     Stop,
 }
 
+/// Where an execution goes next.
+struct Choice {
+    replica: ReplicaId,
+    owner: MemberId,
+    /// Whether no other replica is left to try.
+    last: bool,
+}
+
 impl Holder {
     /// Makes the holder of one thread; `seed` drives its random choices.
     pub fn new(issuer: Issuer, view: Arc<View>, seed: u64) -> Self {
@@ -245,7 +253,7 @@
         out: &mut Vec<Action>,
     ) {
         let choice = self.choose(&running).filter(|_| now < running.deadline);
-        let Some((replica, owner)) = choice else {
+        let Some(Choice { replica, owner, last }) = choice else {
             let late = now >= running.deadline;
             let reason = if late { FailReason::Deadline } else { last };
             self.table.settle(place, State::NotRun(RefusalReason::Replica(reason)));
@@ -261,6 +269,7 @@
             attempt: running.attempt,
             key: running.key,
             replica: tag,
+            last_choice: last,
             rank: running.rank,
             time_left: running.deadline - now,
             body: running.body.clone(),
@@ -270,7 +279,7 @@
     }
 
     /// Chooses a replica that was not tried, of this data centre if there is one.
-    fn choose(&mut self, running: &Running) -> Option<(ReplicaId, MemberId)> {
+    fn choose(&mut self, running: &Running) -> Option<Choice> {
         if running.tried.len() >= ATTEMPT_LIMIT {
             return None;
         }
@@ -278,13 +287,18 @@
         let home = &view.members[view.own].data_centre;
         let rng = &mut self.rng;
         let shard = view.topology.shards.get(running.shard)?;
-        let candidates = shard.replicas.iter().copied().filter_map(|id| {
+        let candidates = shard.replicas.iter().copied();
+        let candidates = candidates.filter_map(|id| {
             let replica = &view.topology.replicas[id];
             let usable = replica.listed && !replica.settings.drain && !running.tried.contains(&id);
             let owner = view.owner(id).filter(|_| usable)?;
             Some((replica.settings.data_centre != *home, rng.random::<u32>(), id, owner))
         });
-        candidates.min().map(|(_, _, id, owner)| (id, owner))
+        let mut candidates: Vec<_> = candidates.collect();
+        candidates.sort_unstable();
+        let (_, _, replica, owner) = *candidates.first()?;
+        let last = candidates.len() == 1 || running.tried.len() + 1 == ATTEMPT_LIMIT;
+        Some(Choice { replica, owner, last })
     }
 
     fn ended(&mut self, now: Instant, attempt: AttemptId, outcome: Outcome, out: &mut Vec<Action>) {
--- a/crates/berylpin_core/src/execute/message.rs
+++ b/crates/berylpin_core/src/execute/message.rs
@@ -67,6 +67,8 @@
     pub key: ExecutionKey,
     /// The replica to call.
     pub replica: ReplicaTag,
+    /// Whether no other replica is left to try; else an ejected replica refuses.
+    pub last_choice: bool,
     /// How urgent it is.
     pub rank: Rank,
     /// Time left until the deadline, in microseconds on the wire.
--- a/crates/berylpin_core/src/execute/mod.rs
+++ b/crates/berylpin_core/src/execute/mod.rs
@@ -22,7 +22,8 @@
 pub use run::{Call, CallKey, CallResult, Event as RunEvent, Runner};
 
 use crate::decision::Decision;
-use crate::ids::MemberId;
+use crate::ids::{MemberId, ReplicaId};
+use crate::message::FailReason;
 use crate::query::Ticket;
 
 /// What the shell is to do for any of the state machines here.
@@ -34,6 +35,8 @@
     Answer(Ticket, Answer),
     /// Call an upstream.
     Call(Call),
+    /// Tell the owner on this thread what came of an execution at a replica; `None` is a result.
+    Executed(ReplicaId, Option<FailReason>),
     /// Log a decision.
     Decided(Decision),
 }
--- a/crates/berylpin_core/src/execute/run.rs
+++ b/crates/berylpin_core/src/execute/run.rs
@@ -11,6 +11,7 @@
 use crate::ids::{MemberId, QueryTag, ReplicaId, ReplicaTag, ThreadId};
 use crate::message::FailReason;
 use crate::rank::Rank;
+use crate::replica::Availability;
 use crate::timers::Timers;
 use crate::verdict::Verdict;
 use bytes::Bytes;
@@ -179,21 +180,21 @@
 
     /// Handles one event and appends what the shell is to do.
     ///
-    /// `is_draining` says which replicas take no new work.
-    pub fn handle<F>(&mut self, now: Instant, event: Event, is_draining: F, out: &mut Vec<Action>)
+    /// `availability` says which replicas are used.
+    pub fn handle<F>(&mut self, now: Instant, event: Event, availability: F, out: &mut Vec<Action>)
     where
-        F: Fn(ReplicaId) -> bool,
+        F: Fn(ReplicaId) -> Availability,
     {
         match event {
             Event::View(view) => self.view = view,
-            Event::Run(from, run) => self.run(now, from, run, is_draining, out),
+            Event::Run(from, run) => self.run(now, from, run, availability, out),
             Event::Resumed(pause) => self.resumed = Some((pause, now + RESUME_BACKLOG)),
             Event::Acknowledged(attempt) => {
                 if let Ok(at) = self.find_unacknowledged(attempt) {
                     self.unacknowledged.remove(at);
                 }
             }
-            Event::Called(key, result) => self.called(now, key, result, is_draining, out),
+            Event::Called(key, result) => self.called(now, key, result, availability, out),
             Event::Tick => {
                 while let Some(timer) = self.timers.pop_due(now) {
                     match timer {
@@ -210,20 +211,21 @@
         now: Instant,
         from: MemberId,
         run: Run,
-        is_draining: F,
+        availability: F,
         out: &mut Vec<Action>,
     ) where
-        F: Fn(ReplicaId) -> bool,
+        F: Fn(ReplicaId) -> Availability,
     {
         if !self.guard.is_new(run.attempt) {
             return;
         }
         let time_left = run.time_left.saturating_sub(self.possible_delay(now));
-        let admitted = match self.admit(run.replica) {
-            Ok(_) if time_left.is_zero() => Err(FailReason::Deadline),
-            Ok(replica) if is_draining(replica) => Err(FailReason::Draining),
-            admitted => admitted,
-        };
+        let admitted = self.admit(run.replica).and_then(|replica| match availability(replica) {
+            _ if time_left.is_zero() => Err(FailReason::Deadline),
+            Availability::Draining => Err(FailReason::Draining),
+            Availability::Ejected if !run.last_choice => Err(FailReason::Unreachable),
+            Availability::Usable | Availability::Ejected => Ok(replica),
+        });
         let replica = match admitted {
             Ok(replica) => replica,
             Err(reason) => {
@@ -237,7 +239,7 @@
         let at = queue.partition_point(|(r, d, _)| (*r, *d) <= (rank, deadline));
         queue.insert(at, (rank, deadline, key));
         self.timers.set(deadline, Timer::Queue(replica));
-        self.start_waiting(now, replica, is_draining, out);
+        self.start_waiting(now, replica, availability, out);
     }
 
     /// Returns how long a message that arrives now may have waited for this process.
@@ -270,14 +272,14 @@
         &mut self,
         now: Instant,
         replica: ReplicaId,
-        is_draining: F,
+        availability: F,
         out: &mut Vec<Action>,
     ) where
-        F: Fn(ReplicaId) -> bool,
+        F: Fn(ReplicaId) -> Availability,
     {
         let settings = &self.view.topology.replicas[replica].settings;
         let (tag, limit) = (settings.tag, places(settings.slots));
-        let drain = is_draining(replica);
+        let drain = availability(replica) == Availability::Draining;
         while self.replicas[replica].running < limit && !self.replicas[replica].queue.is_empty() {
             let (rank, deadline, key) = self.replicas[replica].queue.remove(0);
             if drain || deadline <= now {
@@ -308,10 +310,10 @@
         now: Instant,
         key: CallKey,
         result: CallResult,
-        is_draining: F,
+        availability: F,
         out: &mut Vec<Action>,
     ) where
-        F: Fn(ReplicaId) -> bool,
+        F: Fn(ReplicaId) -> Availability,
     {
         let Some(job) = self.jobs.get(key) else { return };
         let Some(request) = job.request else { return };
@@ -328,11 +330,16 @@
             }
             CallResult::Failed { verdict, reason } => Outcome::Failed { verdict, reason },
         };
+        let failure = match &outcome {
+            Outcome::Ran(_) => None,
+            Outcome::Failed { reason, .. } => Some(*reason),
+        };
+        out.push(Action::Executed(replica, failure));
         self.replicas[replica].running -= 1;
         if let Some(job) = self.jobs.remove(key) {
             self.end(now, job.from, &job.run, outcome, out);
         }
-        self.start_waiting(now, replica, is_draining, out);
+        self.start_waiting(now, replica, availability, out);
     }
 
     fn drop_expired(&mut self, now: Instant, replica: ReplicaId, out: &mut Vec<Action>) {
--- a/crates/berylpin_core/src/replica/calls.rs
+++ b/crates/berylpin_core/src/replica/calls.rs
@@ -255,6 +255,6 @@
 }
 
 /// Returns whether a failure speaks against the replica and not against the request or the load.
-fn is_fault(reason: FailReason) -> bool {
+pub(super) fn is_fault(reason: FailReason) -> bool {
     matches!(reason, FailReason::Connection | FailReason::BadReply | FailReason::UpstreamError)
 }
--- a/crates/berylpin_core/src/replica/mod.rs
+++ b/crates/berylpin_core/src/replica/mod.rs
@@ -1,6 +1,7 @@
 //! The owner side of a replica: slots, ranked queue, shedding, ejection, probes and drain.
 
 mod calls;
+mod execution;
 mod health;
 mod intake;
 mod job;
@@ -15,5 +16,6 @@
 mod state;
 
 pub use calls::{Call, CallKey, CallResult};
+pub use execution::Availability;
 pub use owner::{Action, Event, Owner};
 pub use probes::{Probe, ProbeResult};
--- a/crates/berylpin_core/src/replica/owner.rs
+++ b/crates/berylpin_core/src/replica/owner.rs
@@ -32,6 +32,8 @@
     Inquire(MemberId, ThreadId, Vec<ReplicaTag>),
     /// A call ended.
     Called(CallKey, CallResult),
+    /// An execution ended at a replica, with a failure or a result.
+    Executed(ReplicaId, Option<FailReason>),
     /// A probe ended.
     Probed(ReplicaId, ProbeResult),
     /// A timer may be due.
@@ -114,11 +116,6 @@
         self.timers.next()
     }
 
-    /// Returns whether a replica of this thread takes no new work.
-    pub fn is_draining(&self, replica: ReplicaId) -> bool {
-        self.replicas.get(replica).is_some_and(ReplicaState::is_draining)
-    }
-
     /// Returns how many sub-queries wait or run.
     pub fn jobs(&self) -> usize {
         self.jobs.len()
@@ -132,6 +129,7 @@
             Event::Cancel(from, parts) => self.cancel(from, &parts, out),
             Event::Inquire(from, thread, tags) => self.inquired(from, thread, &tags, out),
             Event::Called(key, result) => self.called(now, key, result, out),
+            Event::Executed(replica, failure) => self.executed(now, replica, failure, out),
             Event::Probed(replica, result) => self.probed(now, replica, result, out),
             Event::Tick => self.tick(now, out),
         }
--- a/crates/berylpin_core/src/replica/owner/tests.rs
+++ b/crates/berylpin_core/src/replica/owner/tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::ids::Snapshot;
 use crate::message::SnapshotRange;
+use crate::replica::Availability;
 use harness::{World, batch, tag_with_level};
 use proptest::prelude::*;
 use std::time::Duration;
@@ -263,3 +264,21 @@
     let trusted = world.hint(0).snapshots.map(|range| range.newest);
     assert_eq!(trusted, Some(Snapshot(1)));
 }
+
+#[test]
+fn executions_that_fail_or_are_refused_as_draining_change_availability() {
+    let mut world = World::new(2);
+    let replica = world.replicas()[0];
+    let failure = |reason| Event::Executed(replica, Some(reason));
+    world.handle(failure(FailReason::Deadline));
+    world.handle(failure(FailReason::UpstreamError));
+    world.handle(failure(FailReason::BadReply));
+    assert_eq!(world.owner.availability(replica), Availability::Usable);
+    world.handle(failure(FailReason::Connection));
+    assert_eq!(world.owner.availability(replica), Availability::Ejected);
+    world.handle(Event::Executed(replica, None));
+    world.handle(Event::Executed(replica, None));
+    assert_eq!(world.owner.availability(replica), Availability::Usable);
+    world.handle(failure(FailReason::Draining));
+    assert_eq!(world.owner.availability(replica), Availability::Draining);
+}
--- a/crates/berylpin_daemon/src/traffic/execute/mod.rs
+++ b/crates/berylpin_daemon/src/traffic/execute/mod.rs
@@ -11,9 +11,10 @@
     Action, Answer, AttemptId, CallKey, CallResult, ExecuteMessage, ExecutionKey, ForwardEvent,
     Forwarder, Holder, HolderEvent, Issuer, Request, RunEvent, Runner,
 };
-use berylpin_core::ids::{MemberId, ThreadId};
+use berylpin_core::ids::{MemberId, ReplicaId, ThreadId};
+use berylpin_core::message::FailReason;
 use berylpin_core::query::Ticket;
-use berylpin_core::replica::Owner;
+use berylpin_core::replica::{Availability, Owner};
 use rand::Rng;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -49,6 +50,8 @@
     actions: Vec<Action>,
     /// Messages to send, with their receivers.
     outbox: Vec<(MemberId, ExecuteMessage)>,
+    /// Executions that ended, with their failures; the owner learns from them.
+    ended: Vec<(ReplicaId, Option<FailReason>)>,
 }
 
 /// What the executions of a thread are made of.
@@ -77,6 +80,7 @@
             callers: Vec::new(),
             actions: Vec::new(),
             outbox: Vec::new(),
+            ended: Vec::new(),
         }
     }
 
@@ -105,7 +109,7 @@
             }
             ExecuteMail::Called(key, result) => {
                 let event = RunEvent::Called(key, result);
-                self.runner.handle(now, event, |id| owner.is_draining(id), &mut self.actions);
+                self.runner.handle(now, event, |id| owner.availability(id), &mut self.actions);
             }
         }
         self.carry_out();
@@ -115,21 +119,21 @@
         self.view = view.clone();
         self.forwarder.handle(now, ForwardEvent::View(view.clone()), &mut self.actions);
         self.holder.handle(now, HolderEvent::View(view.clone()), &mut self.actions);
-        self.runner.handle(now, RunEvent::View(view), |_| false, &mut self.actions);
+        self.runner.handle(now, RunEvent::View(view), |_| Availability::Usable, &mut self.actions);
         self.carry_out();
     }
 
     pub(super) fn tick(&mut self, now: Instant) {
         self.forwarder.handle(now, ForwardEvent::Tick, &mut self.actions);
         self.holder.handle(now, HolderEvent::Tick, &mut self.actions);
-        self.runner.handle(now, RunEvent::Tick, |_| false, &mut self.actions);
+        self.runner.handle(now, RunEvent::Tick, |_| Availability::Usable, &mut self.actions);
         self.carry_out();
     }
 
     /// Notes that the process was paused.
     pub(super) fn resume(&mut self, now: Instant, pause: Duration) {
         let event = RunEvent::Resumed(pause);
-        self.runner.handle(now, event, |_| false, &mut self.actions);
+        self.runner.handle(now, event, |_| Availability::Usable, &mut self.actions);
     }
 
     /// Soon starts no further key.
@@ -154,6 +158,11 @@
         std::mem::take(&mut self.outbox)
     }
 
+    /// Takes what the owner is to learn.
+    pub(super) fn take_ended(&mut self) -> Vec<(ReplicaId, Option<FailReason>)> {
+        std::mem::take(&mut self.ended)
+    }
+
     fn message(&mut self, now: Instant, from: MemberId, message: ExecuteMessage, owner: &Owner) {
         let out = &mut self.actions;
         match message {
@@ -165,13 +174,18 @@
             }
             ExecuteMessage::Run(run) => {
                 let event = RunEvent::Run(from, run);
-                self.runner.handle(now, event, |id| owner.is_draining(id), out);
+                self.runner.handle(now, event, |id| owner.availability(id), out);
             }
             ExecuteMessage::Ended { attempt, replica, outcome } => {
                 self.holder.handle(now, HolderEvent::Ended(from, attempt, replica, outcome), out);
             }
             ExecuteMessage::Acknowledged { attempt, .. } => {
-                self.runner.handle(now, RunEvent::Acknowledged(attempt), |_| false, out);
+                self.runner.handle(
+                    now,
+                    RunEvent::Acknowledged(attempt),
+                    |_| Availability::Usable,
+                    out,
+                );
             }
         }
     }
@@ -188,6 +202,7 @@
                     }
                 }
                 Action::Call(call) => self.client.call(&self.view, call),
+                Action::Executed(replica, failure) => self.ended.push((replica, failure)),
                 Action::Decided(decision) => {
                     log_decision(&self.log, &decision);
                     count_decision(&decision);
--- a/crates/berylpin_daemon/src/traffic/thread.rs
+++ b/crates/berylpin_daemon/src/traffic/thread.rs
@@ -251,6 +251,9 @@
         F: FnOnce(&mut Executions, &Owner, Instant),
     {
         handle(&mut self.executions, &self.owner, self.cx.clock.now());
+        for (replica, failure) in self.executions.take_ended() {
+            self.replica_event(replica::Event::Executed(replica, failure));
+        }
         for (to, message) in self.executions.take_outbox() {
             let link = self.links.get(to.index()).and_then(Option::as_ref);
             let attempt = message.run_attempt();
--- a/crates/berylpin_standin/src/ledger.rs
+++ b/crates/berylpin_standin/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The record of non-idempotent requests that a replica ran.
 
 use crate::upstream::{Shared, header};
-use berylpin_wire::upstream::{ExecuteReply, IDEMPOTENCY_KEY, REQUEST_ID};
+use berylpin_wire::upstream::{ExecuteReply, IDEMPOTENCY_KEY, NOT_RUN, REQUEST_ID};
 use poem::http::{HeaderMap, StatusCode};
 use poem::web::{Data, Json, Path, RemoteAddr};
 use poem::{Endpoint, EndpointExt, IntoResponse, Response, handler, post};
@@ -29,6 +29,7 @@
 struct Inner {
     entries: Vec<LedgerEntry>,
     lose_replies: bool,
+    refuse: bool,
 }
 
 impl Ledger {
@@ -47,6 +48,11 @@
         self.inner().lose_replies = lose_replies;
     }
 
+    /// Sets whether executions are refused as not run, as under load.
+    pub fn set_refuse(&self, refuse: bool) {
+        self.inner().refuse = refuse;
+    }
+
     fn inner(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -72,6 +78,9 @@
     if let Some(response) = state.execution_refusal() {
         return response;
     }
+    if ledger.inner().refuse {
+        return StatusCode::SERVICE_UNAVAILABLE.with_header(NOT_RUN, 1).into_response();
+    }
     let entry = LedgerEntry { key, request: request.clone(), body: body.clone() };
     let (upstream, record) = (state.clone(), ledger.clone());
     // The effect does not depend on whether the client still waits.
