--- a/crates/berylpin_core/src/control/gossip.rs
+++ b/crates/berylpin_core/src/control/gossip.rs
@@ -6,6 +6,12 @@
 /// Bytes of reports in one message.
 const REPORTS_SIZE: usize = 600;
 
+/// Bytes of reports in one message while many members changed at once.
+const BACKLOG_REPORTS_SIZE: usize = 8 * 1024;
+
+/// Members that change at once before messages grow.
+const BACKLOG: usize = 32;
+
 /// How often a report is sent, for each decimal digit of the number of members.
 const SENDS_PER_DIGIT: u32 = 4;
 
@@ -41,6 +47,8 @@
         }
         let mut order: Vec<usize> = (0..self.pending.len()).collect();
         order.sort_by_key(|at| self.pending[*at].sends);
+        let backlog = self.pending.len() > BACKLOG;
+        let limit = if backlog { BACKLOG_REPORTS_SIZE } else { REPORTS_SIZE };
         let mut reports = Vec::new();
         let mut size = 0;
         for at in order {
@@ -50,14 +58,14 @@
                 continue;
             };
             size += report.encoded_size();
-            if size > REPORTS_SIZE {
+            if size > limit {
                 break;
             }
             pending.sends += 1;
             reports.push(report.clone());
         }
-        let limit = SENDS_PER_DIGIT * (members as u32 + 1).ilog10().max(1);
-        self.pending.retain(|pending| pending.sends < limit);
+        let sends = SENDS_PER_DIGIT * (members as u32 + 1).ilog10().max(1);
+        self.pending.retain(|pending| pending.sends < sends);
         reports
     }
 
