Measure the cost of control at 9 to 600 daemons and read the VM list less often in large fleets

Cause: a VM list of 600 is some 60 KB; every 2 s it would cost a watcher 30 KB a second.

Conclusion: the interval grows by 50 ms a member. Idle control costs 306 to 319 bytes a second and at most 0.02% of a core from 9 to 600 daemons; watchers of the largest fleet stay over 5 KB a second for as long as the platform's watch returns all documents. docs/CAPACITY.md has the slopes.

--- a/crates/berylpin_core/src/control/controller.rs
+++ b/crates/berylpin_core/src/control/controller.rs
@@ -26,9 +26,12 @@
 /// How often a daemon that knows no other one greets its seeds and reads the VM list.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How often watchers read the VM list.
+/// How often watchers of a small fleet read the VM list.
 const VM_INTERVAL: Duration = Duration::from_secs(2);
 
+/// How much longer watchers wait for each VM listed, since the list grows with the fleet.
+const VM_INTERVAL_PER_MEMBER: Duration = Duration::from_millis(50);
+
 /// How often seeds that are not known to live are greeted.
 const SEED_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -239,7 +242,9 @@
             self.greet_seeds(out);
         }
         if self.reads_vms() && self.next_vm_read <= now {
-            self.next_vm_read = now + if alone { JOIN_INTERVAL } else { VM_INTERVAL };
+            let members = self.membership.peers().count() as u32;
+            let interval = VM_INTERVAL.max(VM_INTERVAL_PER_MEMBER * members);
+            self.next_vm_read = now + if alone { JOIN_INTERVAL } else { interval };
             out.push(Action::ReadVms);
         }
         if self.next_greeting <= now {
--- a/crates/berylpin_standin/examples/control_cost.rs
+++ b/crates/berylpin_standin/examples/control_cost.rs
@@ -1,7 +1,13 @@
-//! Prints what control costs an idle daemon, and how long the loss of a daemon takes to act on, for
-//! fleets of several sizes in virtual time.
+//! Prints what control costs an idle daemon, how long the loss of a daemon and the healing of a
+//! partition take to act on for fleets of several sizes in virtual time, and what views weigh.
 
+use berylpin_core::arena::Arena;
+use berylpin_core::config::ServiceSettings;
+use berylpin_core::control::{Member, Topology, View};
+use berylpin_core::ids::{Key, MemberId, MemberTag};
 use berylpin_standin::fleet::{Fleet, Traffic};
+use std::fmt::Write;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Sizes measured: daemons and data centres.
@@ -19,8 +25,22 @@
 /// Fleets whose loss of a daemon is timed, for each size.
 const RUNS: u64 = 3;
 
+/// Replicas of the topologies measured, in services of 40 shards with 3 replicas each.
+const REPLICAS: [usize; 3] = [1_200, 4_800, 9_600];
+
+/// How long half of a fleet is cut off, in virtual time.
+const CUT: Duration = Duration::from_secs(30);
+
 fn main() {
-    println!("daemons, messages/s, bytes/s, core %, KB a daemon, lost VM moved after s (each run)");
+    // Memory is read from the process, so what weighs least comes first.
+    views();
+    fleets();
+}
+
+fn fleets() {
+    println!(
+        "daemons, messages/s, bytes/s, core %, KB a daemon, lost VM moved after s, healed after s"
+    );
     for (daemons, data_centres) in SIZES {
         let memory_before = resident_kb();
         let mut fleet = settle(daemons, data_centres, SETTLE, 1);
@@ -36,7 +56,11 @@
         let core = busy.as_secs_f64() / MEASURE.as_secs_f64() / daemons as f64 * 100.0;
         drop(fleet);
         let losses: Vec<String> = (0..RUNS).map(|seed| loss(daemons, data_centres, seed)).collect();
-        println!("{daemons}, {messages:.1}, {bytes:.0}, {core:.4}, {memory}, {}", losses.join(" "));
+        println!(
+            "{daemons}, {messages:.1}, {bytes:.0}, {core:.4}, {memory}, {}, {}",
+            losses.join(" "),
+            healing(daemons, data_centres)
+        );
     }
 }
 
@@ -46,6 +70,83 @@
     fleet
 }
 
+/// Times how long two halves of a fleet take to place replicas on each other again.
+fn healing(daemons: usize, data_centres: usize) -> String {
+    let mut fleet = settle(daemons, data_centres, JOIN, 1);
+    for node in 0..daemons {
+        fleet.set_group(node, u32::from(node % data_centres >= data_centres / 2));
+    }
+    fleet.run_for(CUT);
+    for node in 0..daemons {
+        fleet.set_group(node, 0);
+    }
+    let taken = fleet.run_until(Duration::from_mins(2), |fleet| {
+        fleet.running().all(|(_, controller)| {
+            let live = controller.view().members.iter().filter(|(_, member)| member.live);
+            live.count() == daemons
+        })
+    });
+    taken.map_or_else(|| "never".to_owned(), |taken| format!("{:.1}", taken.as_secs_f64()))
+}
+
+/// Prints the memory of a view, the time to place all replicas, and what replaced replicas weigh.
+fn views() {
+    println!("replicas, KB a view, ms to place, bytes a replaced replica");
+    for replicas in REPLICAS {
+        let before = resident_kb();
+        let topology = Arc::new(Topology::default().with_documents(&services(replicas, 0)));
+        let started = Instant::now();
+        let view = View::new(1, MemberId::from_index(0), members(), topology);
+        let placing = started.elapsed().as_secs_f64() * 1e3;
+        let size = resident_kb().saturating_sub(before);
+        let mut replaced = view.topology.with_documents(&services(replicas, 1));
+        let before = resident_kb();
+        for generation in 2..6 {
+            replaced = replaced.with_documents(&services(replicas, generation));
+        }
+        let old = resident_kb().saturating_sub(before) * 1024 / (4 * replicas) as u64;
+        println!("{replicas}, {size}, {placing:.1}, {old} ({} ids)", replaced.replicas.len());
+    }
+}
+
+/// Documents whose replicas all have other addresses in each generation.
+fn services(replicas: usize, generation: usize) -> Vec<Arc<ServiceSettings>> {
+    let mut services = Vec::new();
+    for service in 0..replicas / 120 {
+        let mut text = format!("service = \"s{service}\"\n");
+        for shard in 0..40 {
+            let _ = writeln!(text, "[[shard]]\nname = \"x{shard}\"");
+            for replica in 0..3 {
+                let _ = writeln!(
+                    text,
+                    "[[shard.replica]]\naddress = \"10.{generation}.{service}.{replica}:{}\"\n\
+                     data_centre = \"dc-{}\"\nslots = 2\nconnections = 25",
+                    8000 + shard,
+                    (shard + replica) % 7
+                );
+            }
+        }
+        services.extend(ServiceSettings::parse(&text).map(Arc::new));
+    }
+    services
+}
+
+fn members() -> Arena<MemberId, Member> {
+    let mut members = Arena::default();
+    for index in 0..600 {
+        let name = format!("entry-{index}");
+        members.push(Member {
+            tag: MemberTag::of([name.as_str()]),
+            name,
+            data_centre: format!("dc-{}", index % 7),
+            peer_address: ([10, 200, 0, 1], 7001).into(),
+            live: true,
+            leaving: false,
+        });
+    }
+    members
+}
+
 /// Returns the resident memory of this process.
 fn resident_kb() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
