Try an edit again at the next daemon when the platform did not confirm it

The partition scenario measured nothing: its one editor asked a daemon of the cut-off data centre, got no confirmation and gave up, so no change was stored and all daemons agreed at once. Agreement on a document that never changed now reports no recovery instead of 0 ms.

--- a/crates/berylpin/src/experiment/canary.rs
+++ b/crates/berylpin/src/experiment/canary.rs
@@ -115,7 +115,8 @@
     let (text, change) = next_text(&document.text)?;
     match client.put(CANARY, text.clone(), Base::Version(document.version)).await {
         Ok(Accepted { version, .. }) => Some(Edit::Accepted { change, version, text }),
-        Err(CommandError::Conflict(_)) => None,
+        // What may be stored all the same is built upon by the next try.
+        Err(CommandError::Conflict(_) | CommandError::NotConfirmed(_)) => None,
         Err(_) => Some(Edit::Unknown),
     }
 }
--- a/crates/berylpin/src/experiment/report.rs
+++ b/crates/berylpin/src/experiment/report.rs
@@ -76,6 +76,9 @@
     /// Each reason of a refusal and how often it was given, by rank.
     #[serde(skip)]
     pub(crate) refusals: Vec<(Rank, String, usize)>,
+    /// Editors, and how many of them were told that their change is accepted.
+    #[serde(skip)]
+    pub(crate) edits: [usize; 2],
     /// Non-idempotent requests: sent, told to have run, and run by the record of the replicas.
     #[serde(skip)]
     pub(crate) charges: [usize; 3],
@@ -102,6 +105,7 @@
             memory_mb: facts.memory_mb,
             violations: violations(facts, bench),
             refusals: refusals(facts),
+            edits: [facts.edits.len(), accepted(facts.edits).count()],
             charges: [
                 facts.charges.len(),
                 facts.charges.iter().filter(|charge| charge.executed).count(),
@@ -205,6 +209,9 @@
 /// Returns when the last daemon began to route by the change that the platform holds.
 fn agreement(facts: &Facts<'_>, bench: &Bench, mark: Instant) -> Option<Duration> {
     let stored = canary::stored_change(bench);
+    if stored == 0 {
+        return None;
+    }
     let mut latest = Duration::ZERO;
     for (daemon, _) in bench.callers() {
         let seen = by_daemon(facts.observations, daemon);
@@ -237,22 +244,24 @@
     }
 }
 
+/// Returns the number, the version and the text of each accepted change.
+fn accepted(edits: &[Edit]) -> impl Iterator<Item = (u64, (u64, String))> {
+    edits.iter().filter_map(|edit| match edit {
+        Edit::Accepted { change, version, text } => Some((*change, (*version, text.clone()))),
+        Edit::Unknown => None,
+    })
+}
+
 /// Counts accepted changes that the platform never stored or that a later one did not build on.
 fn lost_edits(edits: &[Edit], bench: &Bench) -> u64 {
-    let mut accepted = Vec::new();
-    let mut changes = Vec::new();
-    for edit in edits {
-        if let Edit::Accepted { change, version, text } = edit {
-            accepted.push((*version, text.clone()));
-            changes.push(*change);
-        }
-    }
+    let mut changes: Vec<u64> = accepted(edits).map(|(change, _)| change).collect();
+    let stored: Vec<(u64, String)> = accepted(edits).map(|(_, stored)| stored).collect();
     let newest = canary::stored_change(bench);
     changes.sort_unstable();
     // Every change raises the number by one, so two with the same number hide each other.
     let hidden = changes.windows(2).filter(|pair| pair[0] == pair[1]).count();
     let gone = changes.iter().filter(|change| **change > newest).count();
-    lost_changes(&accepted, &canary::history(bench)) + (hidden + gone) as u64
+    lost_changes(&stored, &canary::history(bench)) + (hidden + gone) as u64
 }
 
 fn violations(facts: &Facts<'_>, bench: &Bench) -> Violations {
@@ -307,12 +316,14 @@
         |(rank, reason, count): &(Rank, String, usize)| format!("{rank} {reason} {count}");
     let refusals: Vec<String> = report.refusals.iter().map(refusal).collect();
     format!(
-        "{}, seed {}\n{table}\nrefusals: {}\ncharges: {} sent, {} told to have run, {} ran\nextra load {:.2}%, useful work {:.1}%, recovery {recovery}\n\
+        "{}, seed {}\n{table}\nrefusals: {}\nedits: {} of {} accepted; charges: {} sent, {} told to have run, {} ran\nextra load {:.2}%, useful work {:.1}%, recovery {recovery}\n\
          control: {:.2}% of a core and {:.0} bytes/s a daemon, {:.1} platform calls/s in all\n\
          memory of the whole process: {:.0} MB\n{:?}",
         report.experiment,
         report.seed,
         refusals.join(", "),
+        report.edits[1],
+        report.edits[0],
         report.charges[0],
         report.charges[1],
         report.charges[2],
