--- a/crates/berylpin_core/src/execute/forward.rs
+++ b/crates/berylpin_core/src/execute/forward.rs
@@ -122,7 +122,7 @@
     fn request(&mut self, now: Instant, ticket: Ticket, request: Request, out: &mut Vec<Action>) {
         let key = &request.key;
         let member = self.view.member(key.holder);
-        let Some(holder) = member.filter(|id| self.view.members[*id].live) else {
+        let Some(holder) = member.filter(|id| self.is_reachable(*id)) else {
             return out.push(Action::Answer(ticket, refuse(RefusalReason::HolderUnreachable)));
         };
         out.push(Action::Decided(Decision::KeyRouted { key: key.id, holder: key.holder }));
@@ -134,6 +134,12 @@
         self.submit(now, place, out);
     }
 
+    /// A daemon that leaves still answers for its keys.
+    fn is_reachable(&self, id: MemberId) -> bool {
+        let member = &self.view.members[id];
+        id == self.view.own || member.live || member.leaving
+    }
+
     /// Sends a request to its holder, for the first time or again.
     fn submit(&mut self, now: Instant, place: SlabKey, out: &mut Vec<Action>) {
         let Some(pending) = self.pending.get(place) else { return };
