--- a/crates/berylpin_standin/src/net.rs
+++ b/crates/berylpin_standin/src/net.rs
@@ -237,3 +237,6 @@
         tokio::join!(read, write);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_standin/src/platform.rs
+++ b/crates/berylpin_standin/src/platform.rs
@@ -286,3 +286,6 @@
     }
     Json(state.store().vms.clone()).into_response()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_standin/src/upstream.rs
+++ b/crates/berylpin_standin/src/upstream.rs
@@ -401,3 +401,6 @@
     }
     StatusCode::NO_CONTENT
 }
+
+#[cfg(test)]
+mod tests;
