Keep traffic threads until their front end has ended

Cause: a stopping daemon told its traffic threads to end at once; a thread without work at that moment ended while a kept-alive connection could still bring a request, which was then refused for lack of a mailbox. The front end of each thread now says when it has ended. Ruled out as the cause of the one refusal seen in the SIGTERM test under load: that request came 0.3 s after the start, long before the signal; its cause is still open.

--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -52,7 +52,6 @@
 /// A running daemon; dropping it leaves its threads running until the process ends.
 pub struct Daemon {
     settings: DaemonSettings,
-    mailboxes: Mailboxes,
     stopping: Arc<AtomicBool>,
     stop_accepting: watch::Sender<bool>,
     control_mailbox: ControlMailbox,
@@ -161,7 +160,6 @@
         let runtimes = all_runtimes;
         Ok(Self {
             settings,
-            mailboxes,
             stopping,
             stop_accepting,
             control_mailbox,
@@ -206,9 +204,6 @@
         self.control_mailbox.send_blocking(ControlMail::Leave);
         std::thread::sleep(self.settings.stop_notice);
         self.stop_accepting.send_replace(true);
-        for mailbox in self.mailboxes.iter() {
-            mailbox.send(Mail::Stop);
-        }
         for thread in self.traffic {
             // A thread that panicked has already said so.
             let _ = thread.join();
@@ -233,15 +228,18 @@
                 Handle::current().spawn(serve_peers(listener, cx));
             }
             let state = CallerState {
-                mailbox,
+                mailbox: mailbox.clone(),
                 view: view.clone(),
                 tickets: Arc::new(AtomicU64::new(0)),
                 clock: cx.clock.clone(),
             };
-            let front = tokio::spawn(serve_http(callers, caller_routes(state), stopped));
+            // A connection that is kept alive may bring requests until the front end has ended.
+            tokio::spawn(async move {
+                serve_http(callers, caller_routes(state), stopped).await;
+                mailbox.send(Mail::Stop);
+            });
             let first_view = view.borrow().clone();
             run_thread(cx, first_view, rx).await;
-            let _ = front.await;
         };
         run_unless(killed, &runtime, work);
     })
