--- a/crates/berylpin_core/src/decision.rs
+++ b/crates/berylpin_core/src/decision.rs
@@ -1,5 +1,6 @@
 //! Routing and placement decisions, for the log.
 
+use crate::control::MemberState;
 use crate::execute::{self, KeyId};
 use crate::ids::{MemberTag, QueryTag, ReplicaTag, Snapshot};
 use crate::message::FailReason;
@@ -7,6 +8,7 @@
 use crate::rank::Rank;
 use crate::verdict::Verdict;
 use std::fmt;
+use std::time::Duration;
 
 /// One decision; the shell writes a log line for each.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +51,37 @@
         /// Why.
         reason: FailReason,
     },
+    /// The state of a daemon changed.
+    Member {
+        /// The daemon.
+        member: MemberTag,
+        /// Its new state.
+        state: MemberState,
+        /// The incarnation that the state belongs to.
+        incarnation: u64,
+    },
+    /// Replicas were placed anew.
+    Placed {
+        /// The epoch of the view.
+        epoch: u64,
+        /// Replicas whose owner changed.
+        moved: u32,
+    },
+    /// All documents up to a revision are in force.
+    InForce {
+        /// The revision of the store.
+        revision: u64,
+    },
+    /// This daemon starts or stops watching the platform.
+    Watching {
+        /// Whether it watches from now on.
+        watching: bool,
+    },
+    /// This process did not run for a while; its deadlines moved.
+    Resumed {
+        /// How late its timers were.
+        late: Duration,
+    },
     /// A call made no progress and its connection was replaced.
     Stalled {
         /// The query.
@@ -145,6 +178,11 @@
             | Self::Ejected { .. }
             | Self::Returned { .. }
             | Self::Drained { .. }
+            | Self::Member { .. }
+            | Self::Placed { .. }
+            | Self::InForce { .. }
+            | Self::Watching { .. }
+            | Self::Resumed { .. }
             | Self::KeyRouted { .. }
             | Self::ExecutionRouted { .. }
             | Self::ExecutionStarted { .. }
--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -1,12 +1,14 @@
 //! A running daemon.
 
-use crate::control::{ControlContext, initial_view, run_control};
+use crate::control::{ControlContext, ControlMail, ControlMailbox, new_controller, run_control};
 use crate::http::{AdminState, CallerState, admin_routes, caller_routes};
 use crate::logging::Log;
 use crate::settings::DaemonSettings;
-use crate::traffic::{Mail, Mailbox, Mailboxes, StopGate, ThreadContext, run_thread, serve_peers};
+use crate::traffic::{
+    Mail, Mailbox, Mailboxes, PeerContext, StopGate, ThreadContext, run_thread, serve_peers,
+};
 use berylpin_core::clock::Clock;
-use berylpin_core::control::View;
+use berylpin_core::control::{Controller, View};
 use berylpin_core::ids::{Key, ThreadId};
 use poem::Server;
 use poem::listener::TcpAcceptor;
@@ -53,6 +55,7 @@
     mailboxes: Mailboxes,
     stopping: Arc<AtomicBool>,
     stop_accepting: watch::Sender<bool>,
+    control_mailbox: ControlMailbox,
     /// Ends all threads at once.
     kill: watch::Sender<bool>,
     /// Of all threads.
@@ -67,7 +70,7 @@
     rx: mpsc::Receiver<Mail>,
     mailbox: Mailbox,
     callers: TcpListener,
-    peers: Option<TcpListener>,
+    peers: Option<(TcpListener, PeerContext)>,
 }
 
 impl Daemon {
@@ -81,8 +84,9 @@
         clock: Arc<dyn Clock>,
         log: Log,
     ) -> Result<Self, StartError> {
-        let first_view = initial_view(&settings);
-        let (view_tx, view) = watch::channel(first_view);
+        let controller = new_controller(&settings, &*clock, rand::rng().random());
+        let (view_tx, view) = watch::channel(controller.view().clone());
+        let (control_mailbox, control_rx) = ControlMailbox::new();
         let (stop_accepting, stopped) = watch::channel(false);
         let (kill, killed) = watch::channel(false);
         let stopping = Arc::new(AtomicBool::new(false));
@@ -109,7 +113,14 @@
             };
             let callers = listen("caller_address", settings.caller_address)?;
             let first = index == 0;
-            let peers = first.then(|| listen("peer_address", settings.peer_address)).transpose()?;
+            let peers = first
+                .then(|| listen("peer_listen_address", settings.peer_listen_address))
+                .transpose()?;
+            let peers = peers.map(|listener| {
+                let (view, boxes, log) = (view.clone(), mailboxes.clone(), log.logger());
+                let control = control_mailbox.clone();
+                (listener, PeerContext::new(&settings, view, boxes, control, log))
+            });
             let Some(mailbox) = mailboxes.get(id).cloned() else { continue };
             let parts = TrafficParts { cx, rx, mailbox, callers, peers };
             drop(guard);
@@ -126,18 +137,26 @@
             let _guard = runtime.enter();
             listen("admin_address", settings.admin_address)?
         };
-        let admin_state =
-            AdminState { name: settings.name.as_str().into(), view, stopping: stopping.clone() };
+        let admin_state = AdminState::new(
+            &settings,
+            view,
+            stopping.clone(),
+            control_mailbox.clone(),
+            log.clone(),
+        );
         let mut all_runtimes = runtimes.clone();
         all_runtimes.push(runtime.handle().clone());
         let cx = ControlContext {
             settings: settings.clone(),
+            clock,
+            own: control_mailbox.clone(),
             mailboxes: mailboxes.clone(),
             runtimes,
             view: view_tx,
-            log: log.logger(),
+            log: log.clone(),
         };
-        let control = start_control(runtime, cx, admin, admin_state, (stopped, killed))?;
+        let front = serve_http(admin, admin_routes(admin_state), stopped);
+        let control = start_control(runtime, cx, (controller, control_rx), front, killed)?;
         info!(log, "daemon: started"; "name" => &settings.name);
         let runtimes = all_runtimes;
         Ok(Self {
@@ -145,6 +164,7 @@
             mailboxes,
             stopping,
             stop_accepting,
+            control_mailbox,
             kill,
             runtimes,
             control,
@@ -176,12 +196,14 @@
         }
     }
 
-    /// Stops gracefully: reports not ready, finishes what it has, then ends all threads.
+    /// Stops gracefully: reports not ready and leaves placement, finishes what it has, then ends all
+    /// threads.
     ///
     /// Blocks until that is done.
     pub fn stop(self) {
         info!(self.log, "daemon: stopping");
         self.stopping.store(true, Ordering::Relaxed);
+        self.control_mailbox.send_blocking(ControlMail::Leave);
         std::thread::sleep(self.settings.stop_notice);
         self.stop_accepting.send_replace(true);
         for mailbox in self.mailboxes.iter() {
@@ -191,6 +213,7 @@
             // A thread that panicked has already said so.
             let _ = thread.join();
         }
+        self.control_mailbox.send_blocking(ControlMail::Stop);
         let _ = self.control.join();
         info!(self.log, "daemon: stopped");
     }
@@ -206,9 +229,8 @@
     std::thread::Builder::new().name(name).spawn(move || {
         let work = async move {
             let TrafficParts { cx, rx, mailbox, callers, peers } = parts;
-            if let Some(listener) = peers {
-                let (view, boxes, log) = (view.clone(), cx.mailboxes.clone(), cx.log.logger());
-                Handle::current().spawn(serve_peers(listener, view, boxes, log));
+            if let Some((listener, cx)) = peers {
+                Handle::current().spawn(serve_peers(listener, cx));
             }
             let state = CallerState {
                 mailbox,
@@ -238,19 +260,20 @@
     });
 }
 
-fn start_control(
+fn start_control<F>(
     runtime: Runtime,
     cx: ControlContext,
-    admin: TcpListener,
-    state: AdminState,
-    (stopped, killed): (watch::Receiver<bool>, watch::Receiver<bool>),
-) -> io::Result<JoinHandle<()>> {
+    (controller, rx): (Controller, mpsc::Receiver<ControlMail>),
+    front: F,
+    killed: watch::Receiver<bool>,
+) -> io::Result<JoinHandle<()>>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
     std::thread::Builder::new().name("control".to_owned()).spawn(move || {
         let work = async move {
-            tokio::select! {
-                () = run_control(cx) => {}
-                () = serve_http(admin, admin_routes(state), stopped) => {}
-            }
+            tokio::spawn(front);
+            run_control(cx, controller, rx).await;
         };
         run_unless(killed, &runtime, work);
     })
--- a/crates/berylpin_wire/src/frame.rs
+++ b/crates/berylpin_wire/src/frame.rs
@@ -1,5 +1,6 @@
 //! Frames on the links between daemons: a length of four bytes, then the frame in bincode.
 
+use berylpin_core::control::ControlMessage;
 use berylpin_core::execute::ExecuteMessage;
 use berylpin_core::message::QueryMessage;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -16,6 +17,8 @@
 pub enum Frame {
     /// A message about queries.
     Query(QueryMessage),
+    /// A message between control threads.
+    Control(Box<ControlMessage>),
     /// A message about non-idempotent requests.
     Execute(ExecuteMessage),
 }
