--- a/crates/berylpin_core/src/query/replicas.rs
+++ b/crates/berylpin_core/src/query/replicas.rs
@@ -158,7 +158,8 @@
     /// Avoids a replica for a while after a failure.
     pub(super) fn avoid(&mut self, now: Instant, replica: ReplicaId) {
         let state = &mut self.states[replica];
-        state.avoid_until = Some(now + AVOID_REPLICA * 4u32.pow(state.failures));
+        let until = now + AVOID_REPLICA * 4_u32.pow(state.failures);
+        state.avoid_until = state.avoid_until.max(Some(until));
         state.failures = (state.failures + 1).min(AVOID_STEPS);
     }
 
