Hedge before quantiles are known and let background queues refuse background work only

- Before 20 samples an attempt is hedged at four means; the budget still bounds hedges.
- The queue delay refuses background queries only; shed levels, which are given for each rank, refuse the others.

--- a/crates/berylpin_core/src/query/coordinator/tests.rs
+++ b/crates/berylpin_core/src/query/coordinator/tests.rs
@@ -146,6 +146,17 @@
     assert!(!world.sent.is_empty());
 }
 
+#[test]
+fn a_long_queue_refuses_only_the_rank_that_waits_behind_all_others() {
+    let mut world = World::new(SMALL);
+    world.hints.iter_mut().for_each(|hint| hint.queue_delay = 2 * SECOND);
+    world.hint_all();
+    let background = world.request(Rank::Background, SECOND);
+    assert!(world.result(background).is_some());
+    let urgent = world.request(Rank::Urgent, SECOND);
+    assert!(world.result(urgent).is_none());
+}
+
 #[test]
 fn latencies_of_a_fault_refuse_nothing() {
     let mut world = World::new(SMALL);
--- a/crates/berylpin_core/src/query/replicas.rs
+++ b/crates/berylpin_core/src/query/replicas.rs
@@ -36,6 +36,9 @@
 /// The latency assumed of an unmeasured replica in another data centre, in microseconds.
 const REMOTE_MICROS: u32 = 10_000;
 
+/// Means that a replica may take before a hedge while its quantiles are unknown.
+const UNMEASURED_MEANS: u32 = 4;
+
 /// The unit in which expected delays are compared, in microseconds.
 const DELAY_STEP: u32 = 64;
 
@@ -169,10 +172,11 @@
         self.states.iter().map(|(_, state)| state.in_flight).sum()
     }
 
-    /// Returns how long to wait for a reply before a hedge; `None` with too few samples.
+    /// Returns how long to wait for a reply before a hedge; `None` before the first sample.
     pub(super) fn hedge_delay(&self, replica: ReplicaId, few_left: bool) -> Option<Duration> {
         let latency = &self.states[replica].latency;
-        if few_left { latency.p95() } else { latency.p99() }
+        let quantile = if few_left { latency.p95() } else { latency.p99() };
+        quantile.or_else(|| latency.mean().map(|mean| mean * UNMEASURED_MEANS))
     }
 
     /// Returns whether a replica may get work as far as is known.
@@ -227,8 +231,10 @@
     /// Only what its owner said counts: the entry's own latencies outlast a fault by seconds.
     pub(super) fn is_overloaded(&self, now: Instant, replica: ReplicaId, load: Load) -> bool {
         let state = &self.states[replica];
-        let waiting = Duration::from_micros(state.waiting_micros(now));
-        state.sheds(now, load.rank, load.level) || waiting > load.time_left
+        // All other ranks go before background work, so the delay of the queue is its own.
+        let waits = load.rank == Rank::Background
+            && Duration::from_micros(state.waiting_micros(now)) > load.time_left;
+        waits || state.sheds(now, load.rank, load.level)
     }
 
     /// Returns why no replica of a shard can be asked.
