Close idle connections after a failed probe

A probe on a silent connection closed that one only, so each other idle connection of the replica cost a later call its stall. A failed probe now closes all idle ones; it is rare, and a fresh connection costs some milliseconds.

--- a/crates/berylpin_core/src/replica/calls.rs
+++ b/crates/berylpin_core/src/replica/calls.rs
@@ -228,7 +228,7 @@
         let RunningCall { started, request, .. } = *call;
         let tag = self.tag(replica);
         out.push(Action::Decided(Decision::Stalled { query, replica: tag }));
-        out.push(Action::Reconnect { replica, call: key });
+        out.push(Action::Reconnect { replica, call: Some(key) });
         out.push(Action::Abort { replica, request });
         let state = &mut self.replicas[replica];
         // A call that began before the last reconnect may have been on a connection of that time,
--- a/crates/berylpin_core/src/replica/owner.rs
+++ b/crates/berylpin_core/src/replica/owner.rs
@@ -53,13 +53,12 @@
         /// The request id of the call.
         request: QueryTag,
     },
-    /// Close the connection of a call and the idle connections of its replica; later calls use
-    /// fresh ones. The `Called` of the call follows.
+    /// Close the idle connections of a replica and that of a call; later requests use fresh ones.
     Reconnect {
-        /// The replica that was called.
+        /// The replica.
         replica: ReplicaId,
-        /// The call without progress.
-        call: CallKey,
+        /// The call without progress, if it was one; its `Called` follows.
+        call: Option<CallKey>,
     },
     /// Probe an upstream; one `Probed` event follows.
     Probe(Probe),
@@ -203,6 +202,10 @@
         out: &mut Vec<Action>,
     ) {
         self.replicas[replica].probes.running = false;
+        if result == ProbeResult::Failed {
+            // Its connection may have gone silent, and the idle ones with it.
+            out.push(Action::Reconnect { replica, call: None });
+        }
         let state = &mut self.replicas[replica];
         let change = match result {
             ProbeResult::Serves(range) if state.snapshots.report(range) => state.health.probed(now),
--- a/crates/berylpin_core/src/replica/owner/tests.rs
+++ b/crates/berylpin_core/src/replica/owner/tests.rs
@@ -267,3 +267,14 @@
     let trusted = world.hint(0).snapshots.map(|range| range.newest);
     assert_eq!(trusted, Some(Snapshot(1)));
 }
+
+#[test]
+fn failed_probe_replaces_the_idle_connections() {
+    let mut world = World::new(1);
+    world.wait(Duration::from_secs(1));
+    world.answer_probes(true);
+    assert_eq!(world.reconnects, 0);
+    world.wait(Duration::from_secs(1));
+    world.answer_probes(false);
+    assert_eq!(world.reconnects, world.replicas().len());
+}
--- a/crates/berylpin_core/src/replica/owner/tests/harness.rs
+++ b/crates/berylpin_core/src/replica/owner/tests/harness.rs
@@ -120,7 +120,7 @@
                 }
                 Action::Reconnect { call, .. } => {
                     self.reconnects += 1;
-                    broken.push(call);
+                    broken.extend(call);
                 }
                 Action::Probe(probe) => self.probes.push(probe.replica),
                 Action::Send(..) | Action::Abort { .. } | Action::Decided(_) => {}
--- a/crates/berylpin_daemon/src/traffic/upstream.rs
+++ b/crates/berylpin_daemon/src/traffic/upstream.rs
@@ -63,10 +63,11 @@
         });
     }
 
-    /// Ends a call and closes its connection and the idle ones of its replica.
-    pub(super) fn reconnect(&mut self, replica: ReplicaId, call: CallKey) {
+    /// Closes the idle connections of a replica, and ends a call with its connection.
+    pub(super) fn reconnect(&mut self, replica: ReplicaId, call: Option<CallKey>) {
         self.collect();
         self.connections.renew(replica);
+        let Some(call) = call else { return };
         if let Ok(at) = self.calls.binary_search_by_key(&call, |(key, _)| *key) {
             // An error means that the call has just ended by itself.
             let _ = self.calls.remove(at).1.send(());
--- a/crates/berylpin_daemon/src/traffic/upstream/tests.rs
+++ b/crates/berylpin_daemon/src/traffic/upstream/tests.rs
@@ -156,7 +156,7 @@
     upstreams.call(&view, call(first));
     let (mut silent, _) = listener.accept().await.expect("a connection");
     read_request(&mut silent).await;
-    upstreams.reconnect(ReplicaId::from_index(0), first);
+    upstreams.reconnect(ReplicaId::from_index(0), Some(first));
     let Some(Mail::Called(key, result)) = rx.recv().await else { panic!("the call ends") };
     assert_eq!(key, first);
     assert_eq!(verdict(&result), Some((Verdict::MayHaveRun, FailReason::Connection)));
