Keep urgent executions from being refused behind less urgent ones

Cause: a full queue of background executions refused urgent ones; the requests that wait at an entry thread had no bound; the guard of callers that go away stood twice.

The queue of a replica now refuses its least urgent execution when it is full, as not run; an entry thread holds 16384 requests. The guard holds the mail to send, so both front ends share it.

--- a/crates/berylpin_core/src/execute/forward.rs
+++ b/crates/berylpin_core/src/execute/forward.rs
@@ -23,6 +23,9 @@
 /// The key makes a repeated message harmless, so this covers every loss on a link.
 const RESEND_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Requests of one thread that may wait for an answer.
+const PENDING_LIMIT: usize = 16 * 1024;
+
 /// A checked request of a caller.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -125,6 +128,9 @@
         let Some(holder) = member.filter(|id| self.is_reachable(*id)) else {
             return out.push(Action::Answer(ticket, refuse(RefusalReason::HolderUnreachable)));
         };
+        if self.pending.len() >= PENDING_LIMIT {
+            return out.push(Action::Answer(ticket, refuse(RefusalReason::Overloaded)));
+        }
         out.push(Action::Decided(Decision::KeyRouted { key: key.id, holder: key.holder }));
         let deadline = now + request.time_left;
         let nonce = self.rng.random();
--- a/crates/berylpin_core/src/execute/run.rs
+++ b/crates/berylpin_core/src/execute/run.rs
@@ -240,6 +240,18 @@
         queue.insert(at, (rank, deadline, key));
         self.timers.set(deadline, Timer::Queue(replica));
         self.start_waiting(now, replica, availability, out);
+        self.bound_queue(now, replica, out);
+    }
+
+    /// Refuses what the queue has no room for, the least urgent first.
+    fn bound_queue(&mut self, now: Instant, replica: ReplicaId, out: &mut Vec<Action>) {
+        let slots = self.view.topology.replicas[replica].settings.slots;
+        let limit = QUEUE_PER_PLACE * usize::from(places(slots));
+        let queue = &mut self.replicas[replica].queue;
+        let excess = queue.split_off(limit.min(queue.len()));
+        for (_, _, key) in excess {
+            self.refuse(now, key, FailReason::Overloaded, out);
+        }
     }
 
     /// Returns how long a message that arrives now may have waited for this process.
@@ -252,7 +264,6 @@
     fn admit(&mut self, tag: ReplicaTag) -> Result<ReplicaId, FailReason> {
         let topology = &self.view.topology;
         let replica = topology.replica(tag).ok_or(FailReason::NotOwner)?;
-        let settings = &topology.replicas[replica].settings;
         let owned = topology.replicas[replica].listed
             && self.view.owner(replica) == Some(self.view.own)
             && tag.thread(self.threads) == self.thread;
@@ -260,10 +271,6 @@
             return Err(FailReason::NotOwner);
         }
         self.replicas.grow(topology.replicas.len(), ReplicaState::default);
-        let places = QUEUE_PER_PLACE * usize::from(places(settings.slots));
-        if self.replicas[replica].queue.len() >= places {
-            return Err(FailReason::Overloaded);
-        }
         Ok(replica)
     }
 
--- a/crates/berylpin_core/src/execute/run/tests.rs
+++ b/crates/berylpin_core/src/execute/run/tests.rs
@@ -13,6 +13,7 @@
     replica: ReplicaTag,
     attempts: u64,
     last_choice: bool,
+    rank: Rank,
 }
 
 impl Bench {
@@ -43,6 +44,7 @@
             replica,
             attempts: 0,
             last_choice: false,
+            rank: Rank::Urgent,
         }
     }
 
@@ -63,7 +65,7 @@
             key: self.issuer.issue(self.now),
             replica: self.replica,
             last_choice: self.last_choice,
-            rank: Rank::Urgent,
+            rank: self.rank,
             time_left,
             body: Bytes::from_static(b"charge"),
         };
@@ -153,6 +155,21 @@
     assert_eq!(failure(&refused[0]), (Verdict::NotRun, FailReason::Overloaded));
 }
 
+#[test]
+fn urgent_work_takes_the_place_of_less_urgent_work() {
+    let mut bench = Bench::new();
+    bench.rank = Rank::Background;
+    for _ in 0..=QUEUE_PER_PLACE {
+        bench.run(SECOND, Availability::Usable);
+    }
+    bench.rank = Rank::Urgent;
+    let refused = bench.run(SECOND * 2, Availability::Usable);
+    assert_eq!(failure(&refused[0]), (Verdict::NotRun, FailReason::Overloaded));
+    assert_eq!(bench.runner.jobs.len(), QUEUE_PER_PLACE + 1);
+    let urgent = bench.runner.jobs.iter().filter(|(_, job)| job.run.rank == Rank::Urgent);
+    assert_eq!(urgent.count(), 1, "the urgent one waits");
+}
+
 #[test]
 fn an_ejected_replica_is_used_only_as_the_last_choice() {
     let mut bench = Bench::new();
--- a/crates/berylpin_daemon/src/http/caller.rs
+++ b/crates/berylpin_daemon/src/http/caller.rs
@@ -1,5 +1,6 @@
 //! The front end of callers.
 
+use super::caller_guard::CallerGuard;
 use super::execute::{execute, issue_keys};
 use super::reply::{json, refuse};
 use crate::metrics::record_answer;
@@ -45,20 +46,6 @@
         .data(state)
 }
 
-/// Tells the thread that the caller went away, unless it was answered.
-struct CallerGuard {
-    mailbox: Mailbox,
-    ticket: Option<Ticket>,
-}
-
-impl Drop for CallerGuard {
-    fn drop(&mut self) {
-        if let Some(ticket) = self.ticket.take() {
-            self.mailbox.send(Mail::CallerGone(ticket));
-        }
-    }
-}
-
 #[handler]
 async fn run_query(state: Data<&CallerState>, body: Body) -> Response {
     let request = match read_request(body, &state).await {
@@ -73,9 +60,9 @@
         let (status, reason) = (StatusCode::SERVICE_UNAVAILABLE, RefusalReason::Overloaded);
         return refuse(status, Verdict::NotRun, reason.name(), message);
     }
-    let mut guard = CallerGuard { mailbox: state.mailbox.clone(), ticket: Some(ticket) };
+    let guard = CallerGuard::new(state.mailbox.clone(), Mail::CallerGone(ticket));
     let result = answer.await;
-    guard.ticket = None;
+    guard.answered();
     if let Ok(result) = &result {
         record_answer(rank, &target, state.clock.now().duration_since(start), result);
     }
--- a/crates/berylpin_daemon/src/http/execute.rs
+++ b/crates/berylpin_daemon/src/http/execute.rs
@@ -1,8 +1,9 @@
 //! The front end of non-idempotent requests.
 
 use super::caller::CallerState;
+use super::caller_guard::CallerGuard;
 use super::reply::{json, refuse};
-use crate::traffic::{ExecuteMail, Mail, Mailbox};
+use crate::traffic::{ExecuteMail, Mail};
 use berylpin_core::execute::{Answer, KEY_WINDOW, Refusal, RefusalReason, Request};
 use berylpin_core::query::Ticket;
 use berylpin_core::verdict::Verdict;
@@ -25,20 +26,6 @@
 /// The longest deadline of a request.
 const DEADLINE_LIMIT: Duration = Duration::from_mins(1);
 
-/// Tells the thread that the caller went away, unless it was answered.
-struct CallerGuard {
-    mailbox: Mailbox,
-    ticket: Option<Ticket>,
-}
-
-impl Drop for CallerGuard {
-    fn drop(&mut self) {
-        if let Some(ticket) = self.ticket.take() {
-            self.mailbox.send(Mail::Execute(ExecuteMail::CallerGone(ticket)));
-        }
-    }
-}
-
 /// Issues keys.
 #[handler]
 pub(super) async fn issue_keys(state: Data<&CallerState>, body: Body) -> Response {
@@ -76,9 +63,10 @@
     if !state.mailbox.send(mail) {
         return refusal_response(without_holder(RefusalReason::Overloaded));
     }
-    let mut guard = CallerGuard { mailbox: state.mailbox.clone(), ticket: Some(ticket) };
+    let guard =
+        CallerGuard::new(state.mailbox.clone(), Mail::Execute(ExecuteMail::CallerGone(ticket)));
     let result: Result<Answer, _> = answer.await;
-    guard.ticket = None;
+    guard.answered();
     match result {
         Ok(Ok(execution)) => {
             let body = ExecutedBody {
--- a/crates/berylpin_daemon/src/http/mod.rs
+++ b/crates/berylpin_daemon/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod caller;
+mod caller_guard;
 mod execute;
 mod reply;
 
--- a/crates/berylpin_daemon/src/traffic/stop.rs
+++ b/crates/berylpin_daemon/src/traffic/stop.rs
@@ -40,3 +40,6 @@
         self.done.iter().all(|done| done.load(Ordering::SeqCst))
     }
 }
+
+#[cfg(test)]
+mod tests;
