--- a/crates/berylpin_core/src/execute/tests/world.rs
+++ b/crates/berylpin_core/src/execute/tests/world.rs
@@ -329,10 +329,11 @@
                 self.upstream(from, thread, generation, call);
             }
             Job::Called { to, thread, generation, key, result } => {
+                let availability = self.availability();
                 if self.daemons[to].generation == generation {
                     self.with(to, thread, |thread, now, out| {
                         let event = RunEvent::Called(key, result);
-                        thread.runner.handle(now, event, |_| Availability::Usable, out);
+                        thread.runner.handle(now, event, |_| availability, out);
                     });
                 }
             }
@@ -349,6 +350,7 @@
             let at = self.now + self.delay(2000);
             self.schedule(at, Job::Deliver { from, to, message, only });
         }
+        let availability = self.availability();
         let thread = message.thread(THREADS).index();
         let from = MemberId::from_index(from);
         self.with(to, thread, |thread, now, out| match message {
@@ -360,7 +362,7 @@
                 thread.forwarder.handle(now, event, out);
             }
             ExecuteMessage::Run(run) => {
-                thread.runner.handle(now, RunEvent::Run(from, run), |_| Availability::Usable, out);
+                thread.runner.handle(now, RunEvent::Run(from, run), |_| availability, out);
             }
             ExecuteMessage::Ended { attempt, replica, outcome } => {
                 let event = HolderEvent::Ended(from, attempt, replica, outcome);
@@ -439,6 +441,15 @@
         }
     }
 
+    /// Returns what the owner thinks of a replica at the moment.
+    fn availability(&mut self) -> Availability {
+        match self.rng.random_range(0..10) {
+            0 if self.faulty => Availability::Draining,
+            1 if self.faulty => Availability::Ejected,
+            _ => Availability::Usable,
+        }
+    }
+
     /// Most messages are quick; some take up to the given time, in milliseconds.
     fn delay(&mut self, most_ms: u64) -> Duration {
         let slow = self.faulty && self.rng.random_bool(0.2);
