Report ready only once the other daemons are known

Cause: a daemon that had read the documents before it knew its peers took all replicas of its data centre for its own and those of the others for unreachable; its first answers would have been partial.

Conclusion: it is ready once a peer agrees on the members, or sent them, or the VM list names nobody else, and after 3 s at the latest.

--- a/crates/berylpin_core/src/control/controller.rs
+++ b/crates/berylpin_core/src/control/controller.rs
@@ -26,6 +26,9 @@
 /// How often a daemon that knows no other one greets its seeds and reads the VM list.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long a daemon that finds nobody waits before it takes itself for the only one.
+const JOIN_LIMIT: Duration = Duration::from_secs(3);
+
 /// How often watchers of a small fleet read the VM list.
 const VM_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -108,6 +111,10 @@
     last_repair: Option<Instant>,
     last_sync: Option<Instant>,
     watching: bool,
+    /// Whether the other daemons are known, or known not to be there.
+    joined: bool,
+    /// When `joined` is set at the latest.
+    join_limit: Instant,
     seeds: Vec<SocketAddr>,
     /// When the newest event was handled.
     last_event: Instant,
@@ -139,6 +146,8 @@
             last_repair: None,
             last_sync: None,
             watching: false,
+            joined: false,
+            join_limit: now + JOIN_LIMIT,
             seeds,
             last_event: now,
             next_vm_read: now,
@@ -170,6 +179,14 @@
         self.watching
     }
 
+    /// Returns whether the newest view shows the other daemons.
+    ///
+    /// Before that a daemon would take all replicas of its data centre for its own and those of the
+    /// others for unreachable.
+    pub fn is_joined(&self) -> bool {
+        self.joined && !self.is_view_outdated()
+    }
+
     /// Returns when the next `Tick` is due.
     pub fn next_timer(&self) -> Instant {
         let mut next = self.prober.next_timer().min(self.next_greeting);
@@ -180,6 +197,9 @@
         if self.membership.live_peers() == 0 {
             next = next.min(self.next_join);
         }
+        if !self.joined {
+            next = next.min(self.join_limit);
+        }
         if self.is_view_outdated() {
             next = next.min(self.next_view);
         }
@@ -236,6 +256,7 @@
             // The next heartbeat of a daemon that knows more starts another one.
             self.transfer = None;
         }
+        self.joined |= self.join_limit <= now;
         let alone = self.membership.live_peers() == 0;
         if alone && self.next_join <= now {
             self.next_join = now + JOIN_INTERVAL;
@@ -275,6 +296,8 @@
                 self.greet(vm.peer_address, out);
             }
         }
+        let own = self.membership.own_tag();
+        self.joined |= vms.iter().zip(&tags).all(|(vm, tag)| vm.leaving || *tag == own);
         tags.sort_unstable();
         self.membership.forget_unlisted(now, UNLISTED_MEMORY, &tags);
     }
--- a/crates/berylpin_core/src/control/controller/exchange.rs
+++ b/crates/berylpin_core/src/control/controller/exchange.rs
@@ -74,7 +74,8 @@
                 out.push(Action::Send(address, message));
             }
             ControlBody::Documents(piece) => self.piece(now, from, address, piece, out),
-            ControlBody::Notice | ControlBody::Members => {}
+            ControlBody::Members => self.joined = true,
+            ControlBody::Notice => {}
         }
     }
 
@@ -107,9 +108,9 @@
         out: &mut Vec<Action>,
     ) {
         let address = heartbeat.report.peer_address;
-        if heartbeat.members_digest != self.membership.digest()
-            && is_due(now, self.last_sync, SYNC_INTERVAL)
-        {
+        let agrees = heartbeat.members_digest == self.membership.digest();
+        self.joined |= agrees;
+        if !agrees && is_due(now, self.last_sync, SYNC_INTERVAL) {
             self.last_sync = Some(now);
             let message = self.message_to(Some(from), ControlBody::FetchMembers);
             out.push(Action::Send(address, message));
--- a/crates/berylpin_core/src/control/controller/tests.rs
+++ b/crates/berylpin_core/src/control/controller/tests.rs
@@ -61,6 +61,26 @@
     assert_eq!(controller.membership().peers().count(), 1);
 }
 
+#[test]
+fn a_daemon_has_joined_once_it_knows_the_others_or_that_there_are_none() {
+    let now = Instant::now();
+    let vm = |index: usize| ListedVm {
+        name: report(index).name,
+        peer_address: report(index).peer_address,
+        leaving: false,
+    };
+    let mut alone = Controller::new(report(0), Vec::new(), 1, now);
+    alone.handle(now, Event::Vms(vec![vm(0)]), &mut Vec::new());
+    alone.handle(now, Event::Tick, &mut Vec::new());
+    assert!(alone.is_joined());
+    let mut other = Controller::new(report(0), Vec::new(), 1, now);
+    other.handle(now, Event::Vms(vec![vm(0), vm(1)]), &mut Vec::new());
+    other.handle(now, Event::Tick, &mut Vec::new());
+    assert!(!other.is_joined());
+    other.handle(now + JOIN_LIMIT, Event::Tick, &mut Vec::new());
+    assert!(other.is_joined());
+}
+
 #[test]
 fn a_daemon_that_knows_no_other_reads_the_platform_itself() {
     let now = Instant::now();
--- a/crates/berylpin_daemon/src/control/thread.rs
+++ b/crates/berylpin_daemon/src/control/thread.rs
@@ -13,6 +13,7 @@
 use slog::warn;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::UNIX_EPOCH;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
@@ -31,6 +32,8 @@
     /// The runtimes of the traffic threads, indexed by thread.
     pub(crate) runtimes: Vec<Handle>,
     pub(crate) view: watch::Sender<Arc<View>>,
+    /// Set once the view shows the other daemons; stays set.
+    pub(crate) joined: Arc<AtomicBool>,
     pub(crate) log: Log,
 }
 
@@ -142,6 +145,9 @@
             }
         }
         self.actions = actions;
+        if self.controller.is_joined() {
+            self.cx.joined.store(true, Ordering::Relaxed);
+        }
     }
 
     /// Hands a view to all threads, with a link to every live member.
--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -90,6 +90,7 @@
         let (stop_accepting, stopped) = watch::channel(false);
         let (kill, killed) = watch::channel(false);
         let stopping = Arc::new(AtomicBool::new(false));
+        let joined = Arc::new(AtomicBool::new(false));
         let (boxes, mut receivers): (Vec<_>, Vec<_>) =
             (0..settings.threads).map(|_| Mailbox::new()).unzip();
         let mailboxes = Mailboxes::new(boxes);
@@ -140,7 +141,7 @@
         let admin_state = AdminState::new(
             &settings,
             view,
-            stopping.clone(),
+            (joined.clone(), stopping.clone()),
             control_mailbox.clone(),
             log.clone(),
         );
@@ -153,6 +154,7 @@
             mailboxes: mailboxes.clone(),
             runtimes,
             view: view_tx,
+            joined,
             log: log.clone(),
         };
         let front = serve_http(admin, admin_routes(admin_state), stopped);
--- a/crates/berylpin_daemon/src/http/admin.rs
+++ b/crates/berylpin_daemon/src/http/admin.rs
@@ -30,6 +30,7 @@
     name: Arc<str>,
     token: Secret,
     view: watch::Receiver<Arc<View>>,
+    joined: Arc<AtomicBool>,
     stopping: Arc<AtomicBool>,
     control: ControlMailbox,
     platform: Platform,
@@ -51,7 +52,7 @@
     pub(crate) fn new(
         settings: &DaemonSettings,
         view: watch::Receiver<Arc<View>>,
-        stopping: Arc<AtomicBool>,
+        (joined, stopping): (Arc<AtomicBool>, Arc<AtomicBool>),
         control: ControlMailbox,
         log: Log,
     ) -> Self {
@@ -59,6 +60,7 @@
             name: settings.name.as_str().into(),
             token: settings.admin_token.clone(),
             view,
+            joined,
             stopping,
             control,
             platform: Platform::new(settings.platform, settings.peer_listen_address.ip()),
@@ -66,10 +68,11 @@
         }
     }
 
-    /// A daemon without any configuration is not ready, nor is one that stops.
+    /// A daemon without any configuration is not ready, nor is one that does not know the others yet
+    /// or that stops.
     fn is_ready(&self) -> bool {
         let configured = !self.view.borrow().topology.services.is_empty();
-        configured && !self.stopping.load(Ordering::Relaxed)
+        configured && self.joined.load(Ordering::Relaxed) && !self.stopping.load(Ordering::Relaxed)
     }
 }
 
