--- a/crates/berylpin_core/src/replica/owner.rs
+++ b/crates/berylpin_core/src/replica/owner.rs
@@ -4,6 +4,7 @@
 use super::health::Change;
 use super::job::{Job, JobName};
 use super::probes::{PROBE_INTERVAL, Probe, ProbeResult};
+use super::shares::MinimumShares;
 use super::shedding::ADJUST_INTERVAL;
 use super::state::ReplicaState;
 use crate::arena::{Arena, Slab, SlabKey};
@@ -32,6 +33,8 @@
     Inquire(MemberId, ThreadId, Vec<ReplicaTag>),
     /// A call ended.
     Called(CallKey, CallResult),
+    /// An execution ended at a replica, with a failure or a result.
+    Executed(ReplicaId, Option<FailReason>),
     /// A probe ended.
     Probed(ReplicaId, ProbeResult),
     /// A timer may be due.
@@ -114,11 +117,6 @@
         self.timers.next()
     }
 
-    /// Returns whether a replica of this thread takes no new work.
-    pub fn is_draining(&self, replica: ReplicaId) -> bool {
-        self.replicas.get(replica).is_some_and(ReplicaState::is_draining)
-    }
-
     /// Returns how many sub-queries wait or run.
     pub fn jobs(&self) -> usize {
         self.jobs.len()
@@ -132,6 +130,7 @@
             Event::Cancel(from, parts) => self.cancel(from, &parts, out),
             Event::Inquire(from, thread, tags) => self.inquired(from, thread, &tags, out),
             Event::Called(key, result) => self.called(now, key, result, out),
+            Event::Executed(replica, failure) => self.executed(now, replica, failure, out),
             Event::Probed(replica, result) => self.probed(now, replica, result, out),
             Event::Tick => self.tick(now, out),
         }
@@ -148,6 +147,8 @@
                 state.health.reset();
             }
             state.withdrawn = withdrawn;
+            let shares = view.topology.service_of(id).settings.shares;
+            state.queue.set_shares(MinimumShares::new(shares));
             state.owned = replica.listed
                 && view.owner(id) == Some(view.own)
                 && settings.tag.thread(self.threads) == self.thread;
@@ -215,7 +216,7 @@
         self.drop_late(now, replica, out);
         let tag = self.tag(replica);
         let state = &mut self.replicas[replica];
-        let changes = state.levels.adjust(state.queue.ages(now), state.queue.shares().shares());
+        let changes = state.levels.adjust(state.queue.ages(now), state.queue.shares());
         let mut shed = Vec::new();
         for (rank, level) in Rank::ALL.into_iter().zip(changes) {
             let Some(level) = level else { continue };
--- a/crates/berylpin_core/src/replica/owner/tests.rs
+++ b/crates/berylpin_core/src/replica/owner/tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::ids::Snapshot;
 use crate::message::SnapshotRange;
+use crate::replica::Availability;
 use harness::{World, batch, tag_with_level};
 use proptest::prelude::*;
 use std::time::Duration;
@@ -189,10 +190,14 @@
     }
     assert!(world.ejected(0));
     assert!(world.hint(0).ejected && world.hint(0).usable);
-    // An entry that knows no better replica may still try it, with one call at a time.
+    let replica = world.replicas()[0];
     world.arrive(0, Rank::Urgent, 0, Duration::from_secs(1));
+    assert_eq!(world.running(replica), 0);
+    // An entry that knows no better replica asks again, and gets one call at a time.
+    world.ordinal = 1;
     world.arrive(0, Rank::Urgent, 0, Duration::from_secs(1));
-    assert_eq!(world.running(world.replicas()[0]), 1);
+    world.arrive(0, Rank::Urgent, 0, Duration::from_secs(1));
+    assert_eq!(world.running(replica), 1);
 }
 
 #[test]
@@ -263,3 +268,21 @@
     let trusted = world.hint(0).snapshots.map(|range| range.newest);
     assert_eq!(trusted, Some(Snapshot(1)));
 }
+
+#[test]
+fn executions_that_fail_or_are_refused_as_draining_change_availability() {
+    let mut world = World::new(2);
+    let replica = world.replicas()[0];
+    let failure = |reason| Event::Executed(replica, Some(reason));
+    world.handle(failure(FailReason::Deadline));
+    world.handle(failure(FailReason::UpstreamError));
+    world.handle(failure(FailReason::BadReply));
+    assert_eq!(world.owner.availability(replica), Availability::Usable);
+    world.handle(failure(FailReason::Connection));
+    assert_eq!(world.owner.availability(replica), Availability::Ejected);
+    world.handle(Event::Executed(replica, None));
+    world.handle(Event::Executed(replica, None));
+    assert_eq!(world.owner.availability(replica), Availability::Usable);
+    world.handle(failure(FailReason::Draining));
+    assert_eq!(world.owner.availability(replica), Availability::Draining);
+}
