--- a/crates/berylpin_daemon/src/traffic/link.rs
+++ b/crates/berylpin_daemon/src/traffic/link.rs
@@ -23,17 +23,17 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::{sleep, timeout};
 
 /// How long a connection attempt may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How often a link is pinged.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a link rests between two pings; one that nothing is written to is not pinged.
+const PING_INTERVAL: Duration = Duration::from_millis(250);
 
 /// How long a ping may go unanswered before the link is closed.
-const PING_TIMEOUT: Duration = Duration::from_secs(2);
+const PING_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// How long a broken link rests before the next attempt.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -142,9 +142,10 @@
     let (client, mut connection) = h2::client::handshake(tcp).await?;
     let ping = connection.ping_pong();
     let driver = tokio::spawn(connection);
+    let written = Notify::new();
     let result = tokio::select! {
-        result = pump(cx, client, first, rx) => result,
-        e = watch_pings(ping) => Err(e),
+        result = pump(cx, client, &written, first, rx) => result,
+        e = watch_pings(ping, &written) => Err(e),
     };
     driver.abort();
     result
@@ -160,9 +161,12 @@
 async fn pump(
     cx: &LinkContext,
     client: SendRequest<Bytes>,
+    written: &Notify,
     first: &mut Option<LinkFrame>,
     rx: &mut mpsc::Receiver<LinkFrame>,
 ) -> Result<(), LinkError> {
+    // The handshake is watched as well.
+    written.notify_one();
     let mut stream = open(cx, client).await?;
     let mut buf = BytesMut::new();
     let mut next = first.take();
@@ -172,6 +176,7 @@
             let Ok(frame) = rx.try_recv() else { break };
             append(frame, &mut buf);
         }
+        written.notify_one();
         write(&mut stream, buf.split().freeze()).await?;
         next = rx.recv().await;
     }
@@ -229,9 +234,11 @@
     Ok(())
 }
 
-async fn watch_pings(ping: Option<PingPong>) -> LinkError {
+/// Pings after each write, so that idle links cost nothing, until one goes unanswered.
+async fn watch_pings(ping: Option<PingPong>, written: &Notify) -> LinkError {
     let Some(mut ping) = ping else { return LinkError::Closed };
     loop {
+        written.notified().await;
         match timeout(PING_TIMEOUT, ping.ping(h2::Ping::opaque())).await {
             Ok(Ok(_)) => sleep(PING_INTERVAL).await,
             Ok(Err(e)) => return LinkError::Protocol(e),
