--- a/crates/berylpin_core/src/control/edit.rs
+++ b/crates/berylpin_core/src/control/edit.rs
@@ -23,8 +23,8 @@
 pub struct FoundDocument {
     /// Its version.
     pub version: u64,
-    /// Whether this change is among the changes it went through.
-    pub holds_edit: bool,
+    /// The version that this change made, if it is among the changes it went through.
+    pub holds_edit: Option<u64>,
     /// Whether it goes back to the version that this change is based on.
     pub holds_base: bool,
 }
@@ -69,7 +69,7 @@
 pub enum EditOutcome {
     /// The change is stored.
     Accepted {
-        /// The version of the document, or a later one if others built on it.
+        /// The version of the document; of a deletion that was not confirmed, a later revision.
         version: u64,
     },
     /// Someone else changed the document first; this change is not stored and never will be.
@@ -121,7 +121,9 @@
     fn read(&mut self, revision: u64, document: Option<FoundDocument>) -> EditStep {
         self.failed_reads = 0;
         let outcome = match document {
-            Some(found) if found.holds_edit => EditOutcome::Accepted { version: found.version },
+            Some(FoundDocument { holds_edit: Some(version), .. }) => {
+                EditOutcome::Accepted { version }
+            }
             None if self.base.is_some() => return self.gone(revision),
             _ if document.map(|found| found.version) == self.base => return self.write(),
             Some(found) if self.lost && !found.holds_base => {
--- a/crates/berylpin_core/src/control/edit/tests.rs
+++ b/crates/berylpin_core/src/control/edit/tests.rs
@@ -57,7 +57,7 @@
     fn read(&self) -> EditEvent {
         let document = self.document.as_ref().map(|(version, edits)| FoundDocument {
             version: *version,
-            holds_edit: edits.contains(&1),
+            holds_edit: edits.contains(&1).then_some(*version),
             holds_base: edits.contains(&0),
         });
         EditEvent::Read { revision: self.revision, document }
--- a/crates/berylpin_daemon/src/http/admin/change.rs
+++ b/crates/berylpin_daemon/src/http/admin/change.rs
@@ -3,7 +3,9 @@
 use crate::platform::{Condition, Platform, PlatformError};
 use berylpin_core::control::{Edit, EditEvent, EditKind, EditOutcome, EditStep, FoundDocument};
 use berylpin_wire::admin::Document;
-use berylpin_wire::platform::{EARLIER_EDITS, Object, ObjectList, SERVICE_PREFIX, StoredDocument};
+use berylpin_wire::platform::{
+    EARLIER_EDITS, EarlierEdit, Object, ObjectList, SERVICE_PREFIX, StoredDocument,
+};
 use poem::http::StatusCode;
 use rand::Rng;
 use std::time::Duration;
@@ -90,9 +92,10 @@
                 self.base_edit = Some(stored.edit_id.clone()).filter(|edit| !edit.is_empty());
                 true
             } else {
-                self.base_edit.as_ref().is_some_and(|edit| stored.holds_edit(edit))
+                let base = self.base_edit.as_ref();
+                base.is_some_and(|edit| stored.version_of(edit, object.version).is_some())
             };
-            let holds_edit = stored.holds_edit(&self.edit_id);
+            let holds_edit = stored.version_of(&self.edit_id, object.version);
             FoundDocument { version: object.version, holds_edit, holds_base }
         });
         EditEvent::Read { revision, document }
@@ -125,9 +128,9 @@
         let mut earlier_edits = Vec::new();
         if let Some(object) = &self.current {
             let before = StoredDocument::read(&object.value);
-            earlier_edits.push(before.edit_id);
+            earlier_edits.push(EarlierEdit { edit_id: before.edit_id, version: object.version });
             earlier_edits.extend(before.earlier_edits);
-            earlier_edits.retain(|edit| !edit.is_empty());
+            earlier_edits.retain(|earlier| !earlier.edit_id.is_empty());
             earlier_edits.truncate(EARLIER_EDITS);
         }
         StoredDocument {
--- a/crates/berylpin_wire/src/platform.rs
+++ b/crates/berylpin_wire/src/platform.rs
@@ -30,12 +30,21 @@
     pub editor: String,
     /// Drawn at random for each change.
     pub edit_id: String,
-    /// The edit ids of the changes before, the newest first; at most [`EARLIER_EDITS`].
+    /// The changes before, the newest first; at most [`EARLIER_EDITS`].
     #[serde(default)]
-    pub earlier_edits: Vec<String>,
+    pub earlier_edits: Vec<EarlierEdit>,
 }
 
-/// Edit ids of earlier changes that a document keeps.
+/// An earlier change of a document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EarlierEdit {
+    /// Its edit id.
+    pub edit_id: String,
+    /// The version that it made.
+    pub version: u64,
+}
+
+/// Earlier changes that a document keeps.
 pub const EARLIER_EDITS: usize = 8;
 
 impl StoredDocument {
@@ -49,9 +58,13 @@
         })
     }
 
-    /// Returns whether a change is this one or one before it.
-    pub fn holds_edit(&self, edit_id: &str) -> bool {
-        self.edit_id == edit_id || self.earlier_edits.iter().any(|earlier| earlier == edit_id)
+    /// Returns the version that a change made, if it is this one, stored as `version`, or one before.
+    pub fn version_of(&self, edit_id: &str, version: u64) -> Option<u64> {
+        if self.edit_id == edit_id {
+            return Some(version);
+        }
+        let earlier = self.earlier_edits.iter().find(|earlier| earlier.edit_id == edit_id);
+        earlier.map(|earlier| earlier.version)
     }
 }
 
