Keep the settings files of tests below the target folder

Cause: each run of the execution tests left a settings file in the system's folder for temporary files.

--- a/crates/berylpin_daemon/tests/fleet/mod.rs
+++ b/crates/berylpin_daemon/tests/fleet/mod.rs
@@ -190,7 +190,7 @@
 impl DaemonProcess {
     fn start(settings: &DaemonSettings) -> Self {
         let (pid, port) = (std::process::id(), settings.caller_address.port());
-        let config = std::env::temp_dir().join(format!("berylpind-test-{pid}-{port}.toml"));
+        let config = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{pid}-{port}.toml"));
         let text = format!(
             "name = \"{}\"\ndata_centre = \"{}\"\nregion = \"{}\"\ncaller_address = \"{}\"\n\
              peer_address = \"{}\"\nadmin_address = \"{}\"\nplatform = \"{}\"\n\
