Give calls with much time left more patience before they count as stalled

Cause: the SIGTERM test refused requests with 10 s left on a starved machine. Calls of 8 ms were taken for stalled after 40 ms, their connections replaced and the upstream left with the work; the retries used up the attempts, and the upstream's own refusals cut the shed level. A call now counts as stalled only after an eighth of the time it had on start; urgent work of 250 ms keeps its 40 ms bound. Ruled out: the stop itself (a refusal came 0.3 s after the start), the entry's admission.

--- a/crates/berylpin_core/src/replica/calls.rs
+++ b/crates/berylpin_core/src/replica/calls.rs
@@ -200,7 +200,8 @@
     pub(super) fn overdue(&mut self, now: Instant, key: CallKey, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(key) else { return };
         let Some(call) = job.call.filter(|call| !call.stalled) else { return };
-        let bound = self.replicas[job.replica].latencies.stall_bound(job.rank);
+        let time_left = job.waiting.deadline.saturating_duration_since(call.started);
+        let bound = self.replicas[job.replica].latencies.stall_bound(job.rank, time_left);
         if now < call.started + bound {
             self.timers.set(call.started + bound, Timer::Overdue(key));
             self.late(key, out);
--- a/crates/berylpin_core/src/replica/latency.rs
+++ b/crates/berylpin_core/src/replica/latency.rs
@@ -13,6 +13,11 @@
 const STALL_MEANS: u32 = 4;
 /// The least time after which a call counts as stalled.
 const STALL_FLOOR: Duration = Duration::from_millis(40);
+/// The part of its time left on start within which a call is not stalled, as a divisor.
+///
+/// A call with much time left may wait out a short pause of the machine; one with little has to be
+/// tried elsewhere soon.
+const PATIENCE_DIVISOR: u32 = 8;
 /// After what time a call counts as stalled while no call has ended yet.
 const FIRST_STALL: Duration = Duration::from_millis(500);
 
@@ -54,16 +59,18 @@
         self.ranks.map(|estimate| estimate.map_or(known.unwrap_or_default(), |e| e.mean))
     }
 
-    /// Returns after what time a call without a result is stalled.
-    pub(super) fn stall_bound(&self, rank: Rank) -> Duration {
-        self.ranks[rank.index()].map_or(FIRST_STALL, |Estimate { mean, deviation }| {
-            (mean + deviation * STALL_DEVIATIONS).max(mean * STALL_MEANS).max(STALL_FLOOR)
-        })
+    /// Returns after what time a call that started with `time_left` is stalled without a result.
+    pub(super) fn stall_bound(&self, rank: Rank, time_left: Duration) -> Duration {
+        let unusual =
+            self.ranks[rank.index()].map_or(FIRST_STALL, |Estimate { mean, deviation }| {
+                (mean + deviation * STALL_DEVIATIONS).max(mean * STALL_MEANS).max(STALL_FLOOR)
+            });
+        unusual.max(time_left / PATIENCE_DIVISOR)
     }
 
     /// Returns after what time a call is given up: the stall bound, and always before its deadline.
     pub(super) fn give_up_after(&self, rank: Rank, time_left: Duration) -> Duration {
-        self.stall_bound(rank).min(time_left.mul_f64(GIVE_UP_SHARE))
+        self.stall_bound(rank, time_left).min(time_left.mul_f64(GIVE_UP_SHARE))
     }
 }
 
--- a/crates/berylpin_core/src/replica/latency/tests.rs
+++ b/crates/berylpin_core/src/replica/latency/tests.rs
@@ -12,9 +12,10 @@
         for ms in elapsed_ms {
             latencies.record(Rank::Urgent, Duration::from_millis(ms));
         }
-        prop_assert!(latencies.stall_bound(Rank::Urgent) >= STALL_FLOOR);
-        prop_assert!(latencies.stall_bound(Rank::Urgent) < FIRST_STALL);
         let time_left = Duration::from_millis(time_left_ms);
+        let bound = latencies.stall_bound(Rank::Urgent, time_left);
+        prop_assert!(bound >= STALL_FLOOR && bound >= time_left / PATIENCE_DIVISOR);
+        prop_assert!(latencies.stall_bound(Rank::Urgent, Duration::ZERO) < FIRST_STALL);
         prop_assert!(latencies.give_up_after(Rank::Urgent, time_left) < time_left);
     }
 
@@ -27,8 +28,10 @@
             latencies.record(Rank::Urgent, usual);
         }
         let mut stalls = 0;
-        while latencies.stall_bound(Rank::Urgent) < usual * slowdown {
-            latencies.record(Rank::Urgent, latencies.stall_bound(Rank::Urgent));
+        let time_left = Duration::from_millis(250);
+        while latencies.stall_bound(Rank::Urgent, time_left) < usual * slowdown {
+            let bound = latencies.stall_bound(Rank::Urgent, time_left);
+            latencies.record(Rank::Urgent, bound);
             stalls += 1;
         }
         prop_assert!(stalls <= 5, "{stalls} stalls");
