--- a/crates/berylpin/src/args.rs
+++ b/crates/berylpin/src/args.rs
@@ -1,7 +1,8 @@
 //! Subcommands and exit codes.
 
 use crate::commands::{
-    apply, check, delete, demo, diff, drain, edit, execute, experiment, get, list, query, status,
+    apply, check, delete, demo, diff, drain, edit, execute, experiment, get, list, log, query,
+    status,
 };
 use pico_args::Arguments;
 use std::process::ExitCode;
@@ -30,6 +31,7 @@
     delete::COMMAND,
     drain::COMMAND,
     status::COMMAND,
+    log::COMMAND,
     query::COMMAND,
     execute::COMMAND,
     experiment::COMMAND,
--- a/crates/berylpin/src/client.rs
+++ b/crates/berylpin/src/client.rs
@@ -93,6 +93,15 @@
         self.change(conditional(request, base)).await
     }
 
+    /// Sends a JSON body whose answer has no body.
+    pub(crate) async fn put_json<T>(&self, path: &str, body: &T) -> Result<(), CommandError>
+    where
+        T: serde::Serialize,
+    {
+        let response = self.send(self.request(Method::PUT, path).json(body)).await?;
+        expect_ok(response).await.map(drop)
+    }
+
     /// Sends a change in a JSON body.
     pub(crate) async fn post_change<T>(
         &self,
--- a/crates/berylpin/src/commands/demo.rs
+++ b/crates/berylpin/src/commands/demo.rs
@@ -1,13 +1,16 @@
 //! `berylpin demo`: the whole system against stand-ins in one process.
 
 use crate::args::{Command, CommandError, finish};
-use crate::bench::{Bench, layout};
+use crate::bench::{ADMIN_TOKEN, Bench, layout};
 use berylpin_core::rank::Rank;
-use berylpin_daemon::discard_log;
+use berylpin_daemon::{Log, LogFormat, discard_log, open_log};
 use berylpin_standin::load::{Sample, Stream, Tally, caller_client, drive};
 use berylpin_standin::sites::Site;
 use comfy_table::Table;
 use pico_args::Arguments;
+use std::fs::File;
+use std::io::BufWriter;
+use std::path::PathBuf;
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -16,11 +19,12 @@
     name: "demo",
     summary: "run the system and a load against stand-ins of today's sizes",
     help: "\
-Usage: berylpin demo [--seconds N] [--users rizzo|kalipsan] [--seed N]
+Usage: berylpin demo [--seconds N] [--users rizzo|kalipsan] [--seed N] [--log FILE]
 
   --seconds N      how long the load runs, 1 to 600; 10 if absent
   --users NAME     whose sizes to take; rizzo if absent
   --seed N         the seed of load and service times; 1 if absent
+  --log FILE       write the log of all daemons, with a line for each decision
 
 Example: berylpin demo --seconds 20 --users kalipsan
 ",
@@ -41,12 +45,14 @@
     run_time: Duration,
     site: Site,
     seed: u64,
+    log: Log,
 }
 
 fn run(mut args: Arguments) -> Result<(), CommandError> {
     let seconds: u64 = args.opt_value_from_str("--seconds")?.unwrap_or(10);
     let users: String = args.opt_value_from_str("--users")?.unwrap_or_else(|| "rizzo".to_owned());
     let seed = args.opt_value_from_str("--seed")?.unwrap_or(1);
+    let log = open_log_file(args.opt_value_from_str("--log")?)?;
     finish(args)?;
     if !(1..=600).contains(&seconds) {
         return Err(CommandError::Usage("--seconds takes a number from 1 to 600".to_owned()));
@@ -54,7 +60,7 @@
     let site = Site::named(&users).ok_or_else(|| {
         CommandError::Usage(format!("--users `{users}` is neither `rizzo` nor `kalipsan`"))
     })?;
-    let options = DemoOptions { run_time: Duration::from_secs(seconds), site, seed };
+    let options = DemoOptions { run_time: Duration::from_secs(seconds), site, seed, log };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(4)
         .enable_all()
@@ -63,13 +69,25 @@
     runtime.block_on(demo(options))
 }
 
+fn open_log_file(path: Option<PathBuf>) -> Result<Log, CommandError> {
+    let Some(path) = path else { return Ok(discard_log()) };
+    let file = File::create(&path)
+        .map_err(|e| CommandError::Failed(format!("{}: {e}", path.display())))?;
+    Ok(open_log(LogFormat::Json, BufWriter::new(file)))
+}
+
 async fn demo(options: DemoOptions) -> Result<(), CommandError> {
     let fail = |e: &dyn std::fmt::Display| CommandError::Failed(e.to_string());
     eprintln!("starting stand-ins of {} and {DAEMONS} daemons", options.site.name);
-    let bench = Bench::start(&options.site, DAEMONS, (options.seed, discard_log()), |_| ())
+    let bench = Bench::start(&options.site, DAEMONS, (options.seed, options.log.clone()), |_| ())
         .await
         .map_err(|e| fail(&e))?;
     bench.wait_ready().await.map_err(|e| fail(&e))?;
+    if let (Some((_, callers)), Some(admin)) = (bench.callers().next(), bench.admins().first()) {
+        let group = options.site.groups[0].name;
+        eprintln!("try meanwhile: berylpin query {group} account-1 --to {callers}");
+        eprintln!("               berylpin list --admin {admin} --token {ADMIN_TOKEN}");
+    }
     eprintln!("running the load for {} s; Ctrl-C ends it early", options.run_time.as_secs());
     let before = bench.work().ran;
     let samples = tokio::select! {
--- /dev/null
+++ b/crates/berylpin/src/commands/log.rs
@@ -0,0 +1,36 @@
+//! `berylpin log`: changes which log lines a daemon writes, while it runs.
+
+use crate::args::{Command, CommandError, finish};
+use crate::client::{AdminClient, admin_options, block_on};
+use berylpin_wire::admin::{LogLevelBody, LogSampleBody};
+use pico_args::Arguments;
+
+pub(crate) const COMMAND: Command = Command {
+    name: "log",
+    summary: "change which log lines a daemon writes",
+    help: concat!(
+        "Usage: berylpin log PART LEVEL [OPTIONS]\n",
+        "       berylpin log --sample N [OPTIONS]\n\n",
+        "  PART             the word before the colon of its log lines, such as route\n",
+        "  LEVEL            error, warn, info, debug or trace\n",
+        "  --sample N       write the decisions of one query in N; 1 writes all\n",
+        admin_options!(),
+        "\nExample: berylpin log route info\n"
+    ),
+    run,
+};
+
+fn run(mut args: Arguments) -> Result<(), CommandError> {
+    let sample: Option<u32> = args.opt_value_from_str("--sample")?;
+    // Accepted for the sake of scripts; there is nothing to print.
+    let _ = args.contains("--json");
+    let client = AdminClient::from_args(&mut args)?;
+    if let Some(queries) = sample {
+        finish(args)?;
+        return block_on(client.put_json("/v1/log/sample", &LogSampleBody { queries }));
+    }
+    let part = args.free_from_str()?;
+    let level = args.free_from_str()?;
+    finish(args)?;
+    block_on(client.put_json("/v1/log", &LogLevelBody { part, level }))
+}
--- a/crates/berylpin/src/commands/mod.rs
+++ b/crates/berylpin/src/commands/mod.rs
@@ -11,5 +11,6 @@
 pub(crate) mod experiment;
 pub(crate) mod get;
 pub(crate) mod list;
+pub(crate) mod log;
 pub(crate) mod query;
 pub(crate) mod status;
--- a/crates/berylpin_daemon/src/http/admin.rs
+++ b/crates/berylpin_daemon/src/http/admin.rs
@@ -11,7 +11,7 @@
 use crate::platform::Platform;
 use crate::settings::{DaemonSettings, Secret};
 use berylpin_core::control::View;
-use berylpin_wire::admin::{LogLevelBody, Problem};
+use berylpin_wire::admin::{LogLevelBody, LogSampleBody, Problem};
 use poem::http::StatusCode;
 use poem::http::header::AUTHORIZATION;
 use poem::web::{Data, Json};
@@ -94,6 +94,7 @@
         .at("/members", get(members::list_members))
         .at("/routing/:target", get(members::get_routing))
         .at("/log", put(put_log_level))
+        .at("/log/sample", put(put_log_sample))
         .around(move |routes, request| authenticate(token.clone(), routes, request));
     Route::new()
         .at("/live", get(get_live))
@@ -177,3 +178,9 @@
         Err(e) => problem(StatusCode::UNPROCESSABLE_ENTITY, e.to_string()),
     }
 }
+
+#[handler]
+fn put_log_sample(state: Data<&AdminState>, Json(body): Json<LogSampleBody>) -> Response {
+    state.log.levels().set_sample(body.queries);
+    Response::builder().status(StatusCode::OK).finish()
+}
--- a/crates/berylpin_wire/src/admin.rs
+++ b/crates/berylpin_wire/src/admin.rs
@@ -16,6 +16,7 @@
 //! | `GET /v1/members` | [`MemberList`] | |
 //! | `GET /v1/routing/{target}` | [`Routing`] | 404 |
 //! | `PUT /v1/log` [`LogLevelBody`] | empty | 422 |
+//! | `PUT /v1/log/sample` [`LogSampleBody`] | empty | |
 //!
 //! An error without a body of its own has a [`Problem`].
 
@@ -187,6 +188,14 @@
     pub level: String,
 }
 
+/// Body of `PUT /v1/log/sample`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LogSampleBody {
+    /// The decisions of one query in this many are written; 0 counts as 1.
+    pub queries: u32,
+}
+
 /// What is wrong with a request, for people.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Problem {
