Bind all sockets before any thread, and reserve ports of tests and benches

Cause: the administration test once failed with a panic about dropping a runtime. Another test had taken a port that was free a moment before; the daemon then gave up with a runtime half built, whose drop in an async context panics and hides the error. Addresses are now bound before a runtime exists, so the error names the address; tests and the bench hold their ports until the daemon shares them. A test starts a daemon on a taken address.

Hedges take the quantile of the replica's group where that is shorter than the replica's own: in a small fleet one replica gives a thread too few samples, and a slow one makes its own slowness the norm.

--- a/crates/berylpin/src/bench.rs
+++ b/crates/berylpin/src/bench.rs
@@ -7,11 +7,12 @@
 use berylpin_standin::load::Balancer;
 use berylpin_standin::net::{Net, Proxy, Target, Zone};
 use berylpin_standin::platform::Platform;
+use berylpin_standin::ports::Ports;
 use berylpin_standin::sites::{Document, GroupShape, ReplicaLine, Site};
 use berylpin_standin::upstream::Upstream;
 use berylpin_wire::platform::{SERVICE_PREFIX, Vm};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
@@ -94,6 +95,8 @@
     log: Log,
     platform_proxy: Proxy,
     site: Site,
+    /// Ports of all daemons there ever were.
+    ports: Ports,
 }
 
 /// Work of all upstreams.
@@ -136,6 +139,7 @@
             log,
             platform_proxy,
             site: site.clone(),
+            ports: Ports::default(),
         };
         for group in &site.groups {
             for index in 0..group.services {
@@ -202,11 +206,11 @@
     }
 
     /// Names a VM and its addresses; its daemon does not run yet.
-    async fn prepare_daemon(&self, data_centre: usize) -> Result<Entry, BenchError> {
+    async fn prepare_daemon(&mut self, data_centre: usize) -> Result<Entry, BenchError> {
         let index = self.entries.len();
         let zone = Zone(data_centre as u8);
         let host = zone.address(index as u8 + 1);
-        let address = free_address(host)?;
+        let address = self.ports.reserve(host)?;
         let target = Target { zone, address, limit: usize::MAX, counted: true };
         let proxy = Proxy::start(self.net.clone(), PROXY_HOST, target).await?;
         let vm = Vm {
@@ -218,8 +222,8 @@
         Ok(Entry {
             vm,
             zone,
-            caller_address: free_address(host)?,
-            admin_address: free_address(host)?,
+            caller_address: self.ports.reserve(host)?,
+            admin_address: self.ports.reserve(host)?,
             ended: None,
             daemon: None,
             peer_address: address,
@@ -361,8 +365,3 @@
     layout.sort_unstable();
     layout
 }
-
-/// Returns an address whose port was free a moment ago.
-fn free_address(host: Ipv4Addr) -> io::Result<SocketAddr> {
-    TcpListener::bind((host, 0))?.local_addr()
-}
--- a/crates/berylpin_core/src/query/replicas.rs
+++ b/crates/berylpin_core/src/query/replicas.rs
@@ -5,7 +5,7 @@
 use super::progress::{Attempt, Progress};
 use crate::arena::Arena;
 use crate::control::View;
-use crate::ids::{MemberId, QueryTag, ReplicaId, ShardId, Snapshot};
+use crate::ids::{GroupId, MemberId, QueryTag, ReplicaId, ShardId, Snapshot};
 use crate::limits::{HINT_TRUST, shed_level};
 use crate::message::{FailReason, Hint, SnapshotRange};
 use crate::rank::Rank;
@@ -59,6 +59,8 @@
     slots: u32,
     /// Whether it runs in the data centre of this daemon.
     local: bool,
+    /// The group of its service; `None` before the first view that lists it.
+    group: Option<GroupId>,
     latency: Latency,
 }
 
@@ -93,10 +95,24 @@
     pub(super) delay: Duration,
 }
 
+/// Latencies over all replicas of a group.
+///
+/// One replica gives a thread too few samples for quantiles in a small fleet, and a replica that
+/// is slow for good would make its own slowness the norm.
+#[derive(Clone, Debug, Default)]
+struct GroupLatency {
+    /// Replicas in the data centre of this daemon.
+    local: Latency,
+    /// Replicas in other data centres.
+    remote: Latency,
+}
+
 /// What the entry knows of all replicas; as long as the replica arena of the view.
 #[derive(Debug, Default)]
 pub(super) struct Replicas {
     states: Arena<ReplicaId, ReplicaState>,
+    /// As long as the group arena of the view.
+    groups: Arena<GroupId, GroupLatency>,
     pub(super) owners: Owners,
 }
 
@@ -105,11 +121,13 @@
     pub(super) fn install(&mut self, view: &View) {
         self.owners.grow(view.members.len());
         self.states.grow(view.topology.replicas.len(), ReplicaState::default);
+        self.groups.grow(view.topology.groups.len(), GroupLatency::default);
         let own = &view.members[view.own].data_centre;
         for (id, replica) in view.topology.replicas.iter() {
             let state = &mut self.states[id];
             state.slots = replica.settings.slots.into();
             state.local = replica.settings.data_centre == *own;
+            state.group = Some(view.topology.service_of(id).group);
         }
     }
 
@@ -149,6 +167,9 @@
         let state = &mut self.states[replica];
         state.latency.record(elapsed);
         state.sampled = Some(now);
+        if let Some(group) = state.group {
+            self.groups[group].of(state.local).record(elapsed);
+        }
     }
 
     /// Takes how long an attempt went unanswered, which says something once it is long.
@@ -173,9 +194,17 @@
     }
 
     /// Returns how long to wait for a reply before a hedge; `None` before the first sample.
+    ///
+    /// That is a quantile of the replica's own latency, or of its group's if that is shorter.
     pub(super) fn hedge_delay(&self, replica: ReplicaId, few_left: bool) -> Option<Duration> {
-        let latency = &self.states[replica].latency;
-        let quantile = if few_left { latency.p95() } else { latency.p99() };
+        let state = &self.states[replica];
+        let latency = &state.latency;
+        let own = if few_left { latency.p95() } else { latency.p99() };
+        let group = state.group.and_then(|group| {
+            let GroupLatency { local, remote } = &self.groups[group];
+            if state.local { local.p99() } else { remote.p99() }
+        });
+        let quantile = own.into_iter().chain(group).min();
         quantile.or_else(|| latency.mean().map(|mean| mean * UNMEASURED_MEANS))
     }
 
@@ -280,6 +309,12 @@
     }
 }
 
+impl GroupLatency {
+    fn of(&mut self, local: bool) -> &mut Latency {
+        if local { &mut self.local } else { &mut self.remote }
+    }
+}
+
 impl Default for ReplicaState {
     fn default() -> Self {
         Self {
@@ -292,6 +327,7 @@
             in_flight: 0,
             slots: 1,
             local: false,
+            group: None,
             latency: Latency::default(),
         }
     }
--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -83,6 +83,8 @@
         clock: Arc<dyn Clock>,
         log: Log,
     ) -> Result<Self, StartError> {
+        // An address in use shows before any thread is there to be ended.
+        let sockets = Sockets::bind(&settings)?;
         let controller = new_controller(&settings, &*clock, rand::rng().random());
         let (view_tx, view) = watch::channel(controller.view().clone());
         let (control_mailbox, control_rx) = ControlMailbox::new();
@@ -90,14 +92,15 @@
         let (kill, killed) = watch::channel(false);
         let stopping = Arc::new(AtomicBool::new(false));
         let joined = Arc::new(AtomicBool::new(false));
-        let (boxes, mut receivers): (Vec<_>, Vec<_>) =
+        let (boxes, receivers): (Vec<_>, Vec<_>) =
             (0..settings.threads).map(|_| Mailbox::new()).unzip();
         let mailboxes = Mailboxes::new(boxes);
         let stop_gate = StopGate::new(settings.threads);
 
         let mut runtimes = Vec::new();
         let mut traffic = Vec::new();
-        for (index, rx) in receivers.drain(..).enumerate() {
+        let mut peers = Some(sockets.peers);
+        for (index, (rx, callers)) in receivers.into_iter().zip(sockets.callers).enumerate() {
             let runtime = Builder::new_current_thread().enable_all().build()?;
             runtimes.push(runtime.handle().clone());
             let guard = runtime.enter();
@@ -111,11 +114,8 @@
                 stop_gate: stop_gate.clone(),
                 seed: rand::rng().random(),
             };
-            let callers = listen("caller_address", settings.caller_address)?;
-            let first = index == 0;
-            let peers = first
-                .then(|| listen("peer_listen_address", settings.peer_listen_address))
-                .transpose()?;
+            let callers = callers.listen()?;
+            let peers = peers.take().map(Socket::listen).transpose()?;
             let peers = peers.map(|listener| {
                 let (view, boxes, log) = (view.clone(), mailboxes.clone(), log.logger());
                 let control = control_mailbox.clone();
@@ -135,7 +135,7 @@
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let admin = {
             let _guard = runtime.enter();
-            listen("admin_address", settings.admin_address)?
+            sockets.admin.listen()?
         };
         let admin_state = AdminState::new(
             &settings,
@@ -295,14 +295,51 @@
         .await;
 }
 
-/// Listens on an address that several threads may share.
-fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    let open = || {
-        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        socket.set_reuseaddr(true)?;
-        socket.set_reuseport(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    open().map_err(|source| StartError::Listen { key, address, source })
+/// The sockets of all addresses of a daemon.
+struct Sockets {
+    /// One a traffic thread.
+    callers: Vec<Socket>,
+    peers: Socket,
+    admin: Socket,
+}
+
+/// A bound socket that does not listen yet.
+struct Socket {
+    key: &'static str,
+    address: SocketAddr,
+    inner: TcpSocket,
+}
+
+impl Sockets {
+    fn bind(settings: &DaemonSettings) -> Result<Self, StartError> {
+        let callers =
+            (0..settings.threads).map(|_| Socket::bind("caller_address", settings.caller_address));
+        Ok(Self {
+            callers: callers.collect::<Result<_, _>>()?,
+            peers: Socket::bind("peer_listen_address", settings.peer_listen_address)?,
+            admin: Socket::bind("admin_address", settings.admin_address)?,
+        })
+    }
+}
+
+impl Socket {
+    /// Binds an address that several threads may share.
+    fn bind(key: &'static str, address: SocketAddr) -> Result<Self, StartError> {
+        let open = || {
+            let socket =
+                if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+            socket.set_reuseaddr(true)?;
+            socket.set_reuseport(true)?;
+            socket.bind(address)?;
+            Ok(socket)
+        };
+        let inner = open().map_err(|source| StartError::Listen { key, address, source })?;
+        Ok(Self { key, address, inner })
+    }
+
+    /// Listens; call it within the runtime that accepts.
+    fn listen(self) -> Result<TcpListener, StartError> {
+        let Self { key, address, inner } = self;
+        inner.listen(BACKLOG).map_err(|source| StartError::Listen { key, address, source })
+    }
 }
--- a/crates/berylpin_daemon/tests/admin.rs
+++ b/crates/berylpin_daemon/tests/admin.rs
@@ -2,6 +2,7 @@
 
 mod members;
 
+use berylpin_daemon::{Daemon, DaemonSettings, SystemClock, discard_log};
 use berylpin_standin::platform::PlatformFaults;
 use berylpin_wire::admin::{
     Accepted, Conflict, Document, DrainBody, EDITOR, InForce, MemberList, NotStored, Rejected,
@@ -10,6 +11,7 @@
 use members::{Fleet, TOKEN, document, eventually};
 use reqwest::{Method, Response, StatusCode};
 use serde::de::DeserializeOwned;
+use std::sync::Arc;
 use std::time::Duration;
 
 const NAME: &str = "quota-desk-01";
@@ -147,3 +149,24 @@
     assert_eq!(alive().await, ["entry-0", "entry-1"]);
     fleet.stop().await;
 }
+
+#[tokio::test]
+async fn an_address_in_use_is_named_and_leaves_no_thread() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap();
+    let settings = DaemonSettings::builder()
+        .name("entry-0")
+        .data_centre("palermo-1")
+        .region("palermo")
+        .caller_address("127.0.0.1:0".parse().unwrap())
+        .peer_address("127.0.0.1:0".parse().unwrap())
+        .admin_address(address)
+        .platform(address)
+        .admin_token(TOKEN)
+        .fleet_key("the-fleet-key-0000")
+        .build()
+        .unwrap();
+    let result = Daemon::start(settings, Arc::new(SystemClock), discard_log());
+    let Err(error) = result else { panic!("the daemon started") };
+    assert!(error.to_string().starts_with(&format!("admin_address {address}: ")), "{error}");
+}
--- a/crates/berylpin_daemon/tests/fleet/mod.rs
+++ b/crates/berylpin_daemon/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
 use berylpin_core::message::SnapshotRange;
 use berylpin_daemon::{Daemon, DaemonSettings, SystemClock, discard_log};
 use berylpin_standin::platform::Platform;
+use berylpin_standin::ports::Ports;
 use berylpin_standin::upstream::{Upstream, UpstreamShape};
 use berylpin_wire::caller::RefusalBody;
 use berylpin_wire::execute::{ExecuteBody, ExecutedBody, KeyList, KeysBody};
@@ -15,7 +16,6 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpSocket;
 use tokio::time::sleep;
 
 const ADMIN_TOKEN: &str = "token-of-the-tests";
@@ -39,7 +39,7 @@
     process: Option<DaemonProcess>,
     client: Client,
     /// Bound as long as the fleet lives.
-    _ports: Vec<TcpSocket>,
+    _ports: Ports,
 }
 
 /// A daemon in a process of its own, which is killed when this is dropped.
@@ -73,7 +73,7 @@
             upstreams.push(upstream);
         }
         platform.store(&format!("{SERVICE_PREFIX}quota"), &document);
-        let mut ports = Vec::new();
+        let mut ports = Ports::default();
         let settings: Vec<_> =
             (0..3).map(|index| settings(index, platform.address(), &mut ports)).collect();
         platform.set_vms(settings.iter().map(vm_of).collect());
@@ -226,14 +226,14 @@
     }
 }
 
-fn settings(index: usize, platform: SocketAddr, ports: &mut Vec<TcpSocket>) -> DaemonSettings {
+fn settings(index: usize, platform: SocketAddr, ports: &mut Ports) -> DaemonSettings {
     DaemonSettings::builder()
         .name(&format!("entry-{index}"))
         .data_centre(DATA_CENTRE)
         .region("palermo")
-        .caller_address(reserve(ports))
-        .peer_address(reserve(ports))
-        .admin_address(reserve(ports))
+        .caller_address(ports.reserve(Ipv4Addr::LOCALHOST).unwrap())
+        .peer_address(ports.reserve(Ipv4Addr::LOCALHOST).unwrap())
+        .admin_address(ports.reserve(Ipv4Addr::LOCALHOST).unwrap())
         .platform(platform)
         .admin_token(ADMIN_TOKEN)
         .fleet_key(FLEET_KEY)
@@ -250,13 +250,3 @@
         leaving: false,
     }
 }
-
-/// Binds a free port, so that no other process gets it; daemons share it.
-fn reserve(sockets: &mut Vec<TcpSocket>) -> SocketAddr {
-    let socket = TcpSocket::new_v4().unwrap();
-    socket.set_reuseport(true).unwrap();
-    socket.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
-    let address = socket.local_addr().unwrap();
-    sockets.push(socket);
-    address
-}
--- a/crates/berylpin_daemon/tests/members/mod.rs
+++ b/crates/berylpin_daemon/tests/members/mod.rs
@@ -4,10 +4,11 @@
 
 use berylpin_daemon::{Daemon, DaemonSettings, SystemClock, discard_log};
 use berylpin_standin::platform::Platform;
+use berylpin_standin::ports::Ports;
 use berylpin_wire::admin::MemberList;
 use berylpin_wire::platform::Vm;
 use std::fmt::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -25,6 +26,7 @@
 pub(crate) struct Fleet {
     pub(crate) platform: Platform,
     pub(crate) daemons: Vec<Daemon>,
+    ports: Ports,
 }
 
 impl Fleet {
@@ -39,8 +41,10 @@
         F: Fn(usize) -> &'static str,
     {
         let platform = Platform::start().await.unwrap();
-        let settings: Vec<DaemonSettings> =
-            (0..daemons).map(|index| settings(index, key(index), platform.address())).collect();
+        let mut ports = Ports::default();
+        let settings: Vec<DaemonSettings> = (0..daemons)
+            .map(|index| settings(index, key(index), platform.address(), &mut ports))
+            .collect();
         let vm = |settings: &DaemonSettings| Vm {
             name: settings.name.clone(),
             data_centre: settings.data_centre.clone(),
@@ -49,12 +53,13 @@
         };
         platform.set_vms(settings.iter().map(vm).collect());
         let daemons = settings.into_iter().map(run).collect();
-        Self { platform, daemons }
+        Self { platform, daemons, ports }
     }
 
     /// Starts one more daemon; the VM list does not name it yet, but it finds the others there.
     pub(crate) fn start_another(&mut self, index: usize) {
-        let settings = settings(index, "the-fleet-key-0000", self.platform.address());
+        let settings =
+            settings(index, "the-fleet-key-0000", self.platform.address(), &mut self.ports);
         self.daemons.push(run(settings));
     }
 
@@ -89,14 +94,15 @@
     Daemon::start(settings, Arc::new(SystemClock), discard_log()).unwrap()
 }
 
-fn settings(index: usize, key: &str, platform: SocketAddr) -> DaemonSettings {
+fn settings(index: usize, key: &str, platform: SocketAddr, ports: &mut Ports) -> DaemonSettings {
+    let mut address = || ports.reserve(Ipv4Addr::LOCALHOST).unwrap();
     DaemonSettings::builder()
         .name(&format!("entry-{index}"))
         .data_centre("palermo-1")
         .region("palermo")
-        .caller_address(free_address())
-        .peer_address(free_address())
-        .admin_address(free_address())
+        .caller_address(address())
+        .peer_address(address())
+        .admin_address(address())
         .platform(platform)
         .admin_token(TOKEN)
         .fleet_key(key)
@@ -106,10 +112,6 @@
         .unwrap()
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap()
-}
-
 /// Waits until something holds.
 pub(crate) async fn eventually<F>(what: &str, holds: F)
 where
--- a/crates/berylpin_daemon/tests/process.rs
+++ b/crates/berylpin_daemon/tests/process.rs
@@ -6,10 +6,11 @@
 use berylpin_standin::checker::Layout;
 use berylpin_standin::load::{Balancer, Seen, Stream, caller_client, drive};
 use berylpin_standin::platform::Platform;
+use berylpin_standin::ports::Ports;
 use berylpin_standin::sites::{Document, FIRST_SHARD, ReplicaLine, Site};
 use berylpin_standin::upstream::Upstream;
 use berylpin_wire::platform::{SERVICE_PREFIX, Vm};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::time::Duration;
@@ -31,6 +32,8 @@
     child: Child,
     callers: SocketAddr,
     admin: SocketAddr,
+    /// Reserved as long as the process runs.
+    _ports: Ports,
 }
 
 impl Drop for Process {
@@ -43,7 +46,8 @@
 
 impl Process {
     async fn start(name: &str, platform: &Platform) -> Self {
-        let [callers, peers, admin] = [(); 3].map(|()| free_address());
+        let mut ports = Ports::default();
+        let [callers, peers, admin] = [(); 3].map(|()| ports.reserve(Ipv4Addr::LOCALHOST).unwrap());
         let vm = Vm {
             name: "entry-1".to_owned(),
             data_centre: "palermo-1".to_owned(),
@@ -65,7 +69,7 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        let process = Self { child, callers, admin };
+        let process = Self { child, callers, admin, _ports: ports };
         process.wait_ready().await;
         process
     }
@@ -99,10 +103,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap()
-}
-
 fn settings_file(name: &str, text: &str) -> PathBuf {
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, text).unwrap();
--- a/crates/berylpin_standin/src/lib.rs
+++ b/crates/berylpin_standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod load;
 pub mod net;
 pub mod platform;
+pub mod ports;
 pub mod service;
 pub mod sites;
 pub mod upstream;
