Tell entries how long a replica's calls take, as its owner measures it

Cause: each of an entry's threads had to find a slow replica by itself, from a few samples, and forgot it again; with 18 threads and 18 queries a second a straggler met nearly every thread once. Its owner sees all of its calls and already sends a hint with each reply. The hint now carries the recent service time; cancelled losers of hedges count with the time they had, and the figure shrinks while the replica is idle, so that it is tried again.

--- a/crates/berylpin_core/benches/sub_query.rs
+++ b/crates/berylpin_core/benches/sub_query.rs
@@ -51,6 +51,7 @@
             shed_above: [QueryTag::LEVELS; Rank::COUNT],
             usable: true,
             ejected: false,
+            service_time: Duration::from_millis(8),
         };
         let mut entry = Self {
             now: Instant::now(),
--- a/crates/berylpin_core/src/message.rs
+++ b/crates/berylpin_core/src/message.rs
@@ -156,6 +156,9 @@
     /// How long a new urgent sub-query would wait for a slot, in microseconds on the wire.
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     pub queue_delay: Duration,
+    /// How long calls took lately, in microseconds on the wire; shrinks while there are none.
+    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    pub service_time: Duration,
     /// Levels at or above this one are refused, for each rank; see [`QueryTag::level`].
     pub shed_above: [u16; Rank::COUNT],
     /// Whether the replica takes new work.
--- a/crates/berylpin_core/src/query/coordinator/tests/world.rs
+++ b/crates/berylpin_core/src/query/coordinator/tests/world.rs
@@ -80,6 +80,7 @@
             shed_above: [QueryTag::LEVELS; Rank::COUNT],
             usable: true,
             ejected: false,
+            service_time: Duration::ZERO,
         };
         Self {
             now: Instant::now(),
--- a/crates/berylpin_core/src/query/replicas.rs
+++ b/crates/berylpin_core/src/query/replicas.rs
@@ -362,10 +362,12 @@
     fn expected_micros(&self, now: Instant) -> u32 {
         let unmeasured = if self.local { 0 } else { REMOTE_MICROS };
         let mean = self.latency.mean().map_or(unmeasured, |mean| mean.as_micros() as u32);
+        // What the owner measured is newer than what this thread saw of the replica.
+        let measured = self.hint.service_time.as_micros().min(u32::MAX.into()) as u32;
         let idle = self
             .sampled
             .map_or(0, |at| now.saturating_duration_since(at).as_secs() / FORGET_LATENCY.as_secs());
-        let service = mean >> idle.min(16);
+        let service = (mean >> idle.min(16)).max(measured);
         let own = u64::from(service) * u64::from(self.in_flight) / u64::from(self.slots.max(1));
         (u64::from(service) + self.waiting_micros(now) + own).min(u32::MAX.into()) as u32
     }
--- a/crates/berylpin_core/src/replica/calls.rs
+++ b/crates/berylpin_core/src/replica/calls.rs
@@ -167,15 +167,20 @@
     /// Notes what the end of a call says about its replica.
     fn learn(&mut self, now: Instant, job: &Job, call: RunningCall, outcome: &Outcome) -> Change {
         let state = &mut self.replicas[job.replica];
+        let elapsed = now.saturating_duration_since(call.started);
         match outcome {
             Outcome::Rows { .. } => {
-                state.latencies.record(job.rank, now.saturating_duration_since(call.started));
+                state.latencies.record(job.rank, elapsed);
+                state.recent_service.record(elapsed);
                 state.levels.completed(job.rank);
                 state.probes.last_result = Some(now);
                 state.health.succeeded()
             }
             // The failure of a call that was given up or cancelled is of our own making.
-            Outcome::Failed { .. } if call.stalled || !call.wanted => Change::None,
+            Outcome::Failed { .. } if call.stalled || !call.wanted => {
+                state.recent_service.record_at_least(elapsed);
+                Change::None
+            }
             Outcome::Failed { reason: FailReason::Overloaded, .. } => {
                 state.levels.refused(job.rank);
                 self.pause(now, job);
--- a/crates/berylpin_core/src/replica/latency.rs
+++ b/crates/berylpin_core/src/replica/latency.rs
@@ -21,6 +21,11 @@
 /// After what time a call counts as stalled while no call has ended yet.
 const FIRST_STALL: Duration = Duration::from_millis(500);
 
+/// Weight of a new sample in the recent mean, as a divisor; low, as slowness has to show at once.
+const RECENT_SMOOTHING: u32 = 4;
+/// The part of the recent mean that is forgotten at each probe of an idle replica, as a divisor.
+const FORGET_SMOOTHING: u32 = 16;
+
 /// The part of the time left after which a call is given up, so that the entry still can act.
 const GIVE_UP_SHARE: f64 = 0.95;
 
@@ -74,6 +79,38 @@
     }
 }
 
+/// How long the calls of a replica took lately, for entries to compare replicas by.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RecentService {
+    /// Zero before the first call.
+    mean: Duration,
+}
+
+impl RecentService {
+    /// Counts a call that took `elapsed`.
+    pub(super) fn record(&mut self, elapsed: Duration) {
+        let known = if self.mean.is_zero() { elapsed } else { self.mean };
+        self.mean = smooth(known, elapsed, RECENT_SMOOTHING);
+    }
+
+    /// Counts a call that was ended after `elapsed` without a result.
+    pub(super) fn record_at_least(&mut self, elapsed: Duration) {
+        if elapsed > self.mean {
+            self.record(elapsed);
+        }
+    }
+
+    /// Forgets a part, so that a replica that was slow is tried again.
+    pub(super) fn forget(&mut self) {
+        self.mean = smooth(self.mean, Duration::ZERO, FORGET_SMOOTHING);
+    }
+
+    /// Returns the mean; zero before the first call.
+    pub(super) fn mean(self) -> Duration {
+        self.mean
+    }
+}
+
 fn smooth(mean: Duration, sample: Duration, smoothing: u32) -> Duration {
     (mean * (smoothing - 1) + sample) / smoothing
 }
--- a/crates/berylpin_core/src/replica/latency/tests.rs
+++ b/crates/berylpin_core/src/replica/latency/tests.rs
@@ -37,3 +37,23 @@
         prop_assert!(stalls <= 5, "{stalls} stalls");
     }
 }
+
+#[test]
+fn a_slow_replica_shows_at_once_and_is_forgotten_while_idle() {
+    let mut recent = RecentService::default();
+    for _ in 0..100 {
+        recent.record(Duration::from_millis(8));
+    }
+    // Losers of hedges are cancelled before they end, and still show how slow it is.
+    for _ in 0..4 {
+        recent.record_at_least(Duration::from_millis(160));
+    }
+    assert!(recent.mean() > Duration::from_millis(100), "{:?}", recent.mean());
+    recent.record_at_least(Duration::from_millis(1));
+    assert!(recent.mean() > Duration::from_millis(100), "a short wait says nothing");
+    let probes_until_tried = (0..).take_while(|_| {
+        recent.forget();
+        recent.mean() > Duration::from_millis(16)
+    });
+    assert!((20..60).contains(&probes_until_tried.count()));
+}
--- a/crates/berylpin_core/src/replica/owner.rs
+++ b/crates/berylpin_core/src/replica/owner.rs
@@ -185,6 +185,7 @@
         }
         if state.probes.is_due(now, state.health.is_usable()) {
             state.probes.running = true;
+            state.recent_service.forget();
             out.push(Action::Probe(Probe { replica }));
         }
         // The spread keeps replicas that became owned together from being probed together.
