--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -4,6 +4,7 @@
 use crate::http::{AdminState, CallerState, admin_routes, caller_routes};
 use crate::logging::Log;
 use crate::settings::DaemonSettings;
+use crate::sockets::{Socket, Sockets};
 use crate::traffic::{
     Mail, Mailbox, Mailboxes, PeerContext, StopGate, ThreadContext, run_thread, serve_peers,
 };
@@ -21,13 +22,10 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::{mpsc, watch};
 
-/// Connections that wait to be accepted.
-const BACKLOG: u32 = 1024;
-
 /// How long requests in progress may take once a daemon stops accepting.
 const STOP_LIMIT: Duration = Duration::from_mins(1);
 
@@ -64,12 +62,17 @@
     log: Log,
 }
 
-struct TrafficParts {
-    cx: ThreadContext,
-    rx: mpsc::Receiver<Mail>,
-    mailbox: Mailbox,
-    callers: TcpListener,
-    peers: Option<(TcpListener, PeerContext)>,
+/// What all threads of a daemon share.
+struct Shared {
+    settings: DaemonSettings,
+    clock: Arc<dyn Clock>,
+    log: Log,
+    mailboxes: Mailboxes,
+    control_mailbox: ControlMailbox,
+    view: watch::Receiver<Arc<View>>,
+    stop_gate: StopGate,
+    stopped: watch::Receiver<bool>,
+    killed: watch::Receiver<bool>,
 }
 
 impl Daemon {
@@ -90,76 +93,39 @@
         let (control_mailbox, control_rx) = ControlMailbox::new();
         let (stop_accepting, stopped) = watch::channel(false);
         let (kill, killed) = watch::channel(false);
-        let stopping = Arc::new(AtomicBool::new(false));
-        let joined = Arc::new(AtomicBool::new(false));
-        let (boxes, receivers): (Vec<_>, Vec<_>) =
-            (0..settings.threads).map(|_| Mailbox::new()).unzip();
-        let mailboxes = Mailboxes::new(boxes);
-        let stop_gate = StopGate::new(settings.threads);
+        let ends: Vec<_> = (0..settings.threads).map(|_| Mailbox::new()).collect();
+        let boxes = ends.iter().map(|(mailbox, _)| mailbox.clone()).collect();
+        let shared = Shared {
+            stop_gate: StopGate::new(settings.threads),
+            settings,
+            clock,
+            log,
+            mailboxes: Mailboxes::new(boxes),
+            control_mailbox,
+            view,
+            stopped,
+            killed,
+        };
 
         let mut runtimes = Vec::new();
         let mut traffic = Vec::new();
         let mut peers = Some(sockets.peers);
-        for (index, (rx, callers)) in receivers.into_iter().zip(sockets.callers).enumerate() {
-            let runtime = Builder::new_current_thread().enable_all().build()?;
-            runtimes.push(runtime.handle().clone());
-            let guard = runtime.enter();
+        for (index, (mail, callers)) in ends.into_iter().zip(sockets.callers).enumerate() {
             let id = ThreadId::from_index(index);
-            let cx = ThreadContext {
-                id,
-                mailboxes: mailboxes.clone(),
-                clock: clock.clone(),
-                log: log.clone(),
-                fleet_key: settings.fleet_key.clone(),
-                stop_gate: stop_gate.clone(),
-                seed: rand::rng().random(),
-            };
-            let callers = callers.listen()?;
-            let peers = peers.take().map(Socket::listen).transpose()?;
-            let peers = peers.map(|listener| {
-                let (view, boxes, log) = (view.clone(), mailboxes.clone(), log.logger());
-                let control = control_mailbox.clone();
-                (listener, PeerContext::new(&settings, view, boxes, control, log))
-            });
-            let Some(mailbox) = mailboxes.get(id).cloned() else { continue };
-            let parts = TrafficParts { cx, rx, mailbox, callers, peers };
-            drop(guard);
-            traffic.push(start_traffic(
-                runtime,
-                parts,
-                view.clone(),
-                (stopped.clone(), killed.clone()),
-            )?);
+            let (runtime, thread) = shared.start_traffic(id, mail, callers, peers.take())?;
+            runtimes.push(runtime);
+            traffic.push(thread);
         }
-
-        let runtime = Builder::new_current_thread().enable_all().build()?;
-        let admin = {
-            let _guard = runtime.enter();
-            sockets.admin.listen()?
-        };
-        let admin_state = AdminState::new(
-            &settings,
-            view,
-            (joined.clone(), stopping.clone()),
-            control_mailbox.clone(),
-            log.clone(),
-        );
-        let mut all_runtimes = runtimes.clone();
-        all_runtimes.push(runtime.handle().clone());
-        let cx = ControlContext {
-            settings: settings.clone(),
-            clock,
-            own: control_mailbox.clone(),
-            mailboxes: mailboxes.clone(),
-            runtimes,
-            view: view_tx,
-            joined,
-            log: log.clone(),
-        };
-        let front = serve_http(admin, admin_routes(admin_state), stopped);
-        let control = start_control(runtime, cx, (controller, control_rx), front, killed)?;
-        info!(log, "daemon: started"; "name" => &settings.name);
-        let runtimes = all_runtimes;
+        let stopping = Arc::new(AtomicBool::new(false));
+        let (runtime, control) = shared.start_control(
+            (controller, control_rx),
+            view_tx,
+            sockets.admin,
+            (stopping.clone(), runtimes.clone()),
+        )?;
+        runtimes.push(runtime);
+        info!(shared.log, "daemon: started"; "name" => &shared.settings.name);
+        let Shared { settings, control_mailbox, log, .. } = shared;
         Ok(Self {
             settings,
             stopping,
@@ -216,67 +182,114 @@
     }
 }
 
-fn start_traffic(
-    runtime: Runtime,
-    parts: TrafficParts,
-    view: watch::Receiver<Arc<View>>,
-    (stopped, killed): (watch::Receiver<bool>, watch::Receiver<bool>),
-) -> io::Result<JoinHandle<()>> {
-    let name = format!("traffic-{}", parts.cx.id.index());
-    std::thread::Builder::new().name(name).spawn(move || {
+impl Shared {
+    /// Starts a traffic thread; one of them gets the socket of the links.
+    fn start_traffic(
+        &self,
+        id: ThreadId,
+        (mailbox, rx): (Mailbox, mpsc::Receiver<Mail>),
+        callers: Socket,
+        peers: Option<Socket>,
+    ) -> Result<(Handle, JoinHandle<()>), StartError> {
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let handle = runtime.handle().clone();
+        let (callers, peers) = {
+            let _guard = runtime.enter();
+            (callers.listen()?, peers.map(Socket::listen).transpose()?)
+        };
+        let cx = ThreadContext {
+            id,
+            mailboxes: self.mailboxes.clone(),
+            clock: self.clock.clone(),
+            log: self.log.clone(),
+            fleet_key: self.settings.fleet_key.clone(),
+            stop_gate: self.stop_gate.clone(),
+            seed: rand::rng().random(),
+        };
+        let links = peers.map(|listener| serve_peers(listener, self.peer_context()));
+        let state = CallerState {
+            mailbox: mailbox.clone(),
+            view: self.view.clone(),
+            tickets: Arc::new(AtomicU64::new(0)),
+            clock: self.clock.clone(),
+        };
+        let front = serve_http(callers, caller_routes(state), self.stopped.clone());
+        let first_view = self.view.borrow().clone();
         let work = async move {
-            let TrafficParts { cx, rx, mailbox, callers, peers } = parts;
-            if let Some((listener, cx)) = peers {
-                Handle::current().spawn(serve_peers(listener, cx));
-            }
-            let state = CallerState {
-                mailbox: mailbox.clone(),
-                view: view.clone(),
-                tickets: Arc::new(AtomicU64::new(0)),
-                clock: cx.clock.clone(),
-            };
+            links.map(tokio::spawn);
             // A connection that is kept alive may bring requests until the front end has ended.
             tokio::spawn(async move {
-                serve_http(callers, caller_routes(state), stopped).await;
+                front.await;
                 mailbox.send(Mail::Stop);
             });
-            let first_view = view.borrow().clone();
             run_thread(cx, first_view, rx).await;
         };
-        run_unless(killed, &runtime, work);
-    })
-}
+        let thread = self.spawn(format!("traffic-{}", id.index()), runtime, work)?;
+        Ok((handle, thread))
+    }
 
-/// Runs the work of a thread to its end or until the daemon is killed.
-fn run_unless<F>(mut killed: watch::Receiver<bool>, runtime: &Runtime, work: F)
-where
-    F: Future<Output = ()>,
-{
-    runtime.block_on(async move {
-        tokio::select! {
-            Ok(_) = killed.wait_for(|killed| *killed) => {}
-            () = work => {}
-        }
-    });
-}
+    fn peer_context(&self) -> PeerContext {
+        let (view, mailboxes) = (self.view.clone(), self.mailboxes.clone());
+        let control = self.control_mailbox.clone();
+        PeerContext::new(&self.settings, view, mailboxes, control, self.log.logger())
+    }
 
-fn start_control<F>(
-    runtime: Runtime,
-    cx: ControlContext,
-    (controller, rx): (Controller, mpsc::Receiver<ControlMail>),
-    front: F,
-    killed: watch::Receiver<bool>,
-) -> io::Result<JoinHandle<()>>
-where
-    F: Future<Output = ()> + Send + 'static,
-{
-    std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+    /// Starts the control thread, which also serves operators.
+    fn start_control(
+        &self,
+        (controller, rx): (Controller, mpsc::Receiver<ControlMail>),
+        view: watch::Sender<Arc<View>>,
+        admin: Socket,
+        (stopping, runtimes): (Arc<AtomicBool>, Vec<Handle>),
+    ) -> Result<(Handle, JoinHandle<()>), StartError> {
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let handle = runtime.handle().clone();
+        let admin = {
+            let _guard = runtime.enter();
+            admin.listen()?
+        };
+        let joined = Arc::new(AtomicBool::new(false));
+        let state = AdminState::new(
+            &self.settings,
+            self.view.clone(),
+            (joined.clone(), stopping),
+            self.control_mailbox.clone(),
+            self.log.clone(),
+        );
+        let cx = ControlContext {
+            settings: self.settings.clone(),
+            clock: self.clock.clone(),
+            own: self.control_mailbox.clone(),
+            mailboxes: self.mailboxes.clone(),
+            runtimes,
+            view,
+            joined,
+            log: self.log.clone(),
+        };
+        let front = serve_http(admin, admin_routes(state), self.stopped.clone());
         let work = async move {
             tokio::spawn(front);
             run_control(cx, controller, rx).await;
         };
-        run_unless(killed, &runtime, work);
-    })
+        let thread = self.spawn("control".to_owned(), runtime, work)?;
+        Ok((handle, thread))
+    }
+
+    /// Runs work on a thread of its own, to its end or until the daemon is killed.
+    fn spawn<F>(&self, name: String, runtime: Runtime, work: F) -> io::Result<JoinHandle<()>>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let mut killed = self.killed.clone();
+        std::thread::Builder::new().name(name).spawn(move || {
+            runtime.block_on(async move {
+                tokio::select! {
+                    Ok(_) = killed.wait_for(|killed| *killed) => {}
+                    () = work => {}
+                }
+            });
+        })
+    }
 }
 
 /// Serves HTTP until told to stop and all requests in progress are answered.
@@ -294,52 +307,3 @@
         .run_with_graceful_shutdown(routes, stop, Some(STOP_LIMIT))
         .await;
 }
-
-/// The sockets of all addresses of a daemon.
-struct Sockets {
-    /// One a traffic thread.
-    callers: Vec<Socket>,
-    peers: Socket,
-    admin: Socket,
-}
-
-/// A bound socket that does not listen yet.
-struct Socket {
-    key: &'static str,
-    address: SocketAddr,
-    inner: TcpSocket,
-}
-
-impl Sockets {
-    fn bind(settings: &DaemonSettings) -> Result<Self, StartError> {
-        let callers =
-            (0..settings.threads).map(|_| Socket::bind("caller_address", settings.caller_address));
-        Ok(Self {
-            callers: callers.collect::<Result<_, _>>()?,
-            peers: Socket::bind("peer_listen_address", settings.peer_listen_address)?,
-            admin: Socket::bind("admin_address", settings.admin_address)?,
-        })
-    }
-}
-
-impl Socket {
-    /// Binds an address that several threads may share.
-    fn bind(key: &'static str, address: SocketAddr) -> Result<Self, StartError> {
-        let open = || {
-            let socket =
-                if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-            socket.set_reuseaddr(true)?;
-            socket.set_reuseport(true)?;
-            socket.bind(address)?;
-            Ok(socket)
-        };
-        let inner = open().map_err(|source| StartError::Listen { key, address, source })?;
-        Ok(Self { key, address, inner })
-    }
-
-    /// Listens; call it within the runtime that accepts.
-    fn listen(self) -> Result<TcpListener, StartError> {
-        let Self { key, address, inner } = self;
-        inner.listen(BACKLOG).map_err(|source| StartError::Listen { key, address, source })
-    }
-}
--- a/crates/berylpin_daemon/src/lib.rs
+++ b/crates/berylpin_daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod metrics;
 mod platform;
 mod settings;
+mod sockets;
 mod traffic;
 
 pub use clock::SystemClock;
--- /dev/null
+++ b/crates/berylpin_daemon/src/sockets.rs
@@ -0,0 +1,58 @@
+//! The sockets that a daemon listens on.
+
+use crate::daemon::StartError;
+use crate::settings::DaemonSettings;
+use std::net::SocketAddr;
+use tokio::net::{TcpListener, TcpSocket};
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// The sockets of all addresses of a daemon.
+pub(crate) struct Sockets {
+    /// One a traffic thread.
+    pub(crate) callers: Vec<Socket>,
+    pub(crate) peers: Socket,
+    pub(crate) admin: Socket,
+}
+
+/// A bound socket that does not listen yet.
+pub(crate) struct Socket {
+    key: &'static str,
+    address: SocketAddr,
+    inner: TcpSocket,
+}
+
+impl Sockets {
+    pub(crate) fn bind(settings: &DaemonSettings) -> Result<Self, StartError> {
+        let callers =
+            (0..settings.threads).map(|_| Socket::bind("caller_address", settings.caller_address));
+        Ok(Self {
+            callers: callers.collect::<Result<_, _>>()?,
+            peers: Socket::bind("peer_listen_address", settings.peer_listen_address)?,
+            admin: Socket::bind("admin_address", settings.admin_address)?,
+        })
+    }
+}
+
+impl Socket {
+    /// Binds an address that several threads may share.
+    fn bind(key: &'static str, address: SocketAddr) -> Result<Self, StartError> {
+        let open = || {
+            let socket =
+                if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+            socket.set_reuseaddr(true)?;
+            socket.set_reuseport(true)?;
+            socket.bind(address)?;
+            Ok(socket)
+        };
+        let inner = open().map_err(|source| StartError::Listen { key, address, source })?;
+        Ok(Self { key, address, inner })
+    }
+
+    /// Listens; call it within the runtime that accepts.
+    pub(crate) fn listen(self) -> Result<TcpListener, StartError> {
+        let Self { key, address, inner } = self;
+        inner.listen(BACKLOG).map_err(|source| StartError::Listen { key, address, source })
+    }
+}
