--- a/crates/berylpin_core/src/control/membership/suspicion.rs
+++ b/crates/berylpin_core/src/control/membership/suspicion.rs
@@ -7,7 +7,7 @@
 const CONFIRMED_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How much longer a suspicion lasts that nobody else passed on, as a factor.
-const LONE_FACTOR: u32 = 3;
+const LONE_FACTOR: u32 = 2;
 
 /// Other daemons that have to pass a suspicion on for the short timeout; by then its subject has
 /// most likely heard of it.
--- a/crates/berylpin_core/src/control/probe.rs
+++ b/crates/berylpin_core/src/control/probe.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 /// How often a random peer is probed.
-const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 
 /// How long a peer may take to answer directly; covers a round trip between regions.
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(200);
--- a/crates/berylpin_standin/tests/fleet.rs
+++ b/crates/berylpin_standin/tests/fleet.rs
@@ -12,6 +12,9 @@
 /// Seeds of the tests that look at one failure at a time.
 const SEEDS: std::ops::Range<u64> = 0..20;
 
+/// Seeds of the test whose result depends on which daemon probes first.
+const LOSS_SEEDS: std::ops::Range<u64> = 0..200;
+
 const SECOND: Duration = Duration::from_secs(1);
 
 /// A document with one replica of each of a few shards in every data centre.
@@ -106,13 +109,14 @@
 }
 
 #[test]
-fn the_replicas_of_a_lost_vm_move_within_three_seconds() {
-    for seed in SEEDS {
+fn the_replicas_of_a_lost_vm_move_within_two_seconds() {
+    let late = LOSS_SEEDS.filter(|&seed| {
         let mut fleet = settled(seed);
         fleet.kill(3, true);
-        let moved = fleet.run_until(3 * SECOND, |fleet| out_of_placement(fleet, 3));
-        assert!(moved.is_some(), "seed {seed}");
-    }
+        fleet.run_until(2 * SECOND, |fleet| out_of_placement(fleet, 3)).is_none()
+    });
+    let late: Vec<u64> = late.collect();
+    assert!(late.is_empty(), "{} seeds: {late:?}", late.len());
 }
 
 #[test]
