Add metrics for queue delay, shed levels, platform calls and the revision in force

The operators' issue names them and they were missing. Decisions of the control thread are counted as well; they were only logged before. The test of a running process reads its metrics page and asks for three of them. One histogram sample a reply is the cost on the query path.

--- a/crates/berylpin_daemon/src/control/thread.rs
+++ b/crates/berylpin_daemon/src/control/thread.rs
@@ -4,7 +4,7 @@
 use super::mailbox::{ControlMail, ControlMailbox};
 use super::watch::{read_vms, watch_documents};
 use crate::logging::{Log, log_decision};
-use crate::metrics::record_view;
+use crate::metrics::{count_decision, record_view};
 use crate::platform::Platform;
 use crate::settings::DaemonSettings;
 use crate::traffic::{Mail, Mailboxes};
@@ -141,7 +141,10 @@
                     warn!(self.cx.log, "control: document rejected"; "name" => &*document.name,
                         "version" => document.version, "problems" => problems.join("; "));
                 }
-                Action::Decided(decision) => log_decision(&self.cx.log, &decision),
+                Action::Decided(decision) => {
+                    log_decision(&self.cx.log, &decision);
+                    count_decision(&decision);
+                }
             }
         }
         self.actions = actions;
--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -23,6 +23,10 @@
 const RESTARTS: &str = "berylpin_query_restarts_total";
 const EXECUTION_ATTEMPTS: &str = "berylpin_execution_attempts_total";
 const EXECUTION_REFUSALS: &str = "berylpin_execution_refusals_total";
+const SHED_CHANGES: &str = "berylpin_shed_level_changes_total";
+const QUEUE_DELAY: &str = "berylpin_queue_delay_seconds";
+const PLATFORM_CALLS: &str = "berylpin_platform_calls_total";
+const REVISION: &str = "berylpin_revision_in_force";
 const EPOCH: &str = "berylpin_view_epoch";
 const MEMBERS: &str = "berylpin_members_live";
 const OWNED: &str = "berylpin_replicas_owned";
@@ -45,6 +49,7 @@
 pub fn install_metrics() -> Result<(), BuildError> {
     let recorder = PrometheusBuilder::new()
         .set_buckets_for_metric(full(LATENCY), &LATENCY_BUCKETS)?
+        .set_buckets_for_metric(full(QUEUE_DELAY), &LATENCY_BUCKETS)?
         .set_buckets_for_metric(full(COVERAGE), &COVERAGE_BUCKETS)?
         .build_recorder();
     let page = recorder.handle();
@@ -106,20 +111,33 @@
             let labels = [("verdict", verdict.name()), ("reason", reason.name())];
             counter!(EXECUTION_REFUSALS, &labels).increment(1);
         }
+        Decision::ShedLevel { rank, .. } => {
+            counter!(SHED_CHANGES, "rank" => rank.name()).increment(1);
+        }
+        Decision::InForce { revision } => gauge!(REVISION).set(*revision as f64),
         // Rejected queries are counted with the answers.
         Decision::Pinned { .. }
         | Decision::Rejected { .. }
-        | Decision::ShedLevel { .. }
         | Decision::KeyRouted { .. }
         | Decision::ExecutionStarted { .. }
         | Decision::Member { .. }
         | Decision::Placed { .. }
-        | Decision::InForce { .. }
         | Decision::Watching { .. }
         | Decision::Resumed { .. } => {}
     }
 }
 
+/// Records how long a new sub-query would wait at a replica that just replied.
+pub(crate) fn record_queue_delay(delay: Duration) {
+    histogram!(QUEUE_DELAY).record(delay);
+}
+
+/// Counts a call to the platform; a waiting watch is one call.
+pub(crate) fn count_platform_call(succeeded: bool) {
+    let outcome = if succeeded { "succeeded" } else { "failed" };
+    counter!(PLATFORM_CALLS, "outcome" => outcome).increment(1);
+}
+
 /// Records the view in force.
 pub(crate) fn record_view(view: &View) {
     let live = view.members.iter().filter(|(_, member)| member.live).count();
@@ -145,6 +163,10 @@
     describe_counter!(RESTARTS, "Queries that started again on a newer snapshot");
     describe_counter!(EXECUTION_ATTEMPTS, "Attempts at non-idempotent requests");
     describe_counter!(EXECUTION_REFUSALS, "Refusals by holders of keys, by verdict and reason");
+    describe_counter!(SHED_CHANGES, "Changes of a replica's shed level, by rank");
+    describe_histogram!(QUEUE_DELAY, "Time that a new sub-query would wait at a replica");
+    describe_counter!(PLATFORM_CALLS, "Calls to the platform, by outcome");
+    describe_gauge!(REVISION, "Revision of the documents in force");
     describe_gauge!(EPOCH, "Epoch of the view in force");
     describe_gauge!(MEMBERS, "Daemons that take part in placement");
     describe_gauge!(OWNED, "Replicas that this daemon owns");
--- a/crates/berylpin_daemon/src/platform.rs
+++ b/crates/berylpin_daemon/src/platform.rs
@@ -1,5 +1,6 @@
 //! The client of the platform.
 
+use crate::metrics::count_platform_call;
 use berylpin_wire::platform::{ObjectList, SERVICE_PREFIX, Stored, Vm};
 use reqwest::{Client, RequestBuilder, StatusCode};
 use std::net::{IpAddr, SocketAddr};
@@ -129,6 +130,15 @@
 }
 
 async fn read<T>(request: RequestBuilder) -> Result<T, PlatformError>
+where
+    T: serde::de::DeserializeOwned,
+{
+    let result = try_read(request).await;
+    count_platform_call(result.is_ok());
+    result
+}
+
+async fn try_read<T>(request: RequestBuilder) -> Result<T, PlatformError>
 where
     T: serde::de::DeserializeOwned,
 {
--- a/crates/berylpin_daemon/src/traffic/thread.rs
+++ b/crates/berylpin_daemon/src/traffic/thread.rs
@@ -6,7 +6,7 @@
 use super::stop::StopGate;
 use super::upstream::Upstreams;
 use crate::logging::{Log, log_decision};
-use crate::metrics::count_decision;
+use crate::metrics::{count_decision, record_queue_delay};
 use crate::settings::Secret;
 use berylpin_core::clock::Clock;
 use berylpin_core::control::View;
@@ -231,7 +231,12 @@
         self.owner.handle(self.cx.clock.now(), event, &mut actions);
         for action in actions.drain(..) {
             match action {
-                replica::Action::Send(to, message) => self.send(to, message),
+                replica::Action::Send(to, message) => {
+                    if let QueryMessage::Reply(reply) = &message {
+                        record_queue_delay(reply.hint.queue_delay);
+                    }
+                    self.send(to, message);
+                }
                 replica::Action::Call(call) => self.upstreams.call(&self.view, call),
                 replica::Action::Abort { replica, request } => {
                     self.upstreams.abort(&self.view, replica, request);
--- a/crates/berylpin_daemon/tests/process.rs
+++ b/crates/berylpin_daemon/tests/process.rs
@@ -145,6 +145,11 @@
     let caller = (balancer.clone(), caller_client());
     let load = tokio::spawn(drive(caller, (0, stream), end, 1, |_| 1.0));
     sleep(Duration::from_secs(1)).await;
+    let page = format!("http://{}/metrics", process.admin);
+    let page = caller_client().get(page).send().await.unwrap().text().await.unwrap();
+    for metric in ["queue_delay_seconds", "revision_in_force", "platform_calls_total"] {
+        assert!(page.contains(&format!("berylpin_{metric}")), "{metric} is missing:\n{page}");
+    }
     process.terminate();
     sleep(BALANCER_LAG).await;
     balancer.set(0, None);
