--- a/crates/berylpin/src/caller_client.rs
+++ b/crates/berylpin/src/caller_client.rs
@@ -1,9 +1,9 @@
 //! A caller of one daemon.
 
 use crate::args::CommandError;
-use crate::client::print_json;
+use crate::client::{print_json, read};
 use berylpin_wire::caller::RefusalBody;
-use reqwest::{Client, Response};
+use reqwest::Client;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
@@ -43,10 +43,3 @@
         Err(CommandError::Incomplete(format!("{message} (verdict: {verdict})")))
     }
 }
-
-async fn read<T>(response: Response) -> Result<T, CommandError>
-where
-    T: DeserializeOwned,
-{
-    response.json().await.map_err(|e| CommandError::Failed(format!("malformed answer: {e}")))
-}
--- a/crates/berylpin/src/client.rs
+++ b/crates/berylpin/src/client.rs
@@ -213,7 +213,8 @@
     Err(CommandError::Failed(message))
 }
 
-async fn read<T>(response: Response) -> Result<T, CommandError>
+/// Reads a JSON answer.
+pub(crate) async fn read<T>(response: Response) -> Result<T, CommandError>
 where
     T: DeserializeOwned,
 {
--- a/crates/berylpin_daemon/src/http/caller.rs
+++ b/crates/berylpin_daemon/src/http/caller.rs
@@ -3,6 +3,7 @@
 use super::caller_guard::CallerGuard;
 use super::execute::{execute, issue_keys};
 use super::reply::{json, refuse};
+use super::request::{check_deadline, read_body};
 use crate::metrics::record_answer;
 use crate::traffic::{Mail, Mailbox};
 use berylpin_core::clock::Clock;
@@ -19,12 +20,6 @@
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 
-/// The longest request body, in bytes.
-const BODY_LIMIT: usize = 64 * 1024;
-
-/// The longest deadline of a request.
-const DEADLINE_LIMIT: Duration = Duration::from_mins(1);
-
 /// Rows in an answer unless the request says otherwise.
 const DEFAULT_ROWS: u32 = 100;
 
@@ -79,8 +74,7 @@
 
 async fn read_request(body: Body, state: &CallerState) -> Result<Request, Response> {
     let bad = |message| refuse(StatusCode::BAD_REQUEST, Verdict::NotRun, "bad_request", message);
-    let bytes = body.into_bytes_limit(BODY_LIMIT).await.map_err(|e| bad(e.to_string()))?;
-    let body: QueryBody = serde_json::from_slice(&bytes).map_err(|e| bad(e.to_string()))?;
+    let body: QueryBody = read_body(body).await.map_err(bad)?;
     let view = state.view.borrow();
     let Some((_, shards)) = view.topology.target(&body.target) else {
         let message = format!("no service or group is named `{}`", body.target);
@@ -90,10 +84,7 @@
     let service = &view.topology.services[view.topology.shards[shards[0]].service];
     let target = service.settings.targets[body.rank.index()];
     let time_left = body.deadline_ms.map_or(target, Duration::from_millis);
-    if time_left.is_zero() || time_left > DEADLINE_LIMIT {
-        let limit = DEADLINE_LIMIT.as_millis();
-        return Err(bad(format!("deadline_ms: use a number from 1 to {limit}")));
-    }
+    let time_left = check_deadline(time_left).map_err(bad)?;
     Ok(Request {
         target: body.target,
         rank: body.rank,
--- a/crates/berylpin_daemon/src/http/execute.rs
+++ b/crates/berylpin_daemon/src/http/execute.rs
@@ -3,6 +3,7 @@
 use super::caller::CallerState;
 use super::caller_guard::CallerGuard;
 use super::reply::{json, refuse};
+use super::request::{DEADLINE_LIMIT, check_deadline, read_body};
 use crate::traffic::{ExecuteMail, Mail};
 use berylpin_core::execute::{Answer, KEY_WINDOW, Refusal, RefusalReason, Request};
 use berylpin_core::query::Ticket;
@@ -12,27 +13,20 @@
 use poem::http::StatusCode;
 use poem::web::Data;
 use poem::{Body, Response, handler};
-use serde::de::DeserializeOwned;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// The longest request body, in bytes.
-const BODY_LIMIT: usize = 64 * 1024;
-
 /// Keys in one answer.
 const KEYS_LIMIT: u32 = 1000;
 
-/// The longest deadline of a request.
-const DEADLINE_LIMIT: Duration = Duration::from_mins(1);
-
 /// Issues keys.
 #[handler]
 pub(super) async fn issue_keys(state: Data<&CallerState>, body: Body) -> Response {
     let count = match read_body::<KeysBody>(body).await {
         Ok(KeysBody { count }) if (1..=KEYS_LIMIT).contains(&count) => count,
         Ok(_) => return bad_request(format!("count: use a number from 1 to {KEYS_LIMIT}")),
-        Err(response) => return response,
+        Err(problem) => return bad_request(problem),
     };
     let (reply, keys) = oneshot::channel();
     let sent =
@@ -83,7 +77,7 @@
 }
 
 async fn read_request(body: Body, state: &CallerState) -> Result<Request, Response> {
-    let body: ExecuteBody = read_body(body).await?;
+    let body: ExecuteBody = read_body(body).await.map_err(bad_request)?;
     let key = body.key.parse().map_err(|e| bad_request(format!("key: {e}")))?;
     // The holder refuses an unknown service: only it knows whether the key ran.
     let view = state.view.borrow();
@@ -93,10 +87,7 @@
         .map(|service| service.settings.targets[body.rank.index()]);
     let time_left = body.deadline_ms.map(Duration::from_millis).or(target);
     let time_left = time_left.unwrap_or(DEADLINE_LIMIT);
-    if time_left.is_zero() || time_left > DEADLINE_LIMIT {
-        let limit = DEADLINE_LIMIT.as_millis();
-        return Err(bad_request(format!("deadline_ms: use a number from 1 to {limit}")));
-    }
+    let time_left = check_deadline(time_left).map_err(bad_request)?;
     Ok(Request {
         key,
         service: body.service,
@@ -107,14 +98,6 @@
     })
 }
 
-async fn read_body<T>(body: Body) -> Result<T, Response>
-where
-    T: DeserializeOwned,
-{
-    let bytes = body.into_bytes_limit(BODY_LIMIT).await.map_err(|e| bad_request(e.to_string()))?;
-    serde_json::from_slice(&bytes).map_err(|e| bad_request(e.to_string()))
-}
-
 /// Refuses a request that is not understood.
 ///
 /// An earlier request with the same key may have been, so nothing is known of the key.
--- a/crates/berylpin_daemon/src/http/mod.rs
+++ b/crates/berylpin_daemon/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod caller_guard;
 mod execute;
 mod reply;
+mod request;
 
 pub(crate) use admin::{AdminState, admin_routes};
 pub(crate) use caller::{CallerState, caller_routes};
