--- /dev/null
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -0,0 +1,416 @@
+//! The configuration in force and the replicas known, kept by the control thread.
+
+use super::view::{Distance, Replica, Route, RouteId, Service, Target, View};
+use crate::arena::Arena;
+use crate::ids::{Key, ReplicaId, ServiceId};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How long a replica stays in use whose entry vanished while the store was away; the store needs
+/// about 2 s after its return until all living replicas have entries again.
+const LAPSE_GRACE: Duration = Duration::from_millis(2500);
+
+/// Connections that a replica is taken to accept if the configuration does not say.
+const DEFAULT_CONNECTIONS: u32 = 16;
+
+/// What callers may send and how long they may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// The longest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// The longest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// How long a head may take.
+    pub header_timeout: Duration,
+    /// How long a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+/// One version of the operator's configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Configuration {
+    /// Grows with each change.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<RouteConfig>,
+    /// Connections that each replica of a service accepts, from all daemons together.
+    pub max_connections: Vec<(String, u32)>,
+    /// What callers may send.
+    pub limits: ClientLimits,
+}
+
+/// A route as the operator writes it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteConfig {
+    /// Unique.
+    pub name: String,
+    /// In lower case.
+    pub host: String,
+    /// Begins and ends with a slash.
+    pub prefix: String,
+    /// What serves it.
+    pub target: RouteTarget,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// The longest time that a request is kept waiting.
+    pub timeout: Duration,
+    /// The time within which an answer is worth most.
+    pub target_latency: Duration,
+    /// Replicas that one request may be sent to, for each shard.
+    pub max_attempts: u32,
+    /// 0 is the most urgent.
+    pub urgency: u8,
+}
+
+/// What serves a route, by name.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RouteTarget {
+    /// One of these services, chosen by weight.
+    Split(Vec<(String, f64)>),
+    /// All of these services.
+    Shards {
+        /// Each once.
+        services: Vec<String>,
+        /// Records in an answer.
+        limit: usize,
+        /// The share of the shards that an answer needs, from 0 to 1.
+        min_coverage: f64,
+    },
+}
+
+/// What a replica says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaEntry {
+    /// The replica's own name.
+    pub id: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub data_centre: String,
+    /// Requests that it runs at a time, at least 1.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// How much longer it is slow after its start.
+    pub warm_up_left: Duration,
+    /// Wall time of its start, in ms; tells two lives under one name apart.
+    pub started_ms: u64,
+}
+
+/// A replica that has an entry, or had one until the store went away.
+#[derive(Debug)]
+struct Known {
+    entry: ReplicaEntry,
+    id: ReplicaId,
+    /// Set while the entry is gone but may only have lapsed.
+    drop_at: Option<Instant>,
+}
+
+/// Where this daemon runs.
+#[derive(Clone, Debug)]
+pub(super) struct Place {
+    data_centre: String,
+    /// Sorted by data centre.
+    regions: Vec<(String, String)>,
+}
+
+/// Everything that views are made of.
+#[derive(Debug)]
+pub struct Catalogue {
+    place: Place,
+    configuration: Option<Configuration>,
+    /// Whether the replicas have been listed.
+    listed: bool,
+    /// Sorted by the replicas' names.
+    replicas: Vec<Known>,
+    /// Names of services; the index is the id.
+    services: Vec<Arc<str>>,
+    /// All services, sorted by name.
+    service_names: Vec<ServiceId>,
+    /// Names of routes in force, sorted, with their ids.
+    routes: Vec<(Arc<str>, RouteId)>,
+    next_replica: usize,
+    next_route: u32,
+    /// When the store last came back after it could not be reached.
+    store_back: Option<Instant>,
+    store_away: bool,
+    fleet_size: u32,
+}
+
+impl Catalogue {
+    /// Makes an empty catalogue; `regions` is sorted by data centre.
+    pub fn new(data_centre: String, regions: Vec<(String, String)>, fleet_size: u32) -> Self {
+        Self {
+            place: Place { data_centre, regions },
+            configuration: None,
+            listed: false,
+            replicas: Vec::new(),
+            services: Vec::new(),
+            service_names: Vec::new(),
+            routes: Vec::new(),
+            next_replica: 0,
+            next_route: 0,
+            store_back: None,
+            store_away: false,
+            fleet_size,
+        }
+    }
+
+    /// Returns the version in force.
+    pub fn version(&self) -> Option<u64> {
+        self.configuration.as_ref().map(|configuration| configuration.version)
+    }
+
+    /// Returns how many replicas are known, the leaving ones included.
+    pub fn replica_count(&self) -> usize {
+        self.replicas.len()
+    }
+
+    /// Puts a configuration in force unless one as new is; returns whether it did.
+    pub fn configure(&mut self, configuration: Configuration) -> bool {
+        if self.version().is_some_and(|version| version >= configuration.version) {
+            return false;
+        }
+        let routes = configuration.routes.iter().map(|route| {
+            let found = self.routes.binary_search_by(|(name, _)| (**name).cmp(&*route.name));
+            let id = found.map_or_else(
+                |_| {
+                    self.next_route += 1;
+                    RouteId(self.next_route)
+                },
+                |index| self.routes[index].1,
+            );
+            (Arc::from(&*route.name), id)
+        });
+        let mut routes: Vec<_> = routes.collect();
+        routes.sort();
+        self.routes = routes;
+        for (name, _) in &configuration.max_connections {
+            self.enter_service(name);
+        }
+        for route in &configuration.routes {
+            match &route.target {
+                RouteTarget::Split(parts) => {
+                    parts.iter().for_each(|(name, _)| self.enter_service(name));
+                }
+                RouteTarget::Shards { services, .. } => {
+                    services.iter().for_each(|name| self.enter_service(name));
+                }
+            }
+        }
+        self.configuration = Some(configuration);
+        true
+    }
+
+    /// Takes the complete list of entries; returns whether anything changed.
+    pub fn list(&mut self, entries: Vec<ReplicaEntry>, now: Instant) -> bool {
+        let mut changed = !self.listed;
+        self.listed = true;
+        let mut names: Vec<String> = entries.iter().map(|entry| entry.id.clone()).collect();
+        names.sort();
+        for entry in entries {
+            changed |= self.put(entry);
+        }
+        let known = self.replicas.iter().map(|known| known.entry.id.clone());
+        let gone: Vec<_> = known.filter(|name| names.binary_search(name).is_err()).collect();
+        for name in gone {
+            changed |= self.remove(&name, now);
+        }
+        changed
+    }
+
+    /// Takes a replica's entry; returns whether traffic is concerned.
+    pub fn put(&mut self, entry: ReplicaEntry) -> bool {
+        self.enter_service(&entry.service);
+        match self.position(&entry.id) {
+            Ok(index) => {
+                let known = &mut self.replicas[index];
+                let reborn = known.entry.started_ms != entry.started_ms;
+                let same = known.entry.draining == entry.draining
+                    && known.entry.address == entry.address
+                    && known.entry.service == entry.service
+                    && known.entry.slots == entry.slots
+                    && !reborn;
+                if reborn || known.entry.address != entry.address {
+                    known.id = ReplicaId::from_index(self.next_replica);
+                    self.next_replica += 1;
+                }
+                known.entry = entry;
+                known.drop_at = None;
+                !same
+            }
+            Err(index) => {
+                let id = ReplicaId::from_index(self.next_replica);
+                self.next_replica += 1;
+                self.replicas.insert(index, Known { entry, id, drop_at: None });
+                true
+            }
+        }
+    }
+
+    /// Takes the end of an entry; returns whether traffic is concerned.
+    ///
+    /// Right after the store came back the entry may only have lapsed, so the replica stays in use
+    /// until its entry had time to return.
+    pub fn remove(&mut self, name: &str, now: Instant) -> bool {
+        let Ok(index) = self.position(name) else { return false };
+        let lapsed_until = self.store_back.map(|back| back + LAPSE_GRACE).filter(|at| *at > now);
+        let known = &mut self.replicas[index];
+        if let Some(at) = lapsed_until.filter(|_| !known.entry.draining) {
+            known.drop_at.get_or_insert(at);
+            return false;
+        }
+        self.replicas.remove(index);
+        true
+    }
+
+    /// Notes whether the store can be reached; returns whether that is news.
+    pub fn store_reached(&mut self, reached: bool, now: Instant) -> bool {
+        let news = self.store_away == reached;
+        if news && reached {
+            self.store_back = Some(now);
+        }
+        self.store_away = !reached;
+        news
+    }
+
+    /// Returns when `expire` has something to do.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.replicas.iter().filter_map(|known| known.drop_at).min()
+    }
+
+    /// Drops the replicas whose entries did not come back; returns their names.
+    pub fn expire(&mut self, now: Instant) -> Vec<String> {
+        let mut dropped = Vec::new();
+        self.replicas.retain(|known| {
+            let keep = known.drop_at.is_none_or(|at| at > now);
+            if !keep {
+                dropped.push(known.entry.id.clone());
+            }
+            keep
+        });
+        dropped
+    }
+
+    /// Returns a picture of the present state; `None` before configuration and replicas are known.
+    pub fn view(&self) -> Option<View> {
+        let configuration = self.configuration.as_ref().filter(|_| self.listed)?;
+        let mut routes: Vec<Route> =
+            configuration.routes.iter().map(|route| self.route(route)).collect();
+        routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        Some(View {
+            version: configuration.version,
+            routes,
+            services: self.service_arena(),
+            limits: configuration.limits,
+            fleet_size: self.fleet_size,
+        })
+    }
+
+    fn route(&self, route: &RouteConfig) -> Route {
+        let target = match &route.target {
+            RouteTarget::Split(parts) => {
+                Target::Split(parts.iter().map(|(name, w)| (self.service(name), *w)).collect())
+            }
+            RouteTarget::Shards { services, limit, min_coverage } => {
+                let services: Vec<_> = services.iter().map(|name| self.service(name)).collect();
+                let min_parts = min_parts(services.len(), *min_coverage);
+                Target::Shards { services, limit: *limit, min_parts }
+            }
+        };
+        let position = self.routes.binary_search_by(|(name, _)| (**name).cmp(&*route.name));
+        let (name, id) = &self.routes[position.expect("configure enters all routes")];
+        Route {
+            id: *id,
+            name: name.clone(),
+            host: Arc::from(&*route.host),
+            prefix: Arc::from(&*route.prefix),
+            target,
+            idempotent: route.idempotent,
+            timeout: route.timeout,
+            target_latency: route.target_latency,
+            max_attempts: route.max_attempts.max(1),
+            urgency: route.urgency,
+        }
+    }
+
+    fn service_arena(&self) -> Arena<ServiceId, Service> {
+        let mut services = Arena::default();
+        for name in &self.services {
+            services.push(Service {
+                name: name.clone(),
+                max_connections: DEFAULT_CONNECTIONS,
+                replicas: Vec::new(),
+            });
+        }
+        let configured = self.configuration.iter().flat_map(|c| &c.max_connections);
+        for (name, connections) in configured {
+            services[self.service(name)].max_connections = *connections;
+        }
+        for known in self.replicas.iter().filter(|known| !known.entry.draining) {
+            let entry = &known.entry;
+            services[self.service(&entry.service)].replicas.push(Arc::new(Replica {
+                id: known.id,
+                name: Arc::from(&*entry.id),
+                address: entry.address,
+                distance: self.place.distance(&entry.data_centre),
+                slots: entry.slots,
+            }));
+        }
+        for (_, service) in services.iter_mut() {
+            service.replicas.sort_by_key(|replica| replica.id);
+        }
+        services
+    }
+
+    /// Returns the id of a service that was entered before.
+    fn service(&self, name: &str) -> ServiceId {
+        let found =
+            self.service_names.binary_search_by(|id| (*self.services[id.index()]).cmp(name));
+        self.service_names[found.expect("services are entered with what names them")]
+    }
+
+    fn enter_service(&mut self, name: &str) {
+        let found =
+            self.service_names.binary_search_by(|id| (*self.services[id.index()]).cmp(name));
+        if let Err(position) = found {
+            self.service_names.insert(position, ServiceId::from_index(self.services.len()));
+            self.services.push(Arc::from(name));
+        }
+    }
+
+    fn position(&self, name: &str) -> Result<usize, usize> {
+        self.replicas.binary_search_by(|known| known.entry.id.as_str().cmp(name))
+    }
+}
+
+impl Place {
+    fn distance(&self, data_centre: &str) -> Distance {
+        if self.data_centre == data_centre {
+            return Distance::DataCentre;
+        }
+        match (self.region(&self.data_centre), self.region(data_centre)) {
+            (Some(own), Some(other)) if own == other => Distance::Region,
+            _ => Distance::Remote,
+        }
+    }
+
+    fn region(&self, data_centre: &str) -> Option<&str> {
+        let found = self.regions.binary_search_by(|(name, _)| name.as_str().cmp(data_centre));
+        found.ok().map(|index| self.regions[index].1.as_str())
+    }
+}
+
+/// Returns how many of `count` shards reach the share `min_coverage`.
+fn min_parts(count: usize, min_coverage: f64) -> usize {
+    /// Keeps a product such as 0.95 x 20 from being rounded up to the next whole number.
+    const ROUNDING: f64 = 1e-9;
+    let needed = (count as f64 * min_coverage - ROUNDING).ceil().max(1.0);
+    (needed as usize).min(count.max(1))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -0,0 +1,230 @@
+//! What goes into a dispatcher and what comes out of it.
+
+use super::view::{Replica, View};
+use crate::arena::SlabKey;
+use crate::ids::ReplicaId;
+use crate::verdict::Verdict;
+use bytes::Bytes;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Names a caller's request within one thread; chosen by the front end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// Names an attempt within one thread; never used twice.
+pub type AttemptKey = SlabKey;
+
+/// What is known of a request before its body is needed.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// In lower case and without a port.
+    pub host: String,
+    /// With the query, if there is one.
+    pub path: String,
+    /// How long the caller waits, if it says so.
+    pub time_left: Option<Duration>,
+}
+
+/// What happens to the requests of a thread; `H` is how the front end keeps an answer's headers.
+#[derive(Debug)]
+pub enum Event<H> {
+    /// Control state changed.
+    View(Arc<View>),
+    /// A caller sent a request.
+    Request(Ticket, Request),
+    /// The caller does not wait any more.
+    CallerGone(Ticket),
+    /// An attempt ended.
+    Ended(AttemptKey, Outcome<H>),
+    /// Time passed.
+    Wake,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug)]
+pub enum Outcome<H> {
+    /// The replica answered in full.
+    Answered(Reply<H>),
+    /// The replica refused and did not run the request.
+    Refused,
+    /// Another replica has the address.
+    WrongReplica,
+    /// The replica could not be connected to.
+    Unreachable,
+    /// There is no answer that can be used.
+    Broken(Verdict),
+}
+
+/// A complete answer of a replica to the request that it was sent.
+#[derive(Clone, Debug)]
+pub struct Reply<H> {
+    /// The status.
+    pub status: u16,
+    /// Proves that the replica gave the answer.
+    pub signature: Option<Box<str>>,
+    /// The whole body.
+    pub body: Bytes,
+    /// For the front end.
+    pub headers: H,
+}
+
+impl<H> Reply<H> {
+    /// Returns whether the replica did what was asked.
+    pub(super) fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
+
+/// What a dispatcher wants done.
+#[derive(Debug)]
+pub enum Action<H> {
+    /// Send the request to a replica.
+    Send {
+        /// The request.
+        ticket: Ticket,
+        /// Names the attempt in `Ended` and `Abort`.
+        attempt: AttemptKey,
+        /// The replica.
+        replica: Arc<Replica>,
+        /// How long the replica may take.
+        time_left: Duration,
+        /// Whether the request may run more than once, so that a connection used before may do.
+        idempotent: bool,
+    },
+    /// Break an attempt off; nothing more is to be heard of it.
+    Abort {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// The replica was silent for so long that its other connections may have gone silent too.
+        silent: bool,
+    },
+    /// Answer the caller.
+    Answer(Ticket, Answer<H>),
+    /// Write a log line.
+    Log(Ticket, DirectDecision),
+}
+
+/// What a caller gets.
+#[derive(Debug)]
+pub enum Answer<H> {
+    /// A replica's answer as it is.
+    Relayed(Reply<H>),
+    /// The greatest records of several shards.
+    Merged {
+        /// Of the shards that are included.
+        signatures: Vec<Box<str>>,
+        /// Shards that are left out.
+        missing: usize,
+        /// The records.
+        records: Bytes,
+    },
+    /// No answer.
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// Whether the request may have run.
+        verdict: Verdict,
+        /// When it is worth coming back.
+        retry_after: Option<Duration>,
+    },
+}
+
+/// Why a caller gets no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// No configuration is known yet.
+    NotReady,
+    /// No route matches.
+    NoRoute,
+    /// No replica is known that could take the request.
+    NoReplica,
+    /// The replicas refused.
+    Overloaded,
+    /// The replicas failed or answered with bytes that cannot be used.
+    Failed,
+    /// The time ran out.
+    Timeout,
+}
+
+impl RefusalReason {
+    /// Returns the name used in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotReady => "not_ready",
+            Self::NoRoute => "no_route",
+            Self::NoReplica => "no_replica",
+            Self::Overloaded => "overloaded",
+            Self::Failed => "failed",
+            Self::Timeout => "timeout",
+        }
+    }
+}
+
+/// Why an attempt was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The first attempt at a shard.
+    First,
+    /// The earlier attempt failed.
+    Retry,
+    /// The earlier attempt is slow.
+    Hedge,
+}
+
+impl Cause {
+    /// Returns the name used in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Retry => "retry",
+            Self::Hedge => "hedge",
+        }
+    }
+}
+
+/// A decision about a request, for the log.
+#[derive(Clone, Debug)]
+pub enum DirectDecision {
+    /// Extra work was sent for a shard.
+    Extra {
+        /// Why.
+        cause: Cause,
+        /// The replica chosen.
+        replica: ReplicaId,
+        /// How long the shard had been waited for.
+        waited: Duration,
+        /// Extra attempts that are left for the service.
+        budget_left: f64,
+    },
+    /// An attempt ended without a usable answer.
+    AttemptFailed {
+        /// The replica.
+        replica: ReplicaId,
+        /// What happened.
+        outcome: &'static str,
+        /// Whether it ran there.
+        verdict: Verdict,
+        /// How long the attempt took.
+        elapsed: Duration,
+    },
+    /// The request is over.
+    Done {
+        /// The route, if one matched.
+        route: Option<Arc<str>>,
+        /// The version of the configuration that it was routed by.
+        version: u64,
+        /// What became of it.
+        outcome: &'static str,
+        /// Shards asked, or 1.
+        parts: usize,
+        /// Parts without an answer.
+        missing: usize,
+        /// Attempts made.
+        attempts: u32,
+        /// From the request's arrival.
+        elapsed: Duration,
+        /// The target, for lateness.
+        target: Duration,
+    },
+}
--- /dev/null
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -0,0 +1,27 @@
+//! Requests that the entry sends to replicas itself.
+//!
+//! The control thread keeps a [`Catalogue`] of the configuration and of the replicas that are known,
+//! and publishes a [`View`] after each change. Each traffic thread runs a [`Dispatcher`], which routes
+//! requests by the view, chooses replicas, repeats attempts and merges parts.
+
+mod budget;
+mod catalogue;
+mod dispatcher;
+mod event;
+mod flight;
+mod merge;
+mod pace;
+mod replicas;
+mod split;
+mod view;
+
+pub use budget::ExtraLimits;
+pub use catalogue::{
+    Catalogue, ClientLimits, Configuration, ReplicaEntry, RouteConfig, RouteTarget,
+};
+pub use dispatcher::Dispatcher;
+pub use event::{
+    Action, Answer, AttemptKey, Cause, DirectDecision, Event, Outcome, RefusalReason, Reply,
+    Request, Ticket,
+};
+pub use view::{Distance, Replica, Route, RouteId, Service, Target, View};
--- a/crates/berylpin_core/src/query/latency.rs
+++ b/crates/berylpin_core/src/latency.rs
@@ -1,4 +1,4 @@
-//! How long the sub-queries of one replica take, as the entry sees it.
+//! A streaming latency distribution.
 
 use std::time::Duration;
 
@@ -27,7 +27,7 @@
 /// Counts lie in buckets on a logarithmic scale from 128 us to 8 s and decay by halving, so a
 /// replica that became slow or fast is known as such after a few hundred sub-queries.
 #[derive(Clone, Debug)]
-pub(super) struct Latency {
+pub(crate) struct Latency {
     counts: [u16; BUCKETS],
     /// The sum of `counts`; below `WINDOW` after each sample.
     total: u32,
@@ -49,7 +49,7 @@
 
 impl Latency {
     /// Adds a sample.
-    pub(super) fn record(&mut self, elapsed: Duration) {
+    pub(crate) fn record(&mut self, elapsed: Duration) {
         let micros = elapsed.as_micros().min(u128::from(u32::MAX / SMOOTHING)) as u32;
         self.mean = match self.mean {
             0 => micros.max(1),
@@ -70,20 +70,28 @@
     }
 
     /// Returns the mean, or `None` before the first sample.
-    pub(super) fn mean(&self) -> Option<Duration> {
+    pub(crate) fn mean(&self) -> Option<Duration> {
         (self.mean > 0).then(|| Duration::from_micros(self.mean.into()))
     }
 
     /// Returns what 95 in 100 sub-queries stay below, or `None` with too few samples.
-    pub(super) fn p95(&self) -> Option<Duration> {
+    pub(crate) fn p95(&self) -> Option<Duration> {
         (self.p95 > 0).then(|| Duration::from_micros(self.p95.into()))
     }
 
     /// Returns what 99 in 100 sub-queries stay below, or `None` with too few samples.
-    pub(super) fn p99(&self) -> Option<Duration> {
+    pub(crate) fn p99(&self) -> Option<Duration> {
         (self.p99 > 0).then(|| Duration::from_micros(self.p99.into()))
     }
 
+    /// Returns what the given share of sub-queries stays below; zero before the first sample.
+    pub(crate) fn percentile(&self, percent: u32) -> Duration {
+        match self.total {
+            0 => Duration::ZERO,
+            _ => Duration::from_micros(self.quantile(percent).into()),
+        }
+    }
+
     /// Returns the upper end of the bucket that holds the quantile, in microseconds.
     fn quantile(&self, percent: u32) -> u32 {
         let needed = (self.total * percent).div_ceil(100);
--- a/crates/berylpin_core/src/query/mod.rs
+++ b/crates/berylpin_core/src/query/mod.rs
@@ -5,7 +5,6 @@
 mod coordinator;
 mod event;
 mod hedge;
-mod latency;
 mod outbox;
 mod owners;
 mod progress;
--- a/crates/berylpin_core/src/query/replicas.rs
+++ b/crates/berylpin_core/src/query/replicas.rs
@@ -1,11 +1,11 @@
 //! What the entry knows of each replica, and which one it asks.
 
-use super::latency::Latency;
 use super::owners::Owners;
 use super::progress::{Attempt, Progress};
 use crate::arena::Arena;
 use crate::control::View;
 use crate::ids::{GroupId, MemberId, QueryTag, ReplicaId, ShardId, Snapshot};
+use crate::latency::Latency;
 use crate::limits::{HINT_TRUST, shed_level};
 use crate::message::{FailReason, Hint, SnapshotRange};
 use crate::rank::Rank;
--- a/crates/berylpin_core/src/timers.rs
+++ b/crates/berylpin_core/src/timers.rs
@@ -41,6 +41,16 @@
         self.heap.retain(|Reverse((at, timer))| keep(*at, timer));
     }
 
+    /// Drops the earliest timers for as long as `lives` turns them down.
+    pub(crate) fn drop_dead<F>(&mut self, lives: F)
+    where
+        F: Fn(&T) -> bool,
+    {
+        while self.heap.peek().is_some_and(|Reverse((_, timer))| !lives(timer)) {
+            self.heap.pop();
+        }
+    }
+
     /// Returns when the earliest timer fires.
     pub(crate) fn next(&self) -> Option<Instant> {
         self.heap.peek().map(|Reverse((at, _))| *at)
--- /dev/null
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -0,0 +1,179 @@
+//! The front end of callers.
+
+use super::process::Shared;
+use super::traffic::{Payload, Traffic};
+use berylpin_core::direct::{Answer, ClientLimits, RefusalReason, Ticket};
+use berylpin_core::verdict::Verdict;
+use berylpin_platform::{merged_headers, read_request_head, refusal_headers, relayed_headers};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::warn;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// The least buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER: usize = 8192;
+
+/// What callers may send before a configuration says so; the platform's own values.
+const FIRST_LIMITS: ClientLimits = ClientLimits {
+    header_bytes: 16 * 1024,
+    body_bytes: 256 * 1024,
+    header_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(15),
+};
+
+/// The pause after a connection could not be accepted, as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Opens the socket that callers connect to.
+pub(super) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves callers until told to stop and all of them are answered.
+pub(super) async fn accept_callers(listener: TcpListener, traffic: Rc<Traffic>, shared: Shared) {
+    let mut stop = shared.stop.clone();
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            _ = stop.wait_for(|stop| *stop) => break,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let serving = serve(stream, traffic.clone(), shared.stop.clone());
+                    connections.spawn_local(serving);
+                }
+                Err(e) => {
+                    warn!(shared.log, "caller: connection not accepted"; "cause" => %e);
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+/// Serves one connection.
+async fn serve(stream: TcpStream, traffic: Rc<Traffic>, mut stop: watch::Receiver<bool>) {
+    // Without it an answer waits for the acknowledgement of the one before.
+    let _ = stream.set_nodelay(true);
+    let limits = traffic.view().map_or(FIRST_LIMITS, |view| view.limits);
+    let service = service_fn(move |request| {
+        let traffic = traffic.clone();
+        async move { Ok::<_, Infallible>(answer(request, traffic).await) }
+    });
+    let mut connection = pin!(
+        Builder::new()
+            .timer(TokioTimer::new())
+            .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
+            // The library counts the idle time before a request as part of its head.
+            .header_read_timeout(limits.idle_timeout)
+            .auto_date_header(false)
+            .serve_connection(TokioIo::new(stream), service)
+    );
+    // Errors of a connection concern its caller only.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stop.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+/// Tells the traffic thread that the caller went away, unless it was answered.
+struct GoneGuard {
+    traffic: Rc<Traffic>,
+    ticket: Ticket,
+    answered: bool,
+}
+
+impl Drop for GoneGuard {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.traffic.caller_gone(self.ticket);
+        }
+    }
+}
+
+async fn answer(request: Request<Incoming>, traffic: Rc<Traffic>) -> Response<Full<Bytes>> {
+    let limits = traffic.view().map_or(FIRST_LIMITS, |view| view.limits);
+    let (parts, body) = request.into_parts();
+    let head = read_request_head(&parts.headers);
+    if head.request_id.is_empty() {
+        return plain(StatusCode::BAD_REQUEST, HeaderMap::new());
+    }
+    let body = Limited::new(body, limits.body_bytes).collect();
+    let body = match tokio::time::timeout(limits.header_timeout, body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, HeaderMap::new());
+        }
+        Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, HeaderMap::new()),
+        Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, HeaderMap::new()),
+    };
+    let payload = Payload { method: parts.method, uri: parts.uri, head, body };
+    let (ticket, reply) = traffic.request(payload);
+    let mut guard = GoneGuard { traffic, ticket, answered: false };
+    let answer = reply.await;
+    guard.answered = true;
+    match answer {
+        Ok(answer) => encode(answer),
+        // The thread is ending.
+        Err(_) => plain(StatusCode::BAD_GATEWAY, HeaderMap::new()),
+    }
+}
+
+fn encode(answer: Answer<HeaderMap>) -> Response<Full<Bytes>> {
+    match answer {
+        Answer::Relayed(reply) => {
+            let mut response = Response::new(Full::new(reply.body));
+            *response.status_mut() =
+                StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            *response.headers_mut() = relayed_headers(&reply.headers);
+            response
+        }
+        Answer::Merged { signatures, missing, records } => {
+            let mut response = Response::new(Full::new(records));
+            *response.headers_mut() = merged_headers(signatures.iter().map(|s| &**s), missing);
+            response
+        }
+        Answer::Refused { reason, verdict, retry_after } => {
+            plain(refusal_status(reason, verdict), refusal_headers(retry_after))
+        }
+    }
+}
+
+/// Returns the status of a refusal; 503 and 404 promise that the request did not run.
+fn refusal_status(reason: RefusalReason, verdict: Verdict) -> StatusCode {
+    match (reason, verdict) {
+        (RefusalReason::NoRoute, _) => StatusCode::NOT_FOUND,
+        (_, Verdict::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
+        (RefusalReason::Timeout, _) => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
+fn plain(status: StatusCode, headers: HeaderMap) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
--- /dev/null
+++ b/crates/berylpin_daemon/src/direct/mod.rs
@@ -0,0 +1,13 @@
+//! The daemon on the users' platform: one control thread, which follows the store, and one traffic
+//! thread, which serves callers and sends to replicas itself.
+
+mod attempt;
+mod caller;
+mod control;
+mod lines;
+mod pool;
+mod process;
+mod status;
+mod traffic;
+
+pub use process::{RunError, run_on_platform};
--- /dev/null
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -0,0 +1,194 @@
+//! Start, signals and stop of a daemon on the users' platform.
+
+use super::caller::{accept_callers, listen};
+use super::control::{ControlContext, run_control};
+use super::status::{StatusContext, serve_status};
+use super::traffic::{Traffic, TrafficContext};
+use crate::logging::Log;
+use berylpin_core::clock::Clock;
+use berylpin_core::direct::{ExtraLimits, View};
+use berylpin_platform::{PlatformSettings, SettingsError, Store, StoreError};
+use rand::Rng;
+use slog::{info, warn};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, watch};
+use tokio::task::LocalSet;
+
+/// How long a stopping daemon reports not ready and goes on accepting. The balancer asks once a second
+/// and takes a daemon out after two misses.
+const STOP_NOTICE: Duration = Duration::from_millis(2300);
+
+/// What is left of the time to stop when the last requests are given up.
+const STOP_RESERVE: Duration = Duration::from_millis(300);
+
+/// How often the settings file is read, as it may change without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(5);
+
+/// The stack of each thread, in bytes; the deepest calls are those of the HTTP libraries.
+const STACK_BYTES: usize = 512 * 1024;
+
+/// Why a daemon does not run.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// The settings cannot be used.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// An address cannot be listened on.
+    #[error("{address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// There is no client for the store.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// A thread or signal handler cannot be had.
+    #[error("process: {0}")]
+    Process(#[from] io::Error),
+}
+
+/// What the threads of a daemon share.
+#[derive(Clone)]
+pub(super) struct Shared {
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) log: Log,
+    pub(super) view: watch::Receiver<Option<Arc<View>>>,
+    /// Whether the daemon was told to stop; it is not ready from then on.
+    pub(super) leaving: Arc<AtomicBool>,
+    /// Turns true when no more connections are accepted.
+    pub(super) stop: watch::Receiver<bool>,
+}
+
+/// Runs a daemon by the platform's settings file until it is told to stop.
+///
+/// # Errors
+///
+/// Returns why the daemon cannot start.
+pub fn run_on_platform(path: &Path, clock: Arc<dyn Clock>, log: Log) -> Result<(), RunError> {
+    let settings = PlatformSettings::load(path)?;
+    let (view_tx, view) = watch::channel(None);
+    let (stop_tx, stop) = watch::channel(false);
+    let (settings_tx, settings_rx) = watch::channel(settings.clone());
+    let leaving = Arc::new(AtomicBool::new(false));
+    let shared = Shared { clock, log: log.clone(), view, leaving: leaving.clone(), stop };
+    info!(log, "daemon: started"; "name" => &settings.name,
+        "version" => env!("CARGO_PKG_VERSION"), "data_centre" => &settings.data_centre);
+
+    let control = {
+        let (shared, settings) = (shared.clone(), settings.clone());
+        let store = Store::new(settings.store, settings.ip)?;
+        let cx = ControlContext { settings: settings_rx, view: view_tx, store };
+        spawn_thread("control", move |local, runtime| {
+            local.block_on(runtime, async move {
+                let status = StatusContext::new(&settings, &shared);
+                tokio::task::spawn_local(serve_status(status));
+                run_control(cx, shared).await;
+            });
+        })?
+    };
+    let (drained_tx, drained) = std::sync::mpsc::channel();
+    let traffic = {
+        let (shared, settings) = (shared.clone(), settings.clone());
+        spawn_thread("traffic", move |local, runtime| {
+            local.block_on(runtime, run_traffic(settings, shared));
+            // An error means that the process ends anyway.
+            let _ = drained_tx.send(());
+        })?
+    };
+    drop((control, traffic));
+    follow_signals(path.to_owned(), settings_tx, &log)?;
+    leaving.store(true, Ordering::Relaxed);
+    std::thread::sleep(STOP_NOTICE);
+    stop_tx.send_replace(true);
+    let limit = settings.stop_limit.saturating_sub(STOP_NOTICE + STOP_RESERVE);
+    let in_time = drained.recv_timeout(limit).is_ok();
+    info!(log, "daemon: stopped"; "all_answered" => in_time);
+    Ok(())
+}
+
+/// Serves callers until told to stop and all of them are answered.
+async fn run_traffic(settings: PlatformSettings, shared: Shared) {
+    let address = settings.caller_address;
+    let listener = match listen(address) {
+        Ok(listener) => listener,
+        Err(source) => {
+            slog::error!(shared.log, "daemon: cannot listen"; "address" => %address,
+                "cause" => %source);
+            std::process::exit(1);
+        }
+    };
+    let limits = ExtraLimits {
+        ratio: settings.extra_ratio,
+        slack: settings.extra_slack,
+        window: settings.extra_window,
+    };
+    let cx = TrafficContext { shared: shared.clone(), limits, seed: rand::rng().random() };
+    let traffic = Traffic::start(cx);
+    accept_callers(listener, traffic, shared).await;
+}
+
+fn spawn_thread<F>(name: &str, work: F) -> io::Result<std::thread::JoinHandle<()>>
+where
+    F: FnOnce(LocalSet, &tokio::runtime::Runtime) + Send + 'static,
+{
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    std::thread::Builder::new()
+        .name(name.to_owned())
+        .stack_size(STACK_BYTES)
+        .spawn(move || work(LocalSet::new(), &runtime))
+}
+
+/// Reads the settings anew when they change; returns when the daemon is to stop.
+fn follow_signals(
+    path: PathBuf,
+    settings: watch::Sender<PlatformSettings>,
+    log: &Log,
+) -> Result<(), RunError> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut hang_up = signal(SignalKind::hangup())?;
+        let asked = Notify::new();
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hang_up.recv() => {
+                    info!(log, "daemon: told to read the settings");
+                    asked.notify_one();
+                }
+                () = asked.notified() => reload(&path, &settings, log),
+                () = tokio::time::sleep(SETTINGS_PERIOD) => reload(&path, &settings, log),
+            }
+        }
+        info!(log, "daemon: stopping");
+        Ok(())
+    })
+}
+
+fn reload(path: &Path, settings: &watch::Sender<PlatformSettings>, log: &Log) {
+    match PlatformSettings::load(path) {
+        Ok(newest) => {
+            let changed = settings.send_if_modified(|present| {
+                let changed = *present != newest;
+                *present = newest;
+                changed
+            });
+            if changed {
+                info!(log, "daemon: settings changed");
+            }
+        }
+        Err(e) => warn!(log, "daemon: settings kept as they were"; "cause" => %e),
+    }
+}
--- a/crates/berylpin_daemon/src/lib.rs
+++ b/crates/berylpin_daemon/src/lib.rs
@@ -3,6 +3,7 @@
 mod clock;
 mod control;
 mod daemon;
+mod direct;
 mod http;
 mod log_levels;
 mod logging;
@@ -14,6 +15,7 @@
 
 pub use clock::SystemClock;
 pub use daemon::{Daemon, StartError};
+pub use direct::{RunError, run_on_platform};
 pub use log_levels::{LevelError, LogLevels, PARTS};
 pub use logging::{Log, LogFormat, discard_log, open_log};
 pub use metrics::install_metrics;
--- a/crates/berylpin_daemon/src/main.rs
+++ b/crates/berylpin_daemon/src/main.rs
@@ -1,8 +1,10 @@
 //! `berylpind`: the daemon of the berylpin query tier.
 
-use berylpin_daemon::{Daemon, DaemonSettings, LogFormat, SystemClock, install_metrics, open_log};
+use berylpin_daemon::{
+    Daemon, DaemonSettings, LogFormat, SystemClock, install_metrics, open_log, run_on_platform,
+};
 use std::io::IsTerminal;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::signal::unix::{SignalKind, signal};
@@ -11,8 +13,10 @@
 Runs one daemon of the berylpin query tier.
 
 Usage: berylpind --config FILE [--check]
+       berylpind --platform FILE
 
-  --config FILE  settings in TOML
+  --config FILE    settings in TOML
+  --platform FILE  run on the users' platform, by the settings that it writes
   --check        check the settings and exit
   --version      print the version
   --help         print this help
@@ -31,6 +35,9 @@
         println!("berylpind {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    if let Ok(path) = args.value_from_str::<_, PathBuf>("--platform") {
+        return run_platform(&path);
+    }
     let check = args.contains("--check");
     let config: PathBuf = match args.value_from_str("--config") {
         Ok(path) => path,
@@ -56,6 +63,19 @@
     }
 }
 
+fn run_platform(path: &Path) -> ExitCode {
+    let log = open_log(LogFormat::Json, std::io::stdout());
+    let installed = install_metrics().map_err(Box::<dyn std::error::Error>::from);
+    let ended = installed.and_then(|()| Ok(run_on_platform(path, Arc::new(SystemClock), log)?));
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("berylpind: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn usage_error(problem: &str) -> ExitCode {
     eprintln!("berylpind: {problem}\nTry `berylpind --help`.");
     ExitCode::from(EXIT_USAGE)
