--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -7,9 +7,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// How long a replica stays in use whose entry vanished while the store was away; the store needs
-/// about 2 s after its return until all living replicas have entries again.
-const LAPSE_GRACE: Duration = Duration::from_millis(2500);
+/// How long a replica stays in use whose entry vanished without notice. The entry may only have
+/// lapsed while the store was away; the living ones are back about 2 s after the store is. A replica
+/// that left serves for longer than that.
+const LAPSE_GRACE: Duration = Duration::from_millis(2300);
 
 /// Connections that a replica is taken to accept if the configuration does not say.
 const DEFAULT_CONNECTIONS: u32 = 16;
@@ -100,12 +101,12 @@
     pub started_ms: u64,
 }
 
-/// A replica that has an entry, or had one until the store went away.
+/// A replica that has an entry, or had one a moment ago.
 #[derive(Debug)]
 struct Known {
     entry: ReplicaEntry,
     id: ReplicaId,
-    /// Set while the entry is gone but may only have lapsed.
+    /// When the replica is dropped whose entry is gone but may only have lapsed.
     drop_at: Option<Instant>,
 }
 
@@ -134,9 +135,6 @@
     routes: Vec<(Arc<str>, RouteId)>,
     next_replica: usize,
     next_route: u32,
-    /// When the store last came back after it could not be reached.
-    store_back: Option<Instant>,
-    store_away: bool,
     fleet_size: u32,
 }
 
@@ -153,12 +151,17 @@
             routes: Vec::new(),
             next_replica: 0,
             next_route: 0,
-            store_back: None,
-            store_away: false,
             fleet_size,
         }
     }
 
+    /// Notes how many daemons there are; returns whether that is news.
+    pub fn resize_fleet(&mut self, size: u32) -> bool {
+        let news = self.fleet_size != size;
+        self.fleet_size = size;
+        news
+    }
+
     /// Returns the version in force.
     pub fn version(&self) -> Option<u64> {
         self.configuration.as_ref().map(|configuration| configuration.version)
@@ -253,33 +256,16 @@
 
     /// Takes the end of an entry; returns whether traffic is concerned.
     ///
-    /// Right after the store came back the entry may only have lapsed, so the replica stays in use
-    /// until its entry had time to return.
+    /// A replica that had not said that it leaves stays in use until its entry had time to return.
     pub fn remove(&mut self, name: &str, now: Instant) -> bool {
         let Ok(index) = self.position(name) else { return false };
-        let lapsed_until = self.store_back.map(|back| back + LAPSE_GRACE).filter(|at| *at > now);
         let known = &mut self.replicas[index];
-        if let Some(at) = lapsed_until.filter(|_| !known.entry.draining) {
-            known.drop_at.get_or_insert(at);
-            return false;
+        if known.entry.draining {
+            self.replicas.remove(index);
+            return true;
         }
-        self.replicas.remove(index);
-        true
-    }
-
-    /// Notes whether the store can be reached; returns whether that is news.
-    pub fn store_reached(&mut self, reached: bool, now: Instant) -> bool {
-        let news = self.store_away == reached;
-        if news && reached {
-            self.store_back = Some(now);
-        }
-        self.store_away = !reached;
-        news
-    }
-
-    /// Returns when `expire` has something to do.
-    pub fn next_expiry(&self) -> Option<Instant> {
-        self.replicas.iter().filter_map(|known| known.drop_at).min()
+        known.drop_at.get_or_insert(now + LAPSE_GRACE);
+        false
     }
 
     /// Drops the replicas whose entries did not come back; returns their names.
--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -1,35 +1,38 @@
-//! Follows the store: the configuration and the replicas.
+//! Follows the store: the configuration, the replicas and the other daemons.
 
 use super::process::Shared;
 use berylpin_core::direct::{Catalogue, ReplicaEntry, View};
 use berylpin_platform::{
-    Change, Kind, Listing, Object, PlatformSettings, Store, StoreError, decode_configuration,
-    decode_entry,
+    Change, DaemonEntry, Freshness, Kind, Object, PlatformSettings, Store, StoreError,
+    decode_configuration, decode_entry,
 };
+use rand::Rng;
 use slog::{info, warn};
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
-/// How long a watch of the configuration waits. A connection that went silent is noticed after this
-/// time and the client's own limit, well before a new configuration is due everywhere.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(2500);
+/// What a watch leaves of the time in which a change has to be in force: a call that gets no answer is
+/// given up after 1.2 s beyond its wait, and the next one needs some time.
+const WATCH_RESERVE: Duration = Duration::from_millis(2200);
 
-/// How long a watch of the replicas waits. Some replica's entry changes all the time, so it hardly
-/// ever does.
-const REPLICAS_WAIT: Duration = Duration::from_millis(1000);
+/// The shortest and the longest wait of a watch; the store allows 30 s.
+const WATCH_LIMITS: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(20));
 
-/// The pause between two watches of the replicas: leaving replicas may get new work for 3 s after
-/// their notice, and each call costs.
-const REPLICAS_PERIOD: Duration = Duration::from_millis(1200);
+/// How long a watch of the daemons waits; nothing is due within any time.
+const DAEMONS_WAIT: Duration = Duration::from_secs(20);
 
-/// The pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// The pause after a failed call, up to doubled at random so that daemons do not call all at once.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Daemons that share budgets and connections, until the fleet's size is known.
-const FLEET_SIZE: u32 = 12;
+/// How often the lapsed entries are looked through.
+const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
+
+/// Daemons that share budgets and connections until they are listed; more than most fleets have.
+const UNKNOWN_FLEET: u32 = 100;
 
 /// What the control thread gets from the start.
 pub(super) struct ControlContext {
@@ -45,14 +48,28 @@
     settings: watch::Receiver<PlatformSettings>,
     store: RefCell<Store>,
     catalogue: RefCell<Catalogue>,
+    /// The other daemons and this one, by name.
+    daemons: RefCell<BTreeMap<String, DaemonEntry>>,
+}
+
+/// How the objects of one kind are followed.
+struct Follower {
+    kind: Kind,
+    wait: Duration,
+    freshness: Freshness,
+    /// Takes the complete list.
+    list: fn(&Control, Vec<Object>),
+    /// Takes changes in their order.
+    change: fn(&Control, Vec<Change>),
 }
 
 /// Follows the store until the process ends.
 pub(super) async fn run_control(cx: ControlContext, shared: Shared) {
     let ControlContext { settings, view, store } = cx;
-    let catalogue = {
+    let (catalogue, wait) = {
         let settings = settings.borrow();
-        Catalogue::new(settings.data_centre.clone(), settings.regions.clone(), FLEET_SIZE)
+        let (centre, regions) = (settings.data_centre.clone(), settings.regions.clone());
+        (Catalogue::new(centre, regions, UNKNOWN_FLEET), watch_wait(&settings))
     };
     let control = Rc::new(Control {
         shared,
@@ -60,49 +77,95 @@
         settings,
         store: RefCell::new(store),
         catalogue: RefCell::new(catalogue),
+        daemons: RefCell::default(),
     });
+    let configuration = Follower {
+        kind: Kind::Configuration,
+        wait,
+        freshness: Freshness::Newest,
+        list: Control::list_configuration,
+        change: Control::change_configuration,
+    };
+    let replicas = Follower {
+        kind: Kind::Replicas,
+        wait,
+        freshness: Freshness::MaybeStale,
+        list: Control::list_replicas,
+        change: Control::change_replicas,
+    };
+    let daemons = Follower {
+        kind: Kind::Daemons,
+        wait: DAEMONS_WAIT,
+        freshness: Freshness::MaybeStale,
+        list: Control::list_daemons,
+        change: Control::change_daemons,
+    };
     tokio::join!(
-        control.clone().follow_configuration(),
-        control.clone().follow_replicas(),
+        control.follow(configuration),
+        control.follow(replicas),
+        async {
+            control.enter().await;
+            control.follow(daemons).await;
+        },
         control.expire_replicas(),
     );
 }
 
+/// Returns how long a watch may wait.
+///
+/// A connection that goes silent shows only when the wait is over. By then a change may be due that
+/// came once this daemon had settled.
+fn watch_wait(settings: &PlatformSettings) -> Duration {
+    let due = settings.settle_time + settings.configure_limit.min(settings.drain_limit);
+    let (least, most) = WATCH_LIMITS;
+    due.saturating_sub(WATCH_RESERVE).clamp(least, most)
+}
+
 impl Control {
-    async fn follow_configuration(self: Rc<Self>) {
+    /// Lists the objects of a kind and then watches them, for ever.
+    async fn follow(&self, follower: Follower) {
         let mut revision = None;
+        let mut reached = true;
         loop {
-            let store = self.store();
-            let result = match revision {
-                None => self.list_configuration(&store).await,
-                Some(since) => self.watch_configuration(&store, since).await,
-            };
+            let result = self.call(&follower, revision).await;
+            if reached != result.is_ok() {
+                reached = result.is_ok();
+                self.note_contact(follower.kind, result.as_ref().err());
+            }
             match result {
                 Ok(newest) => revision = Some(newest),
-                Err(e) => {
-                    self.note_failure("configuration", &e);
-                    revision = None;
-                    tokio::time::sleep(RETRY_PAUSE).await;
+                Err(StoreError::HistoryGone) => revision = None,
+                Err(_) => {
+                    let spread = rand::rng().random_range(1.0..2.0);
+                    tokio::time::sleep(RETRY_PAUSE.mul_f64(spread)).await;
                 }
             }
         }
     }
 
-    async fn list_configuration(&self, store: &Store) -> Result<u64, StoreError> {
-        let Listing { objects, revision } = store.list(Kind::Configuration).await?;
-        objects.iter().for_each(|object| self.configure(object));
+    async fn call(&self, follower: &Follower, since: Option<u64>) -> Result<u64, StoreError> {
+        let Follower { kind, wait, freshness, list, change } = follower;
+        let store = self.store();
+        let Some(since) = since else {
+            let listing = store.list(*kind).await?;
+            list(self, listing.objects);
+            return Ok(listing.revision);
+        };
+        let (changes, revision) = store.watch(*kind, since, *wait, *freshness).await?;
+        change(self, changes);
         Ok(revision)
     }
 
-    async fn watch_configuration(&self, store: &Store, since: u64) -> Result<u64, StoreError> {
-        let (changes, revision) =
-            store.watch(Kind::Configuration, since, CONFIGURATION_WAIT).await?;
+    fn list_configuration(&self, objects: Vec<Object>) {
+        objects.iter().for_each(|object| self.configure(object));
+    }
+
+    fn change_configuration(&self, changes: Vec<Change>) {
         for change in changes {
             if let Change::Put(object) = change {
                 self.configure(&object);
             }
         }
-        Ok(revision)
     }
 
     fn configure(&self, object: &Object) {
@@ -122,75 +185,34 @@
         }
     }
 
-    async fn follow_replicas(self: Rc<Self>) {
-        let mut revision = None;
-        loop {
-            let store = self.store();
-            let result = match revision {
-                None => self.list_replicas(&store).await,
-                Some(since) => self.watch_replicas(&store, since).await,
-            };
-            let now = self.shared.clock.now();
-            let news = self.catalogue.borrow_mut().store_reached(result.is_ok(), now);
-            match result {
-                Ok(newest) => {
-                    if news {
-                        info!(self.shared.log, "control: store reached again");
-                    }
-                    revision = Some(newest);
-                    tokio::time::sleep(REPLICAS_PERIOD).await;
-                }
-                Err(StoreError::HistoryGone) => revision = None,
-                Err(e) => {
-                    if news {
-                        self.note_failure("replicas", &e);
-                    }
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    async fn list_replicas(&self, store: &Store) -> Result<u64, StoreError> {
-        let Listing { objects, revision } = store.list(Kind::Replicas).await?;
-        let entries = objects.iter().filter_map(|object| self.entry(object)).collect();
+    fn list_replicas(&self, objects: Vec<Object>) {
+        let entries: Vec<_> = objects.iter().filter_map(|object| self.entry(object)).collect();
+        let count = entries.len();
         if self.catalogue.borrow_mut().list(entries, self.now()) {
+            info!(self.shared.log, "control: replicas listed"; "count" => count);
             self.publish();
         }
-        Ok(revision)
     }
 
-    async fn watch_replicas(&self, store: &Store, since: u64) -> Result<u64, StoreError> {
-        let (changes, revision) = store.watch(Kind::Replicas, since, REPLICAS_WAIT).await?;
-        let now = self.now();
-        // A call that failed before this one shows that the store was away; entries that ended
-        // meanwhile may only have lapsed.
-        self.catalogue.borrow_mut().store_reached(true, now);
+    fn change_replicas(&self, changes: Vec<Change>) {
         let mut changed = false;
         for change in changes {
             changed |= match change {
-                Change::Put(object) => match self.entry(&object) {
-                    Some(entry) => self.put(entry),
-                    None => false,
-                },
+                Change::Put(object) => self.entry(&object).is_some_and(|entry| self.put(entry)),
                 Change::Removed(name) => {
-                    let removed = self.catalogue.borrow_mut().remove(&name, now);
-                    if removed {
-                        info!(self.shared.log, "control: replica left"; "replica" => name);
-                    }
-                    removed
+                    info!(self.shared.log, "control: entry of replica gone"; "replica" => &name);
+                    self.catalogue.borrow_mut().remove(&name, self.now())
                 }
             };
         }
         if changed {
             self.publish();
         }
-        Ok(revision)
     }
 
     fn put(&self, entry: ReplicaEntry) -> bool {
-        let (name, draining) = (entry.id.clone(), entry.draining);
-        let service = entry.service.clone();
+        let (name, service) = (entry.id.clone(), entry.service.clone());
+        let draining = entry.draining;
         let changed = self.catalogue.borrow_mut().put(entry);
         if changed {
             info!(self.shared.log, "control: replica changed"; "replica" => name,
@@ -209,16 +231,13 @@
             .ok()
     }
 
-    /// Drops replicas whose entries did not come back after the store did.
+    /// Drops replicas whose entries did not come back in time.
     async fn expire_replicas(&self) {
-        /// Entries have seconds to come back, so the end of that time needs no precision.
-        const PERIOD: Duration = Duration::from_millis(500);
         loop {
-            tokio::time::sleep(PERIOD).await;
+            tokio::time::sleep(EXPIRY_PERIOD).await;
             let dropped = self.catalogue.borrow_mut().expire(self.now());
             for name in &dropped {
-                info!(self.shared.log, "control: replica left, its entry lapsed";
-                    "replica" => name);
+                info!(self.shared.log, "control: replica left"; "replica" => name);
             }
             if !dropped.is_empty() {
                 self.publish();
@@ -226,6 +245,64 @@
         }
     }
 
+    /// Makes this daemon known to the others.
+    async fn enter(&self) {
+        let entry = {
+            let settings = self.settings.borrow();
+            DaemonEntry {
+                name: settings.name.clone(),
+                address: (settings.ip, settings.peer_ports.0).into(),
+                data_centre: settings.data_centre.clone(),
+            }
+        };
+        while let Err(e) = self.store().enter_daemon(&entry).await {
+            self.note_contact(Kind::Daemons, Some(&e));
+            let spread = rand::rng().random_range(1.0..2.0);
+            tokio::time::sleep(RETRY_PAUSE.mul_f64(spread)).await;
+        }
+    }
+
+    fn list_daemons(&self, objects: Vec<Object>) {
+        let entries = objects.iter().filter_map(|object| self.daemon(object));
+        let daemons = entries.map(|entry| (entry.name.clone(), entry)).collect();
+        self.daemons.replace(daemons);
+        self.resize_fleet();
+    }
+
+    fn change_daemons(&self, changes: Vec<Change>) {
+        for change in changes {
+            let mut daemons = self.daemons.borrow_mut();
+            match change {
+                Change::Put(object) => {
+                    let entry = self.daemon(&object);
+                    daemons.extend(entry.map(|entry| (entry.name.clone(), entry)));
+                }
+                Change::Removed(name) => {
+                    daemons.remove(&name);
+                }
+            }
+        }
+        self.resize_fleet();
+    }
+
+    fn daemon(&self, object: &Object) -> Option<DaemonEntry> {
+        let decoded = DaemonEntry::decode(object);
+        decoded
+            .inspect_err(|e| {
+                warn!(self.shared.log, "control: entry ignored"; "entry" => &object.name,
+                    "cause" => %e);
+            })
+            .ok()
+    }
+
+    fn resize_fleet(&self) {
+        let size = self.daemons.borrow().len().max(1) as u32;
+        if self.catalogue.borrow_mut().resize_fleet(size) {
+            info!(self.shared.log, "control: fleet resized"; "daemons" => size);
+            self.publish();
+        }
+    }
+
     /// Returns the client of the store, a new one if the store has moved.
     fn store(&self) -> Store {
         let settings = self.settings.borrow();
@@ -236,7 +313,7 @@
                     info!(self.shared.log, "control: store moved"; "address" => %settings.store);
                     self.store.replace(store);
                 }
-                Err(e) => self.note_failure("new client", &e),
+                Err(e) => warn!(self.shared.log, "control: no client"; "cause" => %e),
             }
         }
         self.store.borrow().clone()
@@ -248,8 +325,14 @@
         }
     }
 
-    fn note_failure(&self, what: &'static str, e: &StoreError) {
-        warn!(self.shared.log, "control: store not reached"; "call" => what, "cause" => %e);
+    /// Notes that calls about a kind of objects fail, or succeed again.
+    fn note_contact(&self, kind: Kind, error: Option<&StoreError>) {
+        match error {
+            Some(e) => {
+                warn!(self.shared.log, "control: store lost"; "kind" => kind.name(), "cause" => %e);
+            }
+            None => info!(self.shared.log, "control: store back"; "kind" => kind.name()),
+        }
     }
 
     fn now(&self) -> Instant {
