--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -8,7 +8,7 @@
 };
 use rand::Rng;
 use slog::{info, warn};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -25,6 +25,13 @@
 /// How long a watch of the daemons waits; nothing is due within any time.
 const DAEMONS_WAIT: Duration = Duration::from_secs(20);
 
+/// The pause after a change of replicas; releases change many within seconds, and what has left may get
+/// new work for longer than that.
+const REPLICAS_PAUSE: Duration = Duration::from_millis(300);
+
+/// The pause after a change of daemons; at a start all of them enter within a second.
+const DAEMONS_PAUSE: Duration = Duration::from_secs(3);
+
 /// The pause after a failed call, up to doubled at random so that daemons do not call all at once.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -50,6 +57,8 @@
     catalogue: RefCell<Catalogue>,
     /// The other daemons and this one, by name.
     daemons: RefCell<BTreeMap<String, DaemonEntry>>,
+    /// Whether `daemons` was listed.
+    listed_daemons: Cell<bool>,
 }
 
 /// How the objects of one kind are followed.
@@ -57,6 +66,9 @@
     kind: Kind,
     wait: Duration,
     freshness: Freshness,
+    list_freshness: Freshness,
+    /// The pause after each change, in which more changes may gather.
+    pause: Duration,
     /// Takes the complete list.
     list: fn(&Control, Vec<Object>),
     /// Takes changes in their order.
@@ -78,11 +90,14 @@
         store: RefCell::new(store),
         catalogue: RefCell::new(catalogue),
         daemons: RefCell::default(),
+        listed_daemons: Cell::new(false),
     });
     let configuration = Follower {
         kind: Kind::Configuration,
         wait,
         freshness: Freshness::Newest,
+        list_freshness: Freshness::Newest,
+        pause: Duration::ZERO,
         list: Control::list_configuration,
         change: Control::change_configuration,
     };
@@ -90,6 +105,8 @@
         kind: Kind::Replicas,
         wait,
         freshness: Freshness::MaybeStale,
+        list_freshness: Freshness::Newest,
+        pause: REPLICAS_PAUSE,
         list: Control::list_replicas,
         change: Control::change_replicas,
     };
@@ -97,16 +114,16 @@
         kind: Kind::Daemons,
         wait: DAEMONS_WAIT,
         freshness: Freshness::MaybeStale,
+        list_freshness: Freshness::MaybeStale,
+        pause: DAEMONS_PAUSE,
         list: Control::list_daemons,
         change: Control::change_daemons,
     };
     tokio::join!(
         control.follow(configuration),
         control.follow(replicas),
-        async {
-            control.enter().await;
-            control.follow(daemons).await;
-        },
+        control.follow(daemons),
+        control.enter(),
         control.expire_replicas(),
     );
 }
@@ -133,7 +150,12 @@
                 self.note_contact(follower.kind, result.as_ref().err());
             }
             match result {
-                Ok(newest) => revision = Some(newest),
+                Ok(newest) => {
+                    let changed = revision.replace(newest) != Some(newest);
+                    if changed {
+                        tokio::time::sleep(follower.pause).await;
+                    }
+                }
                 Err(StoreError::HistoryGone) => revision = None,
                 Err(_) => {
                     let spread = rand::rng().random_range(1.0..2.0);
@@ -144,10 +166,10 @@
     }
 
     async fn call(&self, follower: &Follower, since: Option<u64>) -> Result<u64, StoreError> {
-        let Follower { kind, wait, freshness, list, change } = follower;
+        let Follower { kind, wait, freshness, list_freshness, list, change, .. } = follower;
         let store = self.store();
         let Some(since) = since else {
-            let listing = store.list(*kind).await?;
+            let listing = store.list(*kind, *list_freshness).await?;
             list(self, listing.objects);
             return Ok(listing.revision);
         };
@@ -255,8 +277,18 @@
                 data_centre: settings.data_centre.clone(),
             }
         };
-        while let Err(e) = self.store().enter_daemon(&entry).await {
-            self.note_contact(Kind::Daemons, Some(&e));
+        loop {
+            // A daemon that starts again finds its entry as it left it.
+            let known = self.daemons.borrow().get(&entry.name).cloned();
+            if known.as_ref() == Some(&entry) {
+                return;
+            }
+            if self.listed_daemons.get() {
+                match self.store().enter_daemon(&entry).await {
+                    Ok(()) => return,
+                    Err(e) => self.note_contact(Kind::Daemons, Some(&e)),
+                }
+            }
             let spread = rand::rng().random_range(1.0..2.0);
             tokio::time::sleep(RETRY_PAUSE.mul_f64(spread)).await;
         }
@@ -266,6 +298,7 @@
         let entries = objects.iter().filter_map(|object| self.daemon(object));
         let daemons = entries.map(|entry| (entry.name.clone(), entry)).collect();
         self.daemons.replace(daemons);
+        self.listed_daemons.set(true);
         self.resize_fleet();
     }
 
