--- /dev/null
+++ b/crates/berylpin_core/src/direct/attempts.rs
@@ -0,0 +1,235 @@
+//! Attempts at replicas: first ones, hedges and retries.
+
+use super::dispatcher::{ANSWER_LEAD, Dispatcher, Timer};
+use super::event::{Action, AttemptKey, Cause, DirectDecision, Outcome, Reply};
+use super::flight::{Attempt, FlightKey, PartState};
+use super::replicas::Choice;
+use super::view::{Route, Target};
+use crate::ids::DataCentreId;
+use crate::verdict::Verdict;
+use std::time::{Duration, Instant};
+
+/// How many medians before its target a request to a single replica is hedged: far more work is lost
+/// by a needless copy than by a late start.
+const SINGLE_HEDGE_MEDIANS: f64 = 2.5;
+
+impl<H> Dispatcher<H> {
+    /// Sends an attempt at a part; returns whether there was a replica for it.
+    pub(super) fn attempt(
+        &mut self,
+        key: FlightKey,
+        index: usize,
+        cause: Cause,
+        near: Option<DataCentreId>,
+        now: Instant,
+        actions: &mut Vec<Action<H>>,
+    ) -> bool {
+        let Some(flight) = self.flights.get_mut(key) else { return false };
+        let (view, route) = (flight.view.clone(), flight.route);
+        let route = &view.routes[route];
+        let part = &mut flight.parts[index];
+        // Replicas come and go faster than configurations.
+        let newest = self.view.as_ref().unwrap_or(&view);
+        let Some(service) = newest.services.get(part.service) else { return false };
+        let tools = (&self.paces, &mut self.rng);
+        let choice =
+            self.replicas.choose((newest, service), route, tools, (&part.tried, near), now);
+        let Some(choice) = choice else { return false };
+        if cause == Cause::First {
+            self.budgets.earn(part.service, newest.fleet_size, now);
+        } else {
+            if !self.budgets.take(part.service, newest.fleet_size, now) {
+                return false;
+            }
+            actions.push(Action::Log(
+                flight.ticket,
+                DirectDecision::Extra {
+                    cause,
+                    replica: choice.replica.id,
+                    waited: now.saturating_duration_since(flight.arrived),
+                    budget_left: self.budgets.left(part.service, newest.fleet_size, now),
+                },
+            ));
+        }
+        let attempt = self.attempts.insert(Attempt {
+            flight: Some(key),
+            part: index,
+            replica: choice.replica.id,
+            route: route.id,
+            target: route.target_latency,
+            sent: now,
+        });
+        part.tried.push(choice.replica.id);
+        part.open.push(attempt);
+        flight.attempts += 1;
+        self.replicas.sent(attempt, &choice, now);
+        if route.idempotent {
+            let late =
+                late_after(route, &choice, self.paces.median(route.id, route.target_latency));
+            self.timers.set(now + late, Timer::Late(attempt));
+        }
+        actions.push(Action::Send {
+            ticket: flight.ticket,
+            attempt,
+            time_left: flight.deadline.saturating_duration_since(now),
+            idempotent: route.idempotent,
+            replica: choice.replica,
+        });
+        true
+    }
+
+    /// Sends a second attempt beside one that is late.
+    pub(super) fn hedge(
+        &mut self,
+        attempt: AttemptKey,
+        now: Instant,
+        actions: &mut Vec<Action<H>>,
+    ) {
+        let Some(Attempt { flight: Some(key), part, .. }) = self.attempts.get(attempt) else {
+            return;
+        };
+        let (key, index) = (*key, *part);
+        let Some(flight) = self.flights.get(key) else { return };
+        let part = &flight.parts[index];
+        let more = (part.tried.len() as u32) < flight.config().max_attempts;
+        if more && part.is_open() && part.call.is_none() && part.open.len() == 1 {
+            self.attempt(key, index, Cause::Hedge, None, now, actions);
+        }
+    }
+
+    pub(super) fn end_lingering(
+        &mut self,
+        attempt: AttemptKey,
+        now: Instant,
+        actions: &mut Vec<Action<H>>,
+    ) {
+        let Some(Attempt { replica, route, target, sent, .. }) = self.attempts.remove(attempt)
+        else {
+            return;
+        };
+        self.replicas.ended(replica, attempt, now);
+        let median = self.paces.median(route, target);
+        let factor = now.saturating_duration_since(sent).div_duration_f64(median);
+        self.replicas.given_up(replica, factor, now);
+        actions.push(Action::Abort { attempt, silent: true });
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        key: AttemptKey,
+        outcome: Outcome<H>,
+        now: Instant,
+        actions: &mut Vec<Action<H>>,
+    ) {
+        let Some(attempt) = self.attempts.remove(key) else { return };
+        let work = self.replicas.ended(attempt.replica, key, now);
+        self.learn(&attempt, &outcome, work, now);
+        let Some(flight_key) = attempt.flight else { return };
+        let Some(flight) = self.flights.get_mut(flight_key) else { return };
+        let part = &mut flight.parts[attempt.part];
+        part.open.retain(|open| *open != key);
+        let (verdict, name) = verdict_of(&outcome);
+        part.verdict = part.verdict.and(verdict);
+        if !part.is_open() {
+            return;
+        }
+        let outcome = match outcome {
+            Outcome::Answered(reply) if is_final(&reply) => {
+                part.state = if is_part(&flight.view.routes[flight.route], &reply) {
+                    PartState::Answered(reply)
+                } else {
+                    PartState::Failed(Some(reply))
+                };
+                return self.settle(flight_key, now, actions);
+            }
+            outcome => outcome,
+        };
+        let (replica, elapsed) = (attempt.replica, now.saturating_duration_since(attempt.sent));
+        actions.push(Action::Log(
+            flight.ticket,
+            DirectDecision::AttemptFailed { replica, outcome: name, verdict, elapsed },
+        ));
+        let own = match outcome {
+            Outcome::Answered(reply) if !reply.is_success() => Some(reply),
+            _ => None,
+        };
+        self.retry(flight_key, attempt.part, (verdict, own), now, actions);
+        self.settle(flight_key, now, actions);
+    }
+
+    /// Makes another attempt at a part in place of one that failed, or gives the part up.
+    fn retry(
+        &mut self,
+        key: FlightKey,
+        index: usize,
+        (verdict, own): (Verdict, Option<Reply<H>>),
+        now: Instant,
+        actions: &mut Vec<Action<H>>,
+    ) {
+        let Some(flight) = self.flights.get(key) else { return };
+        let part = &flight.parts[index];
+        let allowed = flight.config().idempotent || verdict == Verdict::NotRun;
+        let more = (part.tried.len() as u32) < flight.config().max_attempts;
+        let others_open = !part.is_idle();
+        if allowed && more && self.attempt(key, index, Cause::Retry, None, now, actions) {
+            return;
+        }
+        if !others_open {
+            self.fail_part(key, index, own);
+        }
+    }
+
+    fn learn(&mut self, attempt: &Attempt, outcome: &Outcome<H>, work: Duration, now: Instant) {
+        let id = attempt.replica;
+        match outcome {
+            Outcome::Answered(reply) => {
+                if reply.is_success() {
+                    self.paces.record(attempt.route, work);
+                }
+                let median = self.paces.median(attempt.route, attempt.target);
+                let factor = work.div_duration_f64(median);
+                self.replicas.answered(id, factor, reply.status >= 500, now);
+            }
+            Outcome::Refused => self.replicas.refused(id, now),
+            Outcome::WrongReplica => self.replicas.replaced(id, now),
+            Outcome::Unreachable => self.replicas.unreachable(id, now),
+            Outcome::Broken(_) => self.replicas.broke(id, now),
+        }
+    }
+}
+
+/// Returns whether an answer may be a part of an answer to the caller.
+fn is_part<H>(route: &Route, reply: &Reply<H>) -> bool {
+    match route.target {
+        Target::Shards { .. } => reply.is_success() && reply.signature.is_some(),
+        Target::Split(_) => true,
+    }
+}
+
+/// Returns whether no other replica would answer better: the answer is signed or a failure of the
+/// request itself.
+fn is_final<H>(reply: &Reply<H>) -> bool {
+    if reply.is_success() { reply.signature.is_some() } else { reply.status < 500 }
+}
+
+fn verdict_of<H>(outcome: &Outcome<H>) -> (Verdict, &'static str) {
+    match outcome {
+        Outcome::Answered(reply) if reply.is_success() => (Verdict::Ran, "unsigned"),
+        Outcome::Answered(_) => (Verdict::Ran, "error_status"),
+        Outcome::Refused => (Verdict::NotRun, "refused"),
+        Outcome::WrongReplica => (Verdict::NotRun, "wrong_replica"),
+        Outcome::Unreachable => (Verdict::NotRun, "unreachable"),
+        Outcome::Broken(verdict) => (*verdict, "broken"),
+    }
+}
+
+/// Returns how long after its start an attempt is hedged.
+fn late_after(route: &Route, choice: &Choice, median: Duration) -> Duration {
+    match route.target {
+        Target::Shards { .. } => choice.late,
+        Target::Split(_) => {
+            let spare = route.target_latency.saturating_sub(ANSWER_LEAD);
+            choice.late.max(spare.saturating_sub(median.mul_f64(SINGLE_HEDGE_MEDIANS)))
+        }
+    }
+}
--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -1,8 +1,8 @@
 //! The configuration in force and the replicas known, kept by the control thread.
 
-use super::view::{Distance, Replica, Route, RouteId, Service, Target, View};
+use super::view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
 use crate::arena::Arena;
-use crate::ids::{Key, ReplicaId, ServiceId};
+use crate::ids::{DataCentreId, Key, MemberTag, PeerId, ReplicaId, ServiceId, ServiceTag};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -12,6 +12,9 @@
 /// that left serves for longer than that.
 const LAPSE_GRACE: Duration = Duration::from_millis(2300);
 
+/// Daemons that share budgets and connections until they are listed; more than most fleets have.
+const UNKNOWN_FLEET: u32 = 100;
+
 /// Connections that a replica is taken to accept if the configuration does not say.
 const DEFAULT_CONNECTIONS: u32 = 16;
 
@@ -101,6 +104,17 @@
     pub started_ms: u64,
 }
 
+/// What a daemon says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DaemonEntry {
+    /// The name of its VM.
+    pub name: String,
+    /// Where it takes requests for parts.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub data_centre: String,
+}
+
 /// A replica that has an entry, or had one a moment ago.
 #[derive(Debug)]
 struct Known {
@@ -110,9 +124,18 @@
     drop_at: Option<Instant>,
 }
 
+/// Another daemon that has an entry, or this one.
+#[derive(Debug)]
+struct KnownDaemon {
+    entry: DaemonEntry,
+    id: PeerId,
+}
+
 /// Where this daemon runs.
 #[derive(Clone, Debug)]
-pub(super) struct Place {
+struct Place {
+    /// The name of this VM.
+    daemon: String,
     data_centre: String,
     /// Sorted by data centre.
     regions: Vec<(String, String)>,
@@ -133,33 +156,91 @@
     service_names: Vec<ServiceId>,
     /// Names of routes in force, sorted, with their ids.
     routes: Vec<(Arc<str>, RouteId)>,
+    /// Sorted by name; the one of this VM is among them.
+    daemons: Vec<KnownDaemon>,
+    /// Whether the daemons have been listed.
+    daemons_listed: bool,
+    /// All data centres that were named; the index is the id.
+    data_centres: Vec<String>,
     next_replica: usize,
     next_route: u32,
-    fleet_size: u32,
+    next_peer: usize,
 }
 
 impl Catalogue {
-    /// Makes an empty catalogue; `regions` is sorted by data centre.
-    pub fn new(data_centre: String, regions: Vec<(String, String)>, fleet_size: u32) -> Self {
+    /// Makes an empty catalogue of the daemon with the given name; `regions` is sorted by data centre.
+    pub fn new(daemon: String, data_centre: String, regions: Vec<(String, String)>) -> Self {
+        let own_data_centre = data_centre.clone();
         Self {
-            place: Place { data_centre, regions },
+            place: Place { daemon, data_centre, regions },
             configuration: None,
             listed: false,
             replicas: Vec::new(),
             services: Vec::new(),
             service_names: Vec::new(),
             routes: Vec::new(),
+            daemons: Vec::new(),
+            daemons_listed: false,
+            data_centres: vec![own_data_centre],
             next_replica: 0,
             next_route: 0,
-            fleet_size,
+            next_peer: 0,
         }
     }
 
-    /// Notes how many daemons there are; returns whether that is news.
-    pub fn resize_fleet(&mut self, size: u32) -> bool {
-        let news = self.fleet_size != size;
-        self.fleet_size = size;
-        news
+    /// Takes the complete list of daemons; returns whether anything changed.
+    pub fn list_daemons(&mut self, entries: Vec<DaemonEntry>) -> bool {
+        let mut changed = !self.daemons_listed;
+        self.daemons_listed = true;
+        let mut names: Vec<String> = entries.iter().map(|entry| entry.name.clone()).collect();
+        names.sort();
+        let before = self.daemons.len();
+        self.daemons.retain(|known| names.binary_search(&known.entry.name).is_ok());
+        changed |= self.daemons.len() != before;
+        for entry in entries {
+            changed |= self.put_daemon(entry);
+        }
+        changed
+    }
+
+    /// Takes a daemon's entry; returns whether anything changed.
+    pub fn put_daemon(&mut self, entry: DaemonEntry) -> bool {
+        self.enter_data_centre(&entry.data_centre);
+        let position = self.daemon_position(&entry.name);
+        if position.is_ok_and(|index| self.daemons[index].entry == entry) {
+            return false;
+        }
+        let known = KnownDaemon { entry, id: PeerId::from_index(self.next_peer) };
+        self.next_peer += 1;
+        match position {
+            Ok(index) => self.daemons[index] = known,
+            Err(index) => self.daemons.insert(index, known),
+        }
+        true
+    }
+
+    /// Takes the end of a daemon's entry; returns whether anything changed.
+    pub fn remove_daemon(&mut self, name: &str) -> bool {
+        let position = self.daemon_position(name);
+        position.is_ok_and(|index| {
+            self.daemons.remove(index);
+            true
+        })
+    }
+
+    /// Returns the entry of a daemon; `None` in `Some` if there is none, `None` before they are listed.
+    pub fn daemon(&self, name: &str) -> Option<Option<&DaemonEntry>> {
+        let found = self.daemon_position(name).ok().map(|index| &self.daemons[index].entry);
+        self.daemons_listed.then_some(found)
+    }
+
+    /// Returns how many daemons share budgets and connections.
+    pub fn fleet_size(&self) -> u32 {
+        if self.daemons_listed { self.daemons.len().max(1) as u32 } else { UNKNOWN_FLEET }
+    }
+
+    fn daemon_position(&self, name: &str) -> Result<usize, usize> {
+        self.daemons.binary_search_by(|known| known.entry.name.as_str().cmp(name))
     }
 
     /// Returns the version in force.
@@ -228,6 +309,7 @@
     /// Takes a replica's entry; returns whether traffic is concerned.
     pub fn put(&mut self, entry: ReplicaEntry) -> bool {
         self.enter_service(&entry.service);
+        self.enter_data_centre(&entry.data_centre);
         match self.position(&entry.id) {
             Ok(index) => {
                 let known = &mut self.replicas[index];
@@ -291,8 +373,12 @@
             version: configuration.version,
             routes,
             services: self.service_arena(),
+            tags: self.service_tags(),
+            own_tag: MemberTag::of([self.place.daemon.as_str()]),
+            own_data_centre: self.data_centre(&self.place.data_centre),
+            peers: self.peers(),
             limits: configuration.limits,
-            fleet_size: self.fleet_size,
+            fleet_size: self.fleet_size(),
         })
     }
 
@@ -328,6 +414,7 @@
         for name in &self.services {
             services.push(Service {
                 name: name.clone(),
+                tag: ServiceTag::of([&**name]),
                 max_connections: DEFAULT_CONNECTIONS,
                 replicas: Vec::new(),
             });
@@ -342,6 +429,7 @@
                 id: known.id,
                 name: Arc::from(&*entry.id),
                 address: entry.address,
+                data_centre: self.data_centre(&entry.data_centre),
                 distance: self.place.distance(&entry.data_centre),
                 slots: entry.slots,
             }));
@@ -352,6 +440,43 @@
         services
     }
 
+    fn service_tags(&self) -> Vec<(ServiceTag, ServiceId)> {
+        let tags = self.services.iter().enumerate();
+        let mut tags: Vec<_> = tags
+            .map(|(index, name)| (ServiceTag::of([&**name]), ServiceId::from_index(index)))
+            .collect();
+        tags.sort();
+        tags
+    }
+
+    fn peers(&self) -> Vec<Arc<Peer>> {
+        let others = self.daemons.iter().filter(|known| known.entry.name != self.place.daemon);
+        let mut peers: Vec<_> = others
+            .map(|known| {
+                Arc::new(Peer {
+                    id: known.id,
+                    tag: MemberTag::of([known.entry.name.as_str()]),
+                    address: known.entry.address,
+                    data_centre: self.data_centre(&known.entry.data_centre),
+                })
+            })
+            .collect();
+        peers.sort_by_key(|peer| peer.id);
+        peers
+    }
+
+    /// Returns the id of a data centre that was entered before.
+    fn data_centre(&self, name: &str) -> DataCentreId {
+        let position = self.data_centres.iter().position(|known| known == name);
+        DataCentreId::from_index(position.expect("data centres are entered with what names them"))
+    }
+
+    fn enter_data_centre(&mut self, name: &str) {
+        if !self.data_centres.iter().any(|known| known == name) {
+            self.data_centres.push(name.to_owned());
+        }
+    }
+
     /// Returns the id of a service that was entered before.
     fn service(&self, name: &str) -> ServiceId {
         let found =
--- /dev/null
+++ b/crates/berylpin_core/src/direct/delegate.rs
@@ -0,0 +1,203 @@
+//! Parts that another daemon fetches and merges near the replicas.
+//!
+//! The shards of a query are cut into groups. Each group has an owner in each data centre that has its
+//! replicas: the daemon with the highest rendezvous score. All entries thus send a group to the same
+//! daemon, which sees all calls of those replicas, needs few connections to them, and sends back one
+//! merged answer.
+
+use super::view::{Distance, Peer, View};
+use crate::arena::SlabKey;
+use crate::ids::{DataCentreId, MemberTag, PeerId, ServiceId, ServiceTag};
+use crate::verdict::Verdict;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Names a request for parts within one thread; never used twice.
+pub type CallKey = SlabKey;
+
+/// Shards in a group. Smaller groups spread the work of one query over more daemons, larger ones send
+/// fewer messages.
+const GROUP_SIZE: usize = 10;
+
+/// Daemons of a data centre that are tried for a group before the entry fetches it itself.
+const CANDIDATES: usize = 2;
+
+/// How long a daemon is left alone that did not answer, doubled with each further time.
+const REST: Duration = Duration::from_millis(500);
+const REST_LIMIT: Duration = Duration::from_secs(4);
+
+/// What an entry asks another daemon for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartsRequest {
+    /// The host of the request, which with the path names the route.
+    pub host: String,
+    /// Without the query.
+    pub path: String,
+    /// The shards, each once.
+    pub services: Vec<ServiceTag>,
+    /// The most records wanted.
+    pub limit: u32,
+    /// When an incomplete answer is worth more than a later one.
+    pub answer_in: Duration,
+    /// How long the caller waits.
+    pub time_left: Duration,
+}
+
+/// What another daemon fetched.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartsReply {
+    /// Position in the request's services and signature of each part that is included.
+    pub parts: Vec<(u16, Box<str>)>,
+    /// Position of each part that is left out, and whether it may have run.
+    pub missing: Vec<(u16, Verdict)>,
+    /// The greatest records of the parts that are included, greatest first.
+    pub records: Bytes,
+}
+
+/// A request for parts that was sent.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) flight: SlabKey,
+    pub(super) peer: PeerId,
+    /// Indexes into the parts of the flight.
+    pub(super) parts: Vec<usize>,
+}
+
+/// What is known of a peer.
+#[derive(Clone, Copy, Debug)]
+struct State {
+    id: PeerId,
+    connected: bool,
+    rest_until: Option<Instant>,
+    /// Calls in a row without an answer.
+    unanswered: u32,
+}
+
+/// All peers that a thread has wanted.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    /// Sorted by id.
+    states: Vec<State>,
+}
+
+/// Which daemon fetches a group.
+#[derive(Clone, Debug)]
+pub(super) enum Owner {
+    /// This one.
+    Own,
+    /// Another one, which is connected.
+    Peer(Arc<Peer>),
+    /// Another one, which has to be connected to.
+    Unconnected(Arc<Peer>),
+}
+
+impl Peers {
+    /// Chooses the owner of a group of services.
+    pub(super) fn owner(
+        &mut self,
+        view: &View,
+        group: usize,
+        services: &[ServiceId],
+        now: Instant,
+    ) -> Owner {
+        let Some(data_centre) = home(view, group, services) else { return Owner::Own };
+        let of_centre = view.peers.iter().filter(|peer| peer.data_centre == data_centre);
+        let mut ranked: Vec<(u64, Option<&Arc<Peer>>)> =
+            of_centre.map(|peer| (score(peer.tag, group), Some(peer))).collect();
+        if data_centre == view.own_data_centre {
+            ranked.push((score(view.own_tag, group), None));
+        }
+        ranked.sort_unstable_by(|a, b| b.0.cmp(&a.0));
+        let mut unconnected = None;
+        for (_, peer) in ranked.into_iter().take(CANDIDATES) {
+            let Some(peer) = peer else { return Owner::Own };
+            let state = self.state(peer.id);
+            if state.rest_until.is_some_and(|until| until > now) {
+                continue;
+            }
+            if state.connected {
+                return Owner::Peer(peer.clone());
+            }
+            unconnected.get_or_insert(peer);
+        }
+        unconnected.map_or(Owner::Own, |peer| Owner::Unconnected(peer.clone()))
+    }
+
+    /// Notes whether a peer is connected.
+    pub(super) fn connected(&mut self, id: PeerId, connected: bool) {
+        self.state(id).connected = connected;
+    }
+
+    /// Learns from an answer.
+    pub(super) fn answered(&mut self, id: PeerId) {
+        let state = self.state(id);
+        state.unanswered = 0;
+        state.rest_until = None;
+    }
+
+    /// Learns from a call that was not answered in time, or not at all.
+    pub(super) fn unanswered(&mut self, id: PeerId, now: Instant) {
+        let state = self.state(id);
+        let rest = REST * 2u32.pow(state.unanswered.min(8));
+        state.unanswered += 1;
+        state.rest_until = Some(now + rest.min(REST_LIMIT));
+    }
+
+    /// Forgets peers that `keep` turns down.
+    pub(super) fn retain<F>(&mut self, keep: F)
+    where
+        F: Fn(PeerId) -> bool,
+    {
+        self.states.retain(|state| keep(state.id));
+    }
+
+    fn state(&mut self, id: PeerId) -> &mut State {
+        let index = match self.states.binary_search_by_key(&id, |state| state.id) {
+            Ok(index) => index,
+            Err(index) => {
+                let state = State { id, connected: false, rest_until: None, unanswered: 0 };
+                self.states.insert(index, state);
+                index
+            }
+        };
+        &mut self.states[index]
+    }
+}
+
+/// Cuts the indexes of parts into groups; daemons with the same configuration cut alike.
+pub(super) fn groups(count: usize) -> impl Iterator<Item = (usize, std::ops::Range<usize>)> {
+    let groups = count.div_ceil(GROUP_SIZE).max(1);
+    let size = count.div_ceil(groups);
+    (0..groups).map(move |group| (group, group * size..((group + 1) * size).min(count)))
+}
+
+/// Returns the nearest data centre with replicas of most of the services; groups are spread over those
+/// that are equally near.
+fn home(view: &View, group: usize, services: &[ServiceId]) -> Option<DataCentreId> {
+    let mut counts: Vec<(DataCentreId, Distance, usize)> = Vec::new();
+    for replica in services.iter().flat_map(|service| view.replicas(*service)) {
+        match counts.iter_mut().find(|(centre, ..)| *centre == replica.data_centre) {
+            Some((.., count)) => *count += 1,
+            None => counts.push((replica.data_centre, replica.distance, 1)),
+        }
+    }
+    let most = counts.iter().map(|(.., count)| *count).max()?;
+    counts.retain(|(.., count)| *count * 2 >= most);
+    let nearest = counts.iter().map(|(_, distance, _)| *distance).min()?;
+    counts.retain(|(_, distance, _)| *distance == nearest);
+    counts.sort_unstable_by_key(|(centre, ..)| *centre);
+    counts.get(group % counts.len().max(1)).map(|(centre, ..)| *centre)
+}
+
+fn score(tag: MemberTag, group: usize) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&tag.0.to_le_bytes());
+    bytes[8..].copy_from_slice(&(group as u64).to_le_bytes());
+    xxh3_64(&bytes)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_core/src/direct/event.rs
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -1,8 +1,9 @@
 //! What goes into a dispatcher and what comes out of it.
 
-use super::view::{Replica, View};
+use super::delegate::{CallKey, PartsReply, PartsRequest};
+use super::view::{Peer, Replica, View};
 use crate::arena::SlabKey;
-use crate::ids::ReplicaId;
+use crate::ids::{PeerId, ReplicaId};
 use crate::verdict::Verdict;
 use bytes::Bytes;
 use std::sync::Arc;
@@ -37,6 +38,14 @@
     CallerGone(Ticket),
     /// An attempt ended.
     Ended(AttemptKey, Outcome<H>),
+    /// Another daemon asked for parts.
+    PartsRequest(Ticket, PartsRequest),
+    /// Another daemon sent parts; `true` if it sends no more for the call.
+    PartsReply(CallKey, PartsReply, bool),
+    /// A call to another daemon broke before its last reply.
+    PartsLost(CallKey, Verdict),
+    /// A connection to another daemon opened or broke.
+    PeerConnected(PeerId, bool),
     /// Time passed.
     Wake,
 }
@@ -99,6 +108,25 @@
         /// The replica was silent for so long that its other connections may have gone silent too.
         silent: bool,
     },
+    /// Ask another daemon for parts of the request.
+    Delegate {
+        /// The request.
+        ticket: Ticket,
+        /// Names the call in events and in `Withdraw`.
+        call: CallKey,
+        /// The daemon.
+        peer: Arc<Peer>,
+        /// What to ask.
+        request: PartsRequest,
+    },
+    /// Break a call to another daemon off; nothing more is to be heard of it.
+    Withdraw(CallKey),
+    /// Open a connection to another daemon, unless that is under way.
+    Connect(Arc<Peer>),
+    /// Close the connection to another daemon, as nothing comes from it.
+    Disconnect(PeerId),
+    /// Send parts to the daemon that asked for them; more follow unless `true`.
+    SendParts(Ticket, PartsReply, bool),
     /// Answer the caller.
     Answer(Ticket, Answer<H>),
     /// Write a log line.
@@ -170,6 +198,8 @@
     Retry,
     /// The earlier attempt is slow.
     Hedge,
+    /// The daemon that was to fetch the shard is silent.
+    Rescue,
 }
 
 impl Cause {
@@ -179,6 +209,7 @@
             Self::First => "first",
             Self::Retry => "retry",
             Self::Hedge => "hedge",
+            Self::Rescue => "rescue",
         }
     }
 }
@@ -208,6 +239,20 @@
         /// How long the attempt took.
         elapsed: Duration,
     },
+    /// Shards were left to another daemon.
+    Delegated {
+        /// The daemon.
+        peer: PeerId,
+        /// How many shards.
+        parts: usize,
+    },
+    /// Another daemon did not answer.
+    PeerSilent {
+        /// The daemon.
+        peer: PeerId,
+        /// Shards that it was asked for.
+        parts: usize,
+    },
     /// The request is over.
     Done {
         /// The route, if one matched.
--- a/crates/berylpin_core/src/direct/flight.rs
+++ b/crates/berylpin_core/src/direct/flight.rs
@@ -1,10 +1,12 @@
 //! Requests in progress and their attempts.
 
+use super::delegate::CallKey;
 use super::event::{AttemptKey, Reply, Ticket};
-use super::view::{Route, Target, View};
+use super::view::{Route, RouteId, Target, View};
 use crate::arena::SlabKey;
 use crate::ids::{ReplicaId, ServiceId};
 use crate::verdict::Verdict;
+use bytes::Bytes;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -28,6 +30,24 @@
     pub(super) parts: Vec<Part<H>>,
     /// Attempts made at all parts.
     pub(super) attempts: u32,
+    /// Who asked.
+    pub(super) origin: Origin,
+    /// Calls to other daemons that are not over.
+    pub(super) calls: Vec<CallKey>,
+    /// Records that other daemons merged; each part is in at most one of them.
+    pub(super) merged: Vec<Bytes>,
+}
+
+/// Who asked for parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// A caller, who gets one answer.
+    Caller,
+    /// Another daemon, which gets what there is and at most this many records.
+    Peer {
+        /// The most records wanted.
+        limit: usize,
+    },
 }
 
 /// What is asked of one service.
@@ -38,6 +58,8 @@
     pub(super) tried: Vec<ReplicaId>,
     /// Attempts that are not over.
     pub(super) open: Vec<AttemptKey>,
+    /// The call to another daemon that is to fetch it.
+    pub(super) call: Option<CallKey>,
     pub(super) state: PartState<H>,
     /// Over all attempts that ended.
     pub(super) verdict: Verdict,
@@ -50,6 +72,10 @@
     Open,
     /// A replica answered.
     Answered(Reply<H>),
+    /// Another daemon answered; holds the signature.
+    Fetched(Box<str>),
+    /// It was sent to the daemon that asked for it.
+    Reported,
     /// No attempt is left; holds the replica's own failure, if there is one.
     Failed(Option<Reply<H>>),
 }
@@ -61,7 +87,7 @@
     pub(super) flight: Option<FlightKey>,
     pub(super) part: usize,
     pub(super) replica: ReplicaId,
-    pub(super) route: super::view::RouteId,
+    pub(super) route: RouteId,
     pub(super) target: Duration,
     pub(super) sent: Instant,
 }
@@ -73,14 +99,15 @@
 
     /// Returns how many parts an answer needs.
     pub(super) fn min_parts(&self) -> usize {
-        match &self.config().target {
-            Target::Split(_) => 1,
-            Target::Shards { min_parts, .. } => *min_parts,
+        match (self.origin, &self.config().target) {
+            (Origin::Peer { .. }, _) => 0,
+            (Origin::Caller, Target::Split(_)) => 1,
+            (Origin::Caller, Target::Shards { min_parts, .. }) => *min_parts,
         }
     }
 
     pub(super) fn answered(&self) -> usize {
-        self.parts.iter().filter(|part| matches!(part.state, PartState::Answered(_))).count()
+        self.parts.iter().filter(|part| part.is_answered()).count()
     }
 
     pub(super) fn failed(&self) -> usize {
@@ -90,8 +117,8 @@
     /// Returns whether any attempt may have run, the open ones included.
     pub(super) fn verdict(&self) -> Verdict {
         let parts = self.parts.iter().map(|part| match &part.state {
-            PartState::Answered(_) => Verdict::Ran,
-            _ if part.open.is_empty() => part.verdict,
+            PartState::Answered(_) | PartState::Fetched(_) | PartState::Reported => Verdict::Ran,
+            _ if part.is_idle() => part.verdict,
             _ => part.verdict.and(Verdict::MayHaveRun),
         });
         parts.fold(Verdict::NotRun, Verdict::and)
@@ -104,11 +131,21 @@
             service,
             tried: Vec::new(),
             open: Vec::new(),
+            call: None,
             state: PartState::Open,
             verdict: Verdict::NotRun,
         }
     }
 
+    pub(super) fn is_answered(&self) -> bool {
+        matches!(self.state, PartState::Answered(_) | PartState::Fetched(_) | PartState::Reported)
+    }
+
+    /// Returns whether nothing is under way for it.
+    pub(super) fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.call.is_none()
+    }
+
     pub(super) fn is_open(&self) -> bool {
         matches!(self.state, PartState::Open)
     }
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -4,8 +4,11 @@
 //! and publishes a [`View`] after each change. Each traffic thread runs a [`Dispatcher`], which routes
 //! requests by the view, chooses replicas, repeats attempts and merges parts.
 
+mod attempts;
 mod budget;
 mod catalogue;
+mod delegate;
+mod delegation;
 mod dispatcher;
 mod event;
 mod flight;
@@ -17,11 +20,12 @@
 
 pub use budget::ExtraLimits;
 pub use catalogue::{
-    Catalogue, ClientLimits, Configuration, ReplicaEntry, RouteConfig, RouteTarget,
+    Catalogue, ClientLimits, Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget,
 };
+pub use delegate::{CallKey, PartsReply, PartsRequest};
 pub use dispatcher::Dispatcher;
 pub use event::{
     Action, Answer, AttemptKey, Cause, DirectDecision, Event, Outcome, RefusalReason, Reply,
     Request, Ticket,
 };
-pub use view::{Distance, Replica, Route, RouteId, Service, Target, View};
+pub use view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
--- a/crates/berylpin_core/src/direct/replicas.rs
+++ b/crates/berylpin_core/src/direct/replicas.rs
@@ -3,7 +3,7 @@
 use super::event::AttemptKey;
 use super::pace::Paces;
 use super::view::{Distance, Replica, Route, Service, View};
-use crate::ids::ReplicaId;
+use crate::ids::{DataCentreId, ReplicaId};
 use rand::Rng;
 use rand::rngs::SmallRng;
 use std::sync::Arc;
@@ -143,13 +143,14 @@
 }
 
 impl Replicas {
-    /// Chooses the replica that is expected to answer first, of those not in `tried`.
+    /// Chooses the replica that is expected to answer first, of those not in `tried`; those in the data
+    /// centre `near` come before all others.
     pub(super) fn choose(
         &mut self,
         (view, service): (&View, &Service),
         route: &Route,
         (paces, rng): (&Paces, &mut SmallRng),
-        tried: &[ReplicaId],
+        (tried, near): (&[ReplicaId], Option<DataCentreId>),
         now: Instant,
     ) -> Option<Choice> {
         let median = paces.median(route.id, route.target_latency);
@@ -170,7 +171,10 @@
             let queue = 1.0 + ahead as f64 / f64::from(replica.slots);
             let expected = round_trip + median.mul_f64(state.factor.max(0.5) * queue);
             let cost = expected + state.penalty(replica, median, now);
-            let cost = cost.mul_f64(1.0 + rng.random_range(0.0..NOISE));
+            let mut cost = cost.mul_f64(1.0 + rng.random_range(0.0..NOISE));
+            if near.is_some_and(|near| near != replica.data_centre) {
+                cost += DOWN_COST;
+            }
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let late = round_trip + late;
                 best = Some((cost, Choice { replica: replica.clone(), late }));
--- a/crates/berylpin_core/src/direct/view.rs
+++ b/crates/berylpin_core/src/direct/view.rs
@@ -2,7 +2,7 @@
 
 use super::catalogue::ClientLimits;
 use crate::arena::Arena;
-use crate::ids::{ReplicaId, ServiceId};
+use crate::ids::{DataCentreId, MemberTag, PeerId, ReplicaId, ServiceId, ServiceTag};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +31,14 @@
     pub routes: Vec<Route>,
     /// All services that any configuration or replica named.
     pub services: Arena<ServiceId, Service>,
+    /// The services by tag, sorted.
+    pub tags: Vec<(ServiceTag, ServiceId)>,
+    /// The tag of this daemon.
+    pub own_tag: MemberTag,
+    /// The data centre of this daemon.
+    pub own_data_centre: DataCentreId,
+    /// The other daemons, sorted by id.
+    pub peers: Vec<Arc<Peer>>,
     /// What callers may send.
     pub limits: ClientLimits,
     /// Daemons that share the budgets of extra attempts; at least 1.
@@ -83,6 +91,8 @@
 pub struct Service {
     /// The operator's name for it.
     pub name: Arc<str>,
+    /// The same on every daemon.
+    pub tag: ServiceTag,
     /// Connections that each replica accepts, from all daemons together.
     pub max_connections: u32,
     /// The replicas that may get new work, sorted by id.
@@ -98,13 +108,34 @@
     pub name: Arc<str>,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where it runs.
+    pub data_centre: DataCentreId,
     /// How far it is.
     pub distance: Distance,
     /// Requests that it runs at a time, at least 1.
     pub slots: u32,
 }
 
+/// Another daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Stays the same while its entry names the same address.
+    pub id: PeerId,
+    /// The same on every daemon.
+    pub tag: MemberTag,
+    /// Where it takes requests for parts.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub data_centre: DataCentreId,
+}
+
 impl View {
+    /// Finds a service by its tag.
+    pub fn service(&self, tag: ServiceTag) -> Option<ServiceId> {
+        let found = self.tags.binary_search_by_key(&tag, |(tag, _)| *tag);
+        found.ok().map(|index| self.tags[index].1)
+    }
+
     /// Finds the route with the longest prefix that begins the path.
     pub fn route(&self, host: &str, path: &str) -> Option<usize> {
         let first = self.routes.partition_point(|route| &*route.host < host);
--- a/crates/berylpin_core/src/ids.rs
+++ b/crates/berylpin_core/src/ids.rs
@@ -44,6 +44,10 @@
     MemberId;
     /// A traffic thread of one daemon.
     ThreadId;
+    /// A data centre; local to one daemon.
+    DataCentreId;
+    /// Another daemon that may fetch parts; local to one daemon and stable across its views.
+    PeerId;
 }
 
 macro_rules! tags {
@@ -81,6 +85,8 @@
     ReplicaTag;
     /// Names a daemon on every daemon: a hash of its name.
     MemberTag;
+    /// Names a service on every daemon: a hash of its name.
+    ServiceTag;
     /// Names one query on every daemon; drawn at random by its entry.
     QueryTag;
 }
--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -1,15 +1,14 @@
 //! Follows the store: the configuration, the replicas and the other daemons.
 
 use super::process::Shared;
-use berylpin_core::direct::{Catalogue, ReplicaEntry, View};
+use berylpin_core::direct::{Catalogue, DaemonEntry, ReplicaEntry, View};
 use berylpin_platform::{
-    Change, DaemonEntry, Freshness, Kind, Object, PlatformSettings, Store, StoreError,
-    decode_configuration, decode_entry,
+    Change, Freshness, Kind, Object, PlatformSettings, Store, StoreError, decode_configuration,
+    decode_daemon, decode_entry,
 };
 use rand::Rng;
 use slog::{info, warn};
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -38,9 +37,6 @@
 /// How often the lapsed entries are looked through.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
 
-/// Daemons that share budgets and connections until they are listed; more than most fleets have.
-const UNKNOWN_FLEET: u32 = 100;
-
 /// What the control thread gets from the start.
 pub(super) struct ControlContext {
     pub(super) settings: watch::Receiver<PlatformSettings>,
@@ -55,10 +51,6 @@
     settings: watch::Receiver<PlatformSettings>,
     store: RefCell<Store>,
     catalogue: RefCell<Catalogue>,
-    /// The other daemons and this one, by name.
-    daemons: RefCell<BTreeMap<String, DaemonEntry>>,
-    /// Whether `daemons` was listed.
-    listed_daemons: Cell<bool>,
 }
 
 /// How the objects of one kind are followed.
@@ -81,7 +73,7 @@
     let (catalogue, wait) = {
         let settings = settings.borrow();
         let (centre, regions) = (settings.data_centre.clone(), settings.regions.clone());
-        (Catalogue::new(centre, regions, UNKNOWN_FLEET), watch_wait(&settings))
+        (Catalogue::new(settings.name.clone(), centre, regions), watch_wait(&settings))
     };
     let control = Rc::new(Control {
         shared,
@@ -89,8 +81,6 @@
         settings,
         store: RefCell::new(store),
         catalogue: RefCell::new(catalogue),
-        daemons: RefCell::default(),
-        listed_daemons: Cell::new(false),
     });
     let configuration = Follower {
         kind: Kind::Configuration,
@@ -245,12 +235,7 @@
 
     fn entry(&self, object: &Object) -> Option<ReplicaEntry> {
         let decoded = decode_entry(&object.name, &object.spec);
-        decoded
-            .inspect_err(|e| {
-                warn!(self.shared.log, "control: entry ignored"; "entry" => &object.name,
-                    "cause" => %e);
-            })
-            .ok()
+        decoded.inspect_err(|e| self.ignore(object, e)).ok()
     }
 
     /// Drops replicas whose entries did not come back in time.
@@ -279,11 +264,11 @@
         };
         loop {
             // A daemon that starts again finds its entry as it left it.
-            let known = self.daemons.borrow().get(&entry.name).cloned();
-            if known.as_ref() == Some(&entry) {
+            let known = self.catalogue.borrow().daemon(&entry.name).map(|known| known.cloned());
+            if known == Some(Some(entry.clone())) {
                 return;
             }
-            if self.listed_daemons.get() {
+            if known.is_some() {
                 match self.store().enter_daemon(&entry).await {
                     Ok(()) => return,
                     Err(e) => self.note_contact(Kind::Daemons, Some(&e)),
@@ -295,45 +280,41 @@
     }
 
     fn list_daemons(&self, objects: Vec<Object>) {
-        let entries = objects.iter().filter_map(|object| self.daemon(object));
-        let daemons = entries.map(|entry| (entry.name.clone(), entry)).collect();
-        self.daemons.replace(daemons);
-        self.listed_daemons.set(true);
-        self.resize_fleet();
+        let entries = objects.iter().filter_map(|object| self.daemon(object)).collect();
+        if self.catalogue.borrow_mut().list_daemons(entries) {
+            self.fleet_changed();
+        }
     }
 
     fn change_daemons(&self, changes: Vec<Change>) {
+        let mut changed = false;
         for change in changes {
-            let mut daemons = self.daemons.borrow_mut();
-            match change {
-                Change::Put(object) => {
-                    let entry = self.daemon(&object);
-                    daemons.extend(entry.map(|entry| (entry.name.clone(), entry)));
-                }
-                Change::Removed(name) => {
-                    daemons.remove(&name);
-                }
-            }
+            changed |= match change {
+                Change::Put(object) => self
+                    .daemon(&object)
+                    .is_some_and(|entry| self.catalogue.borrow_mut().put_daemon(entry)),
+                Change::Removed(name) => self.catalogue.borrow_mut().remove_daemon(&name),
+            };
+        }
+        if changed {
+            self.fleet_changed();
         }
-        self.resize_fleet();
     }
 
     fn daemon(&self, object: &Object) -> Option<DaemonEntry> {
-        let decoded = DaemonEntry::decode(object);
-        decoded
-            .inspect_err(|e| {
-                warn!(self.shared.log, "control: entry ignored"; "entry" => &object.name,
-                    "cause" => %e);
-            })
-            .ok()
+        let decoded = decode_daemon(object);
+        decoded.inspect_err(|e| self.ignore(object, e)).ok()
     }
 
-    fn resize_fleet(&self) {
-        let size = self.daemons.borrow().len().max(1) as u32;
-        if self.catalogue.borrow_mut().resize_fleet(size) {
-            info!(self.shared.log, "control: fleet resized"; "daemons" => size);
-            self.publish();
-        }
+    fn ignore(&self, object: &Object, cause: &dyn std::error::Error) {
+        warn!(self.shared.log, "control: entry ignored"; "entry" => &object.name,
+            "cause" => %cause);
+    }
+
+    fn fleet_changed(&self) {
+        let size = self.catalogue.borrow().fleet_size();
+        info!(self.shared.log, "control: daemons changed"; "daemons" => size);
+        self.publish();
     }
 
     /// Returns the client of the store, a new one if the store has moved.
--- a/crates/berylpin_daemon/src/direct/lines.rs
+++ b/crates/berylpin_daemon/src/direct/lines.rs
@@ -4,7 +4,7 @@
 use berylpin_core::direct::DirectDecision;
 use berylpin_core::ids::Key;
 use metrics::{counter, histogram};
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use std::time::{Duration, Instant};
 
 /// Lines a second that a thread writes at most; those above are counted and told. Some hundred bytes
@@ -51,6 +51,14 @@
                     "replica" => replica.index(), "outcome" => outcome, "verdict" => %verdict,
                     "elapsed_ms" => millis(*elapsed));
             }
+            DirectDecision::Delegated { peer, parts } => {
+                debug!(self.log, "route: shards left to a peer"; "request" => request,
+                    "peer" => peer.index(), "parts" => parts);
+            }
+            DirectDecision::PeerSilent { peer, parts } => {
+                info!(self.log, "route: peer silent"; "request" => request,
+                    "peer" => peer.index(), "parts" => parts);
+            }
             DirectDecision::Done {
                 route,
                 version,
@@ -89,6 +97,12 @@
         DirectDecision::AttemptFailed { outcome, .. } => {
             counter!("berylpin_failed_attempts_total", "outcome" => *outcome).increment(1);
         }
+        DirectDecision::Delegated { .. } => {
+            counter!("berylpin_delegated_calls_total").increment(1);
+        }
+        DirectDecision::PeerSilent { .. } => {
+            counter!("berylpin_silent_peers_total").increment(1);
+        }
         DirectDecision::Done { outcome, missing, elapsed, .. } => {
             counter!("berylpin_requests_total", "outcome" => *outcome).increment(1);
             counter!("berylpin_missing_parts_total").increment(*missing as u64);
--- /dev/null
+++ b/crates/berylpin_daemon/src/direct/links.rs
@@ -0,0 +1,189 @@
+//! Connections to other daemons, and the calls for parts on them.
+
+use super::traffic::{Payload, Traffic};
+use berylpin_core::direct::{CallKey, PartsRequest, Peer};
+use berylpin_core::ids::PeerId;
+use berylpin_core::verdict::Verdict;
+use berylpin_wire::frame::{Decoder, encode_value};
+use berylpin_wire::parts::{DelegatedReply, DelegatedRequest};
+use bytes::{Bytes, BytesMut};
+use h2::client::SendRequest;
+use http::{Method, Request};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// How long a connection may take, the first ping included; three round trips between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The pause between two attempts to connect to one daemon.
+const CONNECT_PAUSE: Duration = Duration::from_millis(500);
+
+/// The path of requests for parts.
+const PARTS_PATH: &str = "http://peer/v1/parts";
+
+/// The open end of a connection to another daemon; dropping the last one closes it.
+#[derive(Clone)]
+pub(super) struct PeerSender {
+    requests: SendRequest<Bytes>,
+    driver: Rc<Driver>,
+}
+
+/// The task that reads and writes a connection.
+struct Driver(AbortHandle);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// What is known of the connection to one daemon.
+struct Link {
+    peer: PeerId,
+    sender: Option<PeerSender>,
+    next_try: Instant,
+}
+
+/// The connections to all daemons.
+#[derive(Default)]
+pub(super) struct PeerLinks {
+    /// Sorted by peer.
+    links: Vec<Link>,
+}
+
+impl PeerLinks {
+    /// Returns whether a connection is to be opened now.
+    pub(super) fn begin(&mut self, peer: PeerId, now: Instant) -> bool {
+        match self.links.binary_search_by_key(&peer, |link| link.peer) {
+            Ok(index) => {
+                let link = &mut self.links[index];
+                let begin = link.sender.is_none() && link.next_try <= now;
+                if begin {
+                    link.next_try = now + CONNECT_PAUSE;
+                }
+                begin
+            }
+            Err(index) => {
+                let next_try = now + CONNECT_PAUSE;
+                self.links.insert(index, Link { peer, sender: None, next_try });
+                true
+            }
+        }
+    }
+
+    /// Sets or closes the connection to a daemon.
+    pub(super) fn set(&mut self, peer: PeerId, sender: Option<PeerSender>) {
+        if let Ok(index) = self.links.binary_search_by_key(&peer, |link| link.peer) {
+            self.links[index].sender = sender;
+        }
+    }
+
+    pub(super) fn sender(&self, peer: PeerId) -> Option<PeerSender> {
+        let index = self.links.binary_search_by_key(&peer, |link| link.peer).ok()?;
+        self.links[index].sender.clone()
+    }
+}
+
+/// Connects to another daemon and reports once it has answered a ping.
+pub(super) async fn connect_peer(peer: Arc<Peer>, traffic: Rc<Traffic>) {
+    let Ok(Ok(tcp)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer.address)).await else {
+        return;
+    };
+    // Without it a small request waits for the acknowledgement of the one before.
+    let _ = tcp.set_nodelay(true);
+    let Ok((requests, mut connection)) = h2::client::handshake(tcp).await else { return };
+    let ping = connection.ping_pong();
+    let id = peer.id;
+    let watched = traffic.clone();
+    let driver = tokio::task::spawn_local(async move {
+        // Its errors reach the calls that are under way.
+        let _ = connection.await;
+        watched.peer_connected(id, None);
+    });
+    let sender = PeerSender { requests, driver: Rc::new(Driver(driver.abort_handle())) };
+    let Some(mut ping) = ping else { return };
+    if matches!(timeout(CONNECT_TIMEOUT, ping.ping(h2::Ping::opaque())).await, Ok(Ok(_))) {
+        traffic.peer_connected(id, Some(sender));
+    }
+}
+
+/// A request for parts to another daemon.
+pub(super) struct DelegatedCall {
+    pub(super) key: CallKey,
+    pub(super) payload: Rc<Payload>,
+    pub(super) request: PartsRequest,
+}
+
+/// Why a call ended before its last reply.
+struct Lost(Verdict);
+
+impl DelegatedCall {
+    /// Sends the request and reports what comes back.
+    pub(super) async fn run(self, sender: Option<PeerSender>, traffic: Rc<Traffic>) {
+        let key = self.key;
+        if let Err(Lost(verdict)) = self.exchange(sender, &traffic).await {
+            traffic.parts_lost(key, verdict);
+        }
+    }
+
+    async fn exchange(self, sender: Option<PeerSender>, traffic: &Rc<Traffic>) -> Result<(), Lost> {
+        let not_run = || Lost(Verdict::NotRun);
+        let may_have_run = |_| Lost(Verdict::MayHaveRun);
+        let sender = sender.ok_or_else(not_run)?;
+        // Kept until the end, so that the connection stays open.
+        let _driver = sender.driver.clone();
+        let key = self.key;
+        let body = self.encode();
+        let mut request = Request::new(());
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = http::Uri::from_static(PARTS_PATH);
+        let mut requests = sender.requests.ready().await.map_err(|_| not_run())?;
+        let (response, mut stream) =
+            requests.send_request(request, false).map_err(|_| not_run())?;
+        stream.send_data(body, true).map_err(may_have_run)?;
+        let mut body = response.await.map_err(may_have_run)?.into_body();
+        let mut decoder = Decoder::default();
+        while let Some(bytes) = body.data().await {
+            let bytes = bytes.map_err(may_have_run)?;
+            let _ = body.flow_control().release_capacity(bytes.len());
+            decoder.extend(&bytes);
+            loop {
+                match decoder.next_value::<DelegatedReply>() {
+                    Ok(Some(reply)) => {
+                        let last = reply.last;
+                        traffic.parts_arrived(key, reply);
+                        if last {
+                            return Ok(());
+                        }
+                    }
+                    Ok(None) => break,
+                    Err(_) => return Err(Lost(Verdict::MayHaveRun)),
+                }
+            }
+        }
+        Err(Lost(Verdict::MayHaveRun))
+    }
+
+    fn encode(self) -> Bytes {
+        let Payload { method, uri, head, body } = &*self.payload;
+        let headers = head.forwarded.iter();
+        let headers = headers.map(|(name, value)| {
+            (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes()))
+        });
+        let request = DelegatedRequest {
+            request_id: head.request_id.clone(),
+            method: method.as_str().to_owned(),
+            uri: uri.to_string(),
+            headers: headers.collect(),
+            body: body.clone(),
+            parts: self.request,
+        };
+        let mut buf = BytesMut::new();
+        encode_value(&request, &mut buf);
+        buf.freeze()
+    }
+}
--- a/crates/berylpin_daemon/src/direct/mod.rs
+++ b/crates/berylpin_daemon/src/direct/mod.rs
@@ -5,6 +5,8 @@
 mod caller;
 mod control;
 mod lines;
+mod links;
+mod peers;
 mod pool;
 mod process;
 mod status;
--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -2,6 +2,7 @@
 
 use super::caller::{accept_callers, listen};
 use super::control::{ControlContext, run_control};
+use super::peers::accept_peers;
 use super::status::{StatusContext, serve_status};
 use super::traffic::{Traffic, TrafficContext};
 use crate::logging::Log;
@@ -134,6 +135,14 @@
     };
     let cx = TrafficContext { shared: shared.clone(), limits, seed: rand::rng().random() };
     let traffic = Traffic::start(cx);
+    let peers = (settings.ip, settings.peer_ports.0).into();
+    match listen(peers) {
+        Ok(listener) => {
+            tokio::task::spawn_local(accept_peers(listener, traffic.clone(), shared.log.clone()));
+        }
+        // The other daemons then ask the replicas themselves.
+        Err(e) => warn!(shared.log, "daemon: cannot listen"; "address" => %peers, "cause" => %e),
+    }
     accept_callers(listener, traffic, shared).await;
 }
 
--- a/crates/berylpin_daemon/src/direct/traffic.rs
+++ b/crates/berylpin_daemon/src/direct/traffic.rs
@@ -2,20 +2,24 @@
 
 use super::attempt::AttemptTask;
 use super::lines::Lines;
+use super::links::{DelegatedCall, PeerLinks, PeerSender, connect_peer};
 use super::pool::{Connection, Pools};
 use super::process::Shared;
 use berylpin_core::direct::{
-    Action, Answer, AttemptKey, Dispatcher, Event, ExtraLimits, Outcome, Request, Ticket, View,
+    Action, Answer, AttemptKey, CallKey, Dispatcher, Event, ExtraLimits, Outcome, PartsRequest,
+    Request, Ticket, View,
 };
-use berylpin_core::ids::ReplicaId;
+use berylpin_core::ids::{PeerId, ReplicaId};
+use berylpin_core::verdict::Verdict;
 use berylpin_platform::RequestHead;
+use berylpin_wire::parts::DelegatedReply;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::AbortHandle;
 
 /// How often idle connections are looked through.
@@ -40,7 +44,15 @@
 struct Call {
     ticket: Ticket,
     payload: Rc<Payload>,
-    reply: oneshot::Sender<Answer<HeaderMap>>,
+    reply: ReplyTo,
+}
+
+/// Who gets the answer.
+enum ReplyTo {
+    /// A caller.
+    Caller(oneshot::Sender<Answer<HeaderMap>>),
+    /// Another daemon, which may get parts twice.
+    Peer(mpsc::UnboundedSender<DelegatedReply>),
 }
 
 /// The state of a traffic thread.
@@ -50,7 +62,10 @@
     calls: Vec<Call>,
     /// Attempts that are under way, sorted by key.
     attempts: Vec<(AttemptKey, ReplicaId, AbortHandle)>,
+    /// Calls to other daemons that are under way, sorted by key.
+    delegated: Vec<(CallKey, AbortHandle)>,
     pools: Pools,
+    links: PeerLinks,
     lines: Lines,
 }
 
@@ -73,7 +88,9 @@
             dispatcher: Dispatcher::new(limits, seed),
             calls: Vec::new(),
             attempts: Vec::new(),
+            delegated: Vec::new(),
             pools: Pools::default(),
+            links: PeerLinks::default(),
             lines: Lines::new(shared.log.clone(), shared.clock.now()),
         };
         let traffic = Rc::new(Self {
@@ -103,20 +120,63 @@
         self: &Rc<Self>,
         payload: Payload,
     ) -> (Ticket, oneshot::Receiver<Answer<HeaderMap>>) {
-        let ticket = Ticket(self.tickets.get());
-        self.tickets.set(ticket.0 + 1);
+        let ticket = self.next_ticket();
         let request = Request {
             host: payload.head.host.clone(),
             path: payload.uri.path().to_owned(),
             time_left: payload.head.time_left,
         };
         let (reply, rx) = oneshot::channel();
-        // Tickets only grow, so the calls stay sorted.
-        self.state.borrow_mut().calls.push(Call { ticket, payload: Rc::new(payload), reply });
+        self.enter(ticket, payload, ReplyTo::Caller(reply));
         self.handle(Event::Request(ticket, request));
         (ticket, rx)
     }
 
+    /// Starts to fetch parts for another daemon.
+    pub(super) fn parts_request(
+        self: &Rc<Self>,
+        payload: Payload,
+        request: PartsRequest,
+    ) -> (Ticket, mpsc::UnboundedReceiver<DelegatedReply>) {
+        let ticket = self.next_ticket();
+        let (reply, rx) = mpsc::unbounded_channel();
+        self.enter(ticket, payload, ReplyTo::Peer(reply));
+        self.handle(Event::PartsRequest(ticket, request));
+        (ticket, rx)
+    }
+
+    fn next_ticket(&self) -> Ticket {
+        let ticket = Ticket(self.tickets.get());
+        self.tickets.set(ticket.0 + 1);
+        ticket
+    }
+
+    fn enter(&self, ticket: Ticket, payload: Payload, reply: ReplyTo) {
+        // Tickets only grow, so the calls stay sorted.
+        self.state.borrow_mut().calls.push(Call { ticket, payload: Rc::new(payload), reply });
+    }
+
+    /// Takes parts that another daemon fetched.
+    pub(super) fn parts_arrived(self: &Rc<Self>, call: CallKey, reply: DelegatedReply) {
+        if reply.last {
+            self.state.borrow_mut().take_delegated(call);
+        }
+        self.handle(Event::PartsReply(call, reply.reply, reply.last));
+    }
+
+    /// Notes that a call to another daemon broke.
+    pub(super) fn parts_lost(self: &Rc<Self>, call: CallKey, verdict: Verdict) {
+        self.state.borrow_mut().take_delegated(call);
+        self.handle(Event::PartsLost(call, verdict));
+    }
+
+    /// Notes that a connection to another daemon opened or broke.
+    pub(super) fn peer_connected(self: &Rc<Self>, peer: PeerId, sender: Option<PeerSender>) {
+        let connected = sender.is_some();
+        self.state.borrow_mut().links.set(peer, sender);
+        self.handle(Event::PeerConnected(peer, connected));
+    }
+
     /// Notes that a caller went away.
     pub(super) fn caller_gone(self: &Rc<Self>, ticket: Ticket) {
         self.state.borrow_mut().take_call(ticket);
@@ -182,11 +242,38 @@
                 }
             }
             Action::Answer(ticket, answer) => {
-                if let Some(call) = state.take_call(ticket) {
+                if let Some(Call { reply: ReplyTo::Caller(reply), .. }) = state.take_call(ticket) {
                     // An error means that the caller went away just now.
-                    let _ = call.reply.send(answer);
+                    let _ = reply.send(answer);
+                }
+            }
+            Action::SendParts(ticket, reply, last) => {
+                if let Some(Call { reply: ReplyTo::Peer(tx), .. }) = state.call(ticket) {
+                    // An error means that the other daemon went away just now.
+                    let _ = tx.send(DelegatedReply { reply, last });
+                }
+                if last {
+                    state.take_call(ticket);
+                }
+            }
+            Action::Delegate { ticket, call, peer, request } => {
+                let Some(payload) = state.payload(ticket) else { return };
+                let sender = state.links.sender(peer.id);
+                let task = DelegatedCall { key: call, payload, request };
+                let running = tokio::task::spawn_local(task.run(sender, self.clone()));
+                state.add_delegated(call, running.abort_handle());
+            }
+            Action::Withdraw(call) => {
+                if let Some(running) = state.take_delegated(call) {
+                    running.abort();
+                }
+            }
+            Action::Connect(peer) => {
+                if state.links.begin(peer.id, now) {
+                    tokio::task::spawn_local(connect_peer(peer, self.clone()));
                 }
             }
+            Action::Disconnect(peer) => state.links.set(peer, None),
             Action::Log(ticket, decision) => {
                 let payload = state.payload(ticket);
                 let id = payload.as_ref().map_or("", |payload| &payload.head.request_id);
@@ -236,9 +323,23 @@
 }
 
 impl State {
-    fn payload(&self, ticket: Ticket) -> Option<Rc<Payload>> {
+    fn call(&self, ticket: Ticket) -> Option<&Call> {
         let index = self.calls.binary_search_by_key(&ticket, |call| call.ticket).ok()?;
-        Some(self.calls[index].payload.clone())
+        Some(&self.calls[index])
+    }
+
+    fn payload(&self, ticket: Ticket) -> Option<Rc<Payload>> {
+        self.call(ticket).map(|call| call.payload.clone())
+    }
+
+    fn add_delegated(&mut self, key: CallKey, running: AbortHandle) {
+        let position = self.delegated.partition_point(|(other, _)| *other < key);
+        self.delegated.insert(position, (key, running));
+    }
+
+    fn take_delegated(&mut self, key: CallKey) -> Option<AbortHandle> {
+        let index = self.delegated.binary_search_by_key(&key, |(key, _)| *key).ok()?;
+        Some(self.delegated.remove(index).1)
     }
 
     fn take_call(&mut self, ticket: Ticket) -> Option<Call> {
--- a/crates/berylpin_wire/src/frame.rs
+++ b/crates/berylpin_wire/src/frame.rs
@@ -4,6 +4,7 @@
 use berylpin_core::execute::ExecuteMessage;
 use berylpin_core::message::QueryMessage;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -36,9 +37,17 @@
 
 /// Appends a frame to a buffer.
 pub fn encode(frame: &Frame, buf: &mut BytesMut) {
+    encode_value(frame, buf);
+}
+
+/// Appends a value to a buffer, framed like a `Frame`.
+pub fn encode_value<T>(value: &T, buf: &mut BytesMut)
+where
+    T: Serialize,
+{
     let start = buf.len();
     buf.put_u32(0);
-    let result = bincode::serde::encode_into_std_write(frame, &mut buf.writer(), config());
+    let result = bincode::serde::encode_into_std_write(value, &mut buf.writer(), config());
     debug_assert!(result.is_ok(), "a frame always encodes");
     let length = (buf.len() - start - LENGTH_BYTES) as u32;
     buf[start..start + LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
@@ -62,6 +71,18 @@
     ///
     /// Returns why the bytes are not a frame; the stream is of no use from then on.
     pub fn next_frame(&mut self) -> Result<Option<Frame>, FrameError> {
+        self.next_value()
+    }
+
+    /// Returns the next whole value, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the bytes are no such value; the stream is of no use from then on.
+    pub fn next_value<T>(&mut self) -> Result<Option<T>, FrameError>
+    where
+        T: DeserializeOwned,
+    {
         let Some(prefix) = self.buf.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
         let length = u32::from_be_bytes(*prefix) as usize;
         if length > FRAME_LIMIT {
@@ -72,8 +93,8 @@
         }
         self.buf.advance(LENGTH_BYTES);
         let body = self.buf.split_to(length);
-        let (frame, _) = bincode::serde::decode_from_slice(&body, config())?;
-        Ok(Some(frame))
+        let (value, _) = bincode::serde::decode_from_slice(&body, config())?;
+        Ok(Some(value))
     }
 }
 
--- a/crates/berylpin_wire/src/lib.rs
+++ b/crates/berylpin_wire/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod caller;
 pub mod execute;
 pub mod frame;
+pub mod parts;
 pub mod platform;
 pub mod upstream;
