Group shards by the data centre of their replicas, and keep a rescue within the owner's replicas

An owner that was not connected was never connected to if its entry was the next candidate (test an_owner_that_is_not_connected_is_connected_to_even_if_this_daemon_is_the_next_candidate).

--- a/crates/berylpin_core/src/direct/attempts.rs
+++ b/crates/berylpin_core/src/direct/attempts.rs
@@ -5,7 +5,6 @@
 use super::flight::{Attempt, FlightKey, PartState};
 use super::replicas::Choice;
 use super::view::{Route, Target};
-use crate::ids::DataCentreId;
 use crate::verdict::Verdict;
 use std::time::{Duration, Instant};
 
@@ -20,7 +19,6 @@
         key: FlightKey,
         index: usize,
         cause: Cause,
-        near: Option<DataCentreId>,
         now: Instant,
         actions: &mut Vec<Action<H>>,
     ) -> bool {
@@ -33,7 +31,7 @@
         let Some(service) = newest.services.get(part.service) else { return false };
         let tools = (&self.paces, &mut self.rng);
         let choice =
-            self.replicas.choose((newest, service), route, tools, (&part.tried, near), now);
+            self.replicas.choose((newest, service), route, tools, (&part.tried, part.near), now);
         let Some(choice) = choice else { return false };
         if cause == Cause::First {
             self.budgets.earn(part.service, newest.fleet_size, now);
@@ -93,7 +91,7 @@
         let part = &flight.parts[index];
         let more = (part.tried.len() as u32) < flight.config().max_attempts;
         if more && part.is_open() && part.call.is_none() && part.open.len() == 1 {
-            self.attempt(key, index, Cause::Hedge, None, now, actions);
+            self.attempt(key, index, Cause::Hedge, now, actions);
         }
     }
 
@@ -171,7 +169,7 @@
         let allowed = flight.config().idempotent || verdict == Verdict::NotRun;
         let more = (part.tried.len() as u32) < flight.config().max_attempts;
         let others_open = !part.is_idle();
-        if allowed && more && self.attempt(key, index, Cause::Retry, None, now, actions) {
+        if allowed && more && self.attempt(key, index, Cause::Retry, now, actions) {
             return;
         }
         if !others_open {
--- a/crates/berylpin_core/src/direct/delegate.rs
+++ b/crates/berylpin_core/src/direct/delegate.rs
@@ -1,11 +1,11 @@
 //! Parts that another daemon fetches and merges near the replicas.
 //!
-//! The shards of a query are cut into groups. Each group has an owner in each data centre that has its
-//! replicas: the daemon with the highest rendezvous score. All entries thus send a group to the same
-//! daemon, which sees all calls of those replicas, needs few connections to them, and sends back one
-//! merged answer.
+//! The shards that have replicas in a data centre are cut into groups there. Each group has an owner in
+//! that data centre: the daemon with the highest rendezvous score. All entries thus send a group to the
+//! same daemon, which sees their calls of those replicas, needs few connections to them, and sends back
+//! one merged answer.
 
-use super::view::{Distance, Peer, View};
+use super::view::{Peer, View};
 use crate::arena::SlabKey;
 use crate::ids::{DataCentreId, MemberTag, PeerId, ServiceId, ServiceTag};
 use crate::verdict::Verdict;
@@ -20,7 +20,11 @@
 
 /// Shards in a group. Smaller groups spread the work of one query over more daemons, larger ones send
 /// fewer messages.
-const GROUP_SIZE: usize = 10;
+const GROUP_SIZE: usize = 15;
+
+/// Shards up to which an entry asks the replicas of its own data centre itself: with so few, its own
+/// work and connections are less than the way to an owner.
+const DIRECT_SHARDS: usize = 40;
 
 /// Daemons of a data centre that are tried for a group before the entry fetches it itself.
 const CANDIDATES: usize = 2;
@@ -96,24 +100,18 @@
 
 impl Peers {
     /// Chooses the owner of a group of services.
-    pub(super) fn owner(
-        &mut self,
-        view: &View,
-        group: usize,
-        services: &[ServiceId],
-        now: Instant,
-    ) -> Owner {
-        let Some(data_centre) = home(view, group, services) else { return Owner::Own };
+    pub(super) fn owner(&mut self, view: &View, group: &Group, now: Instant) -> Owner {
+        let (data_centre, number) = (group.data_centre, group.number);
         let of_centre = view.peers.iter().filter(|peer| peer.data_centre == data_centre);
         let mut ranked: Vec<(u64, Option<&Arc<Peer>>)> =
-            of_centre.map(|peer| (score(peer.tag, group), Some(peer))).collect();
+            of_centre.map(|peer| (score(peer.tag, number), Some(peer))).collect();
         if data_centre == view.own_data_centre {
-            ranked.push((score(view.own_tag, group), None));
+            ranked.push((score(view.own_tag, number), None));
         }
         ranked.sort_unstable_by(|a, b| b.0.cmp(&a.0));
         let mut unconnected = None;
         for (_, peer) in ranked.into_iter().take(CANDIDATES) {
-            let Some(peer) = peer else { return Owner::Own };
+            let Some(peer) = peer else { break };
             let state = self.state(peer.id);
             if state.rest_until.is_some_and(|until| until > now) {
                 continue;
@@ -167,35 +165,71 @@
     }
 }
 
-/// Cuts the indexes of parts into groups; daemons with the same configuration cut alike.
-pub(super) fn groups(count: usize) -> impl Iterator<Item = (usize, std::ops::Range<usize>)> {
-    let groups = count.div_ceil(GROUP_SIZE).max(1);
-    let size = count.div_ceil(groups);
-    (0..groups).map(move |group| (group, group * size..((group + 1) * size).min(count)))
+/// Parts of a query that have one owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Group {
+    /// Where the owner runs.
+    pub(super) data_centre: DataCentreId,
+    /// Counts the groups of the data centre.
+    pub(super) number: usize,
+    /// Positions in the query's services, in order.
+    pub(super) parts: Vec<usize>,
 }
 
-/// Returns the nearest data centre with replicas of most of the services; groups are spread over those
-/// that are equally near.
-fn home(view: &View, group: usize, services: &[ServiceId]) -> Option<DataCentreId> {
-    let mut counts: Vec<(DataCentreId, Distance, usize)> = Vec::new();
-    for replica in services.iter().flat_map(|service| view.replicas(*service)) {
-        match counts.iter_mut().find(|(centre, ..)| *centre == replica.data_centre) {
-            Some((.., count)) => *count += 1,
-            None => counts.push((replica.data_centre, replica.distance, 1)),
+/// Assigns the parts of a query to groups; parts that the entry asks for itself are in none.
+///
+/// Which shards share a group depends on nothing but the replicas, so all entries agree on it.
+pub(super) fn groups(view: &View, services: &[ServiceId]) -> Vec<Group> {
+    let mut groups: Vec<Group> = Vec::new();
+    // How many shards of each data centre came before.
+    let mut counts: Vec<(DataCentreId, usize)> = Vec::new();
+    for (part, service) in services.iter().enumerate() {
+        let replicas = view.replicas(*service);
+        let home = home(view, *service);
+        let mut seen: Vec<DataCentreId> = Vec::new();
+        for replica in replicas {
+            let data_centre = replica.data_centre;
+            if seen.contains(&data_centre) {
+                continue;
+            }
+            seen.push(data_centre);
+            let index = counts.iter().position(|(centre, _)| *centre == data_centre);
+            let index = index.unwrap_or_else(|| {
+                counts.push((data_centre, 0));
+                counts.len() - 1
+            });
+            let number = counts[index].1 / GROUP_SIZE;
+            counts[index].1 += 1;
+            if home == Some(data_centre) {
+                add_part(&mut groups, data_centre, number, part);
+            }
         }
     }
-    let most = counts.iter().map(|(.., count)| *count).max()?;
-    counts.retain(|(.., count)| *count * 2 >= most);
-    let nearest = counts.iter().map(|(_, distance, _)| *distance).min()?;
-    counts.retain(|(_, distance, _)| *distance == nearest);
-    counts.sort_unstable_by_key(|(centre, ..)| *centre);
-    counts.get(group % counts.len().max(1)).map(|(centre, ..)| *centre)
+    let direct = services.len() <= DIRECT_SHARDS;
+    groups.retain(|group| !(direct && group.data_centre == view.own_data_centre));
+    groups
+}
+
+fn add_part(groups: &mut Vec<Group>, data_centre: DataCentreId, number: usize, part: usize) {
+    let same = |group: &&mut Group| group.data_centre == data_centre && group.number == number;
+    match groups.iter_mut().find(same) {
+        Some(group) => group.parts.push(part),
+        None => groups.push(Group { data_centre, number, parts: vec![part] }),
+    }
+}
+
+/// Returns the nearest data centre with a replica of the service; shards are spread over those that are
+/// equally near.
+fn home(view: &View, service: ServiceId) -> Option<DataCentreId> {
+    let replicas = view.replicas(service).iter();
+    let nearest = replicas.min_by_key(|r| (r.distance, xxh3_64(r.name.as_bytes())));
+    nearest.map(|replica| replica.data_centre)
 }
 
-fn score(tag: MemberTag, group: usize) -> u64 {
+fn score(tag: MemberTag, number: usize) -> u64 {
     let mut bytes = [0; 16];
     bytes[..8].copy_from_slice(&tag.0.to_le_bytes());
-    bytes[8..].copy_from_slice(&(group as u64).to_le_bytes());
+    bytes[8..].copy_from_slice(&(number as u64).to_le_bytes());
     xxh3_64(&bytes)
 }
 
--- a/crates/berylpin_core/src/direct/delegation.rs
+++ b/crates/berylpin_core/src/direct/delegation.rs
@@ -6,7 +6,7 @@
 use super::flight::{Flight, FlightKey, Origin, Part, PartState};
 use super::merge::merge_records;
 use super::view::{Distance, Peer, Target, View};
-use crate::ids::{DataCentreId, PeerId, ServiceId};
+use crate::ids::{DataCentreId, ServiceId};
 use crate::verdict::Verdict;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -35,13 +35,11 @@
         let view = flight.view.clone();
         let newest = self.view.clone().unwrap_or_else(|| view.clone());
         let services: Vec<ServiceId> = flight.parts.iter().map(|part| part.service).collect();
-        for (group, range) in groups(services.len()) {
-            match self.peers.owner(&newest, group, &services[range.clone()], now) {
+        for group in groups(&newest, &services) {
+            match self.peers.owner(&newest, &group, now) {
                 Owner::Own => {}
                 Owner::Unconnected(peer) => actions.push(Action::Connect(peer)),
-                Owner::Peer(peer) => {
-                    self.call(key, &peer, range.collect(), &newest, now, actions);
-                }
+                Owner::Peer(peer) => self.call(key, &peer, group.parts, &newest, now, actions),
             }
         }
     }
@@ -52,9 +50,8 @@
         let Some(view) = self.view.clone() else { return };
         for route in &view.routes {
             let Target::Shards { services, .. } = &route.target else { continue };
-            for (group, range) in groups(services.len()) {
-                let owner = self.peers.owner(&view, group, &services[range], now);
-                if let Owner::Unconnected(peer) = owner {
+            for group in groups(&view, services) {
+                if let Owner::Unconnected(peer) = self.peers.owner(&view, &group, now) {
                     actions.push(Action::Connect(peer));
                 }
             }
@@ -89,6 +86,7 @@
         let call = self.calls.insert(Call { flight: key, peer: peer.id, parts: parts.clone() });
         for part in &parts {
             flight.parts[*part].call = Some(call);
+            flight.parts[*part].near = Some(peer.data_centre);
         }
         flight.calls.push(call);
         let silent = time.mul_f64(REPORT_SHARE) + round_trip + REPORT_SLACK;
@@ -149,11 +147,10 @@
             flight.calls.retain(|call| *call != key);
         }
         let missing: Vec<_> = parts.iter().map(|part| (*part, verdict)).collect();
-        let near = self.peer_centre(peer);
         if verdict == Verdict::NotRun {
             self.call_over(flight, key, &parts, &missing, now, actions);
         } else {
-            self.rescue(flight, key, &parts, near, now, actions);
+            self.rescue(flight, key, &parts, now, actions);
         }
         self.settle(flight, now, actions);
     }
@@ -175,21 +172,16 @@
         flight.calls.retain(|call| *call != key);
         let decision = DirectDecision::PeerSilent { peer, parts: parts.len() };
         actions.push(Action::Log(flight.ticket, decision));
-        let near = self.peer_centre(peer);
-        self.rescue(flight_key, key, &parts, near, now, actions);
+        self.rescue(flight_key, key, &parts, now, actions);
         self.settle(flight_key, now, actions);
     }
 
     /// Attempts parts that another daemon may have attempted.
-    ///
-    /// Replicas near that daemon come first: it will have chosen them too, so that the part does not
-    /// run on more replicas than the route allows.
     fn rescue(
         &mut self,
         key: FlightKey,
         call: CallKey,
         parts: &[usize],
-        near: Option<DataCentreId>,
         now: Instant,
         actions: &mut Vec<Action<H>>,
     ) {
@@ -201,7 +193,7 @@
             }
             part.call = None;
             part.verdict = part.verdict.and(Verdict::MayHaveRun);
-            if part.is_open() && !self.attempt(key, *index, Cause::Rescue, near, now, actions) {
+            if part.is_open() && !self.attempt(key, *index, Cause::Rescue, now, actions) {
                 self.fail_part(key, *index, None);
             }
         }
@@ -234,12 +226,6 @@
         self.send_first(key, parts.iter().copied(), now, actions);
     }
 
-    fn peer_centre(&self, peer: PeerId) -> Option<DataCentreId> {
-        let view = self.view.as_ref()?;
-        let found = view.peers.binary_search_by_key(&peer, |peer| peer.id);
-        found.ok().map(|index| view.peers[index].data_centre)
-    }
-
     /// Starts to fetch parts for another daemon.
     pub(super) fn start_parts(
         &mut self,
@@ -264,13 +250,17 @@
             return actions.push(Action::SendParts(ticket, reply, true));
         };
         let count = services.len();
+        let near = Some(view.own_data_centre);
         let key = self.insert(Flight {
             ticket,
             route,
             arrived: now,
             deadline: now + request.time_left,
             answer_by: now + request.answer_in,
-            parts: services.into_iter().map(Part::new).collect(),
+            parts: services
+                .into_iter()
+                .map(|service| Part { near, ..Part::new(service) })
+                .collect(),
             attempts: 0,
             origin: Origin::Peer { limit: request.limit as usize },
             calls: Vec::new(),
--- a/crates/berylpin_core/src/direct/dispatcher.rs
+++ b/crates/berylpin_core/src/direct/dispatcher.rs
@@ -236,7 +236,7 @@
             if !self.flights.get(key).is_some_and(|flight| waits(&flight.parts[part])) {
                 continue;
             }
-            if !self.attempt(key, part, Cause::First, None, now, actions) {
+            if !self.attempt(key, part, Cause::First, now, actions) {
                 self.fail_part(key, part, None);
             }
         }
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -16,6 +16,8 @@
 mod pace;
 mod replicas;
 mod split;
+#[cfg(test)]
+mod testing;
 mod view;
 
 pub use budget::ExtraLimits;
--- a/crates/berylpin_core/src/direct/replicas.rs
+++ b/crates/berylpin_core/src/direct/replicas.rs
@@ -8,6 +8,7 @@
 use rand::rngs::SmallRng;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Round trips until one is measured: within a data centre, a region, and between regions.
 const FIRST_ROUND_TRIPS: [Duration; 3] =
@@ -143,8 +144,10 @@
 }
 
 impl Replicas {
-    /// Chooses the replica that is expected to answer first, of those not in `tried`; those in the data
-    /// centre `near` come before all others.
+    /// Chooses the replica that is expected to answer first, of those not in `tried`.
+    ///
+    /// For a part that two daemons may attempt, `near` is the data centre of the one that fetches it:
+    /// both then choose among the same replicas, no more than the route allows.
     pub(super) fn choose(
         &mut self,
         (view, service): (&View, &Service),
@@ -158,7 +161,10 @@
         let connections = connections(service.max_connections, view.fleet_size);
         let mut best: Option<(Duration, Choice)> = None;
         for replica in &service.replicas {
-            if tried.contains(&replica.id) {
+            let shared = near.is_none_or(|near| {
+                rank(&service.replicas, replica, near) < route.max_attempts as usize
+            });
+            if tried.contains(&replica.id) || !shared {
                 continue;
             }
             let state = self.state(replica.id, now);
@@ -171,10 +177,7 @@
             let queue = 1.0 + ahead as f64 / f64::from(replica.slots);
             let expected = round_trip + median.mul_f64(state.factor.max(0.5) * queue);
             let cost = expected + state.penalty(replica, median, now);
-            let mut cost = cost.mul_f64(1.0 + rng.random_range(0.0..NOISE));
-            if near.is_some_and(|near| near != replica.data_centre) {
-                cost += DOWN_COST;
-            }
+            let cost = cost.mul_f64(1.0 + rng.random_range(0.0..NOISE));
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let late = round_trip + late;
                 best = Some((cost, Choice { replica: replica.clone(), late }));
@@ -288,6 +291,14 @@
     }
 }
 
+/// Returns how many replicas come before this one for a daemon of the data centre `near`; the same at
+/// all daemons.
+fn rank(replicas: &[Arc<Replica>], replica: &Replica, near: DataCentreId) -> usize {
+    let order = |replica: &Replica| (replica.data_centre != near, xxh3_64(replica.name.as_bytes()));
+    let own = order(replica);
+    replicas.iter().filter(|other| order(other) < own).count()
+}
+
 fn first_round_trip(distance: Distance) -> Duration {
     FIRST_ROUND_TRIPS[distance as usize]
 }
--- a/crates/berylpin_daemon/src/direct/links.rs
+++ b/crates/berylpin_daemon/src/direct/links.rs
@@ -1,6 +1,7 @@
 //! Connections to other daemons, and the calls for parts on them.
 
 use super::traffic::{Payload, Traffic};
+use crate::logging::Log;
 use berylpin_core::direct::{CallKey, PartsRequest, Peer};
 use berylpin_core::ids::PeerId;
 use berylpin_core::verdict::Verdict;
@@ -9,9 +10,11 @@
 use bytes::{Bytes, BytesMut};
 use h2::client::SendRequest;
 use http::{Method, Request};
+use slog::info;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -88,27 +91,45 @@
     }
 }
 
+/// Why there is no connection to a daemon.
+#[derive(Debug, Error)]
+enum LinkError {
+    #[error("no answer within {CONNECT_TIMEOUT:?}")]
+    Timeout(#[from] tokio::time::error::Elapsed),
+    #[error("connection failed: {0}")]
+    Connect(#[from] std::io::Error),
+    #[error("protocol error: {0}")]
+    Protocol(#[from] h2::Error),
+}
+
 /// Connects to another daemon and reports once it has answered a ping.
-pub(super) async fn connect_peer(peer: Arc<Peer>, traffic: Rc<Traffic>) {
-    let Ok(Ok(tcp)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer.address)).await else {
-        return;
-    };
+pub(super) async fn connect_peer(peer: Arc<Peer>, traffic: Rc<Traffic>, log: Log) {
+    match open(&peer, &traffic).await {
+        Ok(sender) => {
+            info!(log, "link: connected"; "peer" => %peer.address);
+            traffic.peer_connected(peer.id, Some(sender));
+        }
+        Err(e) => info!(log, "link: not connected"; "peer" => %peer.address, "cause" => %e),
+    }
+}
+
+async fn open(peer: &Peer, traffic: &Rc<Traffic>) -> Result<PeerSender, LinkError> {
+    let tcp = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer.address)).await??;
     // Without it a small request waits for the acknowledgement of the one before.
-    let _ = tcp.set_nodelay(true);
-    let Ok((requests, mut connection)) = h2::client::handshake(tcp).await else { return };
+    tcp.set_nodelay(true)?;
+    let (requests, mut connection) = h2::client::handshake(tcp).await?;
     let ping = connection.ping_pong();
-    let id = peer.id;
-    let watched = traffic.clone();
+    let (id, watched) = (peer.id, traffic.clone());
     let driver = tokio::task::spawn_local(async move {
         // Its errors reach the calls that are under way.
         let _ = connection.await;
         watched.peer_connected(id, None);
     });
     let sender = PeerSender { requests, driver: Rc::new(Driver(driver.abort_handle())) };
-    let Some(mut ping) = ping else { return };
-    if matches!(timeout(CONNECT_TIMEOUT, ping.ping(h2::Ping::opaque())).await, Ok(Ok(_))) {
-        traffic.peer_connected(id, Some(sender));
+    if let Some(mut ping) = ping {
+        timeout(CONNECT_TIMEOUT, ping.ping(h2::Ping::opaque())).await??;
     }
+    Ok(sender)
 }
 
 /// A request for parts to another daemon.
--- a/crates/berylpin_daemon/src/direct/traffic.rs
+++ b/crates/berylpin_daemon/src/direct/traffic.rs
@@ -270,7 +270,11 @@
             }
             Action::Connect(peer) => {
                 if state.links.begin(peer.id, now) {
-                    tokio::task::spawn_local(connect_peer(peer, self.clone()));
+                    tokio::task::spawn_local(connect_peer(
+                        peer,
+                        self.clone(),
+                        self.shared.log.clone(),
+                    ));
                 }
             }
             Action::Disconnect(peer) => state.links.set(peer, None),
