Test the dispatcher in virtual time, and let charges of callers that left end

The property test drives three daemons whose replicas answer, refuse, break off, fail, hang and have moved, with daemons that freeze and connections that break. It checks that each caller has one true answer, that a charge runs once at most and is never refused as not run after a run, and that no shard runs on more replicas than the route allows. It found attempts at charges that were kept for ever when the replica hung after its caller had left; they now end with the caller's time. What requests earn fades now, so that the budget holds in any window (the_fleet_stays_within_the_limits_in_any_window).

--- a/crates/berylpin_core/src/direct/budget.rs
+++ b/crates/berylpin_core/src/direct/budget.rs
@@ -3,10 +3,15 @@
 use crate::ids::{Key, ServiceId};
 use std::time::{Duration, Instant};
 
-/// The part of the slack that daemons use up between them while the share covers the rest; the rest
-/// is left for daemons that are not known yet.
+/// The part of the slack that daemons use up between them; the rest is left for daemons that are not
+/// known yet.
 const SLACK_USED: f64 = 0.8;
 
+/// The part of the ratio that requests earn, and how fast what they earned is forgotten, in windows. With
+/// both a window never holds more than its own requests may earn: 0.9 x (1 + 0.1) < 1.
+const RATIO_USED: f64 = 0.9;
+const MEMORY: f64 = 0.1;
+
 /// The part of a daemon's slack that is there at once; the rest comes back over the window. Any
 /// window holds at most this and what comes back meanwhile.
 const BURST_PART: f64 = 0.5;
@@ -25,7 +30,7 @@
 /// The bucket of one service.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
-    /// Earned by requests; from 0 to the ratio of `earning` requests.
+    /// Earned by requests and fading; at least 0.
     earned: f64,
     /// Part of the slack; from 0 to the burst.
     slack: f64,
@@ -50,10 +55,8 @@
 
     /// Counts a request for a service.
     pub(super) fn earn(&mut self, service: ServiceId, fleet_size: u32, now: Instant) {
-        let ratio = self.limits.ratio;
-        let bucket = self.bucket(service, fleet_size, now);
-        // Requests of earlier windows do not count for this one.
-        bucket.earned = (bucket.earned + ratio).min(EARNED_LIMIT);
+        let ratio = self.limits.ratio * RATIO_USED;
+        self.bucket(service, fleet_size, now).earned += ratio;
     }
 
     /// Takes an extra attempt at a service, if there is one left.
@@ -89,15 +92,13 @@
         let fresh = Bucket { earned: 0.0, slack: burst, refilled: now };
         let bucket = self.buckets[index].get_or_insert(fresh);
         let elapsed = now.saturating_duration_since(bucket.refilled).as_secs_f64();
-        let refill = part * (1.0 - BURST_PART) * elapsed / self.limits.window.as_secs_f64();
-        bucket.slack = (bucket.slack + refill).min(burst);
+        let windows = elapsed / self.limits.window.as_secs_f64();
+        bucket.slack = (bucket.slack + part * (1.0 - BURST_PART) * windows).min(burst);
+        bucket.earned *= (-windows / MEMORY).exp();
         bucket.refilled = now;
         bucket
     }
 }
 
-/// What requests may earn ahead, in attempts; a few, so that little is carried between windows.
-const EARNED_LIMIT: f64 = 4.0;
-
 #[cfg(test)]
 mod tests;
--- a/crates/berylpin_core/src/direct/budget/tests.rs
+++ b/crates/berylpin_core/src/direct/budget/tests.rs
@@ -1,1 +1,62 @@
+use super::*;
+use proptest::prelude::*;
 
+const LIMITS: ExtraLimits =
+    ExtraLimits { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) };
+
+/// A step of the test: so many ms pass, then a daemon gets a request and wants so many extra attempts.
+type Step = (u64, usize, usize);
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let busy = (0u64..40, 0usize..8, 0usize..12);
+    let calm = (0u64..2000, 0usize..8, 0usize..2);
+    proptest::collection::vec(prop_oneof![8 => busy, 1 => calm], 1..600)
+}
+
+proptest! {
+    #[test]
+    fn the_fleet_stays_within_the_limits_in_any_window(steps in steps()) {
+        let start = Instant::now();
+        let service = ServiceId::from_index(0);
+        let mut fleet: Vec<Budgets> = (0..8).map(|_| Budgets::new(LIMITS)).collect();
+        let (mut now, mut requests, mut extras) = (start, Vec::new(), Vec::new());
+        for (ms, daemon, wanted) in steps {
+            now += Duration::from_millis(ms);
+            fleet[daemon].earn(service, 8, now);
+            requests.push(now);
+            for _ in 0..wanted {
+                if fleet[daemon].take(service, 8, now) {
+                    extras.push(now);
+                }
+            }
+        }
+        for first in &extras {
+            let count = |times: &[Instant], from: Instant| {
+                times.iter().filter(|at| **at >= from && **at < from + LIMITS.window).count() as f64
+            };
+            let before = [Duration::ZERO, LIMITS.window / 2, LIMITS.window]
+                .map(|shift| first.checked_sub(shift).map_or(0.0, |from| count(&requests, from)));
+            let earning = before.into_iter().fold(0.0, f64::max);
+            let allowed = LIMITS.ratio * earning + LIMITS.slack;
+            prop_assert!(count(&extras, *first) <= allowed);
+        }
+    }
+}
+
+#[test]
+fn a_fleet_that_is_larger_has_smaller_parts_of_the_slack() {
+    let (now, service) = (Instant::now(), ServiceId::from_index(0));
+    let left = |fleet| Budgets::new(LIMITS).left(service, fleet, now);
+    assert!(left(75) < left(8) / 9.0);
+}
+
+#[test]
+fn the_slack_comes_back_within_the_window() {
+    let (now, service) = (Instant::now(), ServiceId::from_index(0));
+    let mut budgets = Budgets::new(LIMITS);
+    let fresh = budgets.left(service, 8, now);
+    while budgets.take(service, 8, now) {}
+    assert!(budgets.left(service, 8, now) < 1.0);
+    let later = now + LIMITS.window;
+    assert!((budgets.left(service, 8, later) - fresh).abs() < 0.01);
+}
--- a/crates/berylpin_core/src/direct/catalogue/tests.rs
+++ b/crates/berylpin_core/src/direct/catalogue/tests.rs
@@ -1,1 +1,125 @@
+use super::*;
+use crate::direct::testing::{catalogue, configuration, entry};
+use proptest::prelude::*;
 
+fn small() -> (Catalogue, Instant) {
+    let now = Instant::now();
+    (catalogue("palermo-1", "palermo", 2, now), now)
+}
+
+fn names(catalogue: &Catalogue) -> Vec<String> {
+    let view = catalogue.view().unwrap();
+    let replicas = view.services.iter().flat_map(|(_, service)| service.replicas.clone());
+    let mut names: Vec<_> = replicas.map(|replica| replica.name.to_string()).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn there_is_no_view_before_configuration_and_replicas_are_known() {
+    let mut catalogue = Catalogue::new("a".into(), "palermo".into(), Vec::new());
+    assert!(catalogue.view().is_none());
+    catalogue.configure(configuration(1, 2));
+    assert!(catalogue.view().is_none());
+    catalogue.list(Vec::new(), Instant::now());
+    assert!(catalogue.view().is_some());
+}
+
+#[test]
+fn an_older_configuration_changes_nothing() {
+    let (mut catalogue, _) = small();
+    assert!(catalogue.configure(configuration(9, 2)));
+    assert!(!catalogue.configure(configuration(9, 1)));
+    assert!(!catalogue.configure(configuration(8, 1)));
+    assert_eq!(catalogue.version(), Some(9));
+}
+
+#[test]
+fn a_draining_replica_gets_nothing_new_at_once() {
+    let (mut catalogue, _) = small();
+    let draining = ReplicaEntry { draining: true, ..entry("palermo-0", "shard-0", "palermo") };
+    assert!(catalogue.put(draining));
+    assert!(!names(&catalogue).contains(&"palermo-0".to_owned()));
+}
+
+#[test]
+fn an_entry_that_lapsed_may_come_back() {
+    let (mut catalogue, now) = small();
+    let before = names(&catalogue);
+    assert!(!catalogue.remove("palermo-0", now));
+    assert_eq!(names(&catalogue), before);
+    catalogue.put(entry("palermo-0", "shard-0", "palermo"));
+    assert!(catalogue.expire(now + LAPSE_GRACE * 2).is_empty());
+    assert_eq!(names(&catalogue), before);
+}
+
+#[test]
+fn an_entry_that_stays_away_is_taken_as_gone() {
+    let (mut catalogue, now) = small();
+    catalogue.remove("palermo-0", now);
+    assert!(catalogue.expire(now + LAPSE_GRACE / 2).is_empty());
+    assert_eq!(catalogue.expire(now + LAPSE_GRACE), ["palermo-0"]);
+    assert!(!names(&catalogue).contains(&"palermo-0".to_owned()));
+}
+
+#[test]
+fn a_replica_reborn_under_its_name_starts_without_a_history() {
+    let (mut catalogue, _) = small();
+    let id = |catalogue: &Catalogue| {
+        let view = catalogue.view().unwrap();
+        let found = view.services.iter().flat_map(|(_, s)| s.replicas.clone());
+        found.filter(|r| &*r.name == "palermo-0").map(|r| r.id).next().unwrap()
+    };
+    let before = id(&catalogue);
+    let reborn = ReplicaEntry { started_ms: 2, ..entry("palermo-0", "shard-0", "palermo") };
+    assert!(catalogue.put(reborn));
+    assert_ne!(id(&catalogue), before);
+}
+
+#[test]
+fn a_replica_that_only_says_the_same_again_is_no_news() {
+    let (mut catalogue, _) = small();
+    assert!(!catalogue.put(entry("palermo-0", "shard-0", "palermo")));
+}
+
+#[test]
+fn routes_are_chosen_by_host_and_longest_prefix() {
+    let (mut catalogue, _) = small();
+    let mut newer = configuration(2, 2);
+    let longer = RouteConfig {
+        name: "longer".to_owned(),
+        prefix: "/query/part/".to_owned(),
+        ..newer.routes[0].clone()
+    };
+    newer.routes.push(longer);
+    catalogue.configure(newer);
+    let view = catalogue.view().unwrap();
+    let name = |host, path| view.route(host, path).map(|index| view.routes[index].name.to_string());
+    assert_eq!(name("a.example", "/query/x").as_deref(), Some("query"));
+    assert_eq!(name("a.example", "/query/part/x").as_deref(), Some("longer"));
+    assert_eq!(name("a.example", "/query"), None);
+    assert_eq!(name("b.example", "/query/x"), None);
+}
+
+#[test]
+fn the_share_of_shards_is_rounded_up() {
+    assert_eq!(min_parts(20, 0.89), 18);
+    assert_eq!(min_parts(20, 0.95), 19);
+    assert_eq!(min_parts(90, 0.95), 86);
+    assert_eq!(min_parts(4, 0.0), 1);
+    assert_eq!(min_parts(4, 1.0), 4);
+}
+
+proptest! {
+    #[test]
+    fn the_version_in_force_never_falls(versions in proptest::collection::vec(1u64..20, 1..40)) {
+        let (mut catalogue, _) = small();
+        let mut newest = catalogue.version().unwrap();
+        for version in versions {
+            catalogue.configure(configuration(version, 1 + version as usize % 3));
+            newest = newest.max(version);
+            prop_assert_eq!(catalogue.version(), Some(newest));
+            prop_assert_eq!(catalogue.view().unwrap().version, newest);
+        }
+    }
+}
--- a/crates/berylpin_core/src/direct/dispatcher.rs
+++ b/crates/berylpin_core/src/direct/dispatcher.rs
@@ -267,7 +267,8 @@
         }
         for attempt in flight.parts.iter().flat_map(|part| &part.open) {
             if !repeatable {
-                // It runs at most once, so what has begun is left to end.
+                // It runs at most once, so what has begun is left to end in the time it had.
+                self.timers.set(flight.deadline, Timer::Linger(*attempt));
                 continue;
             }
             if let Some(Attempt { replica, sent, .. }) = self.attempts.remove(*attempt) {
--- a/crates/berylpin_core/src/direct/dispatcher/tests.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests.rs
@@ -1,1 +1,213 @@
+use super::*;
+use crate::direct::delegate::PartsReply;
+use crate::direct::event::{Outcome, Reply};
+use crate::direct::testing::{CHARGE, QUERY, catalogue};
+use bytes::Bytes;
+use proptest::prelude::*;
+use std::time::Duration;
 
+mod world;
+
+use world::{Fate, Step, World};
+
+const LIMITS: ExtraLimits =
+    ExtraLimits { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) };
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        12 => (1u64..60).prop_map(Fate::Answers),
+        2 => (100u64..400).prop_map(Fate::Answers),
+        1 => Just(Fate::Refuses),
+        1 => Just(Fate::Breaks),
+        1 => Just(Fate::Unreachable),
+        1 => Just(Fate::Fails),
+        1 => Just(Fate::Hangs),
+        1 => Just(Fate::WrongReplica),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0usize..3, any::<bool>(), 20u64..3000).prop_map(|(d, query, ms)| Step::Request(d, query, ms)),
+        8 => (1u64..80).prop_map(Step::Wait),
+        1 => (0usize..3).prop_map(Step::Freeze),
+        1 => (0usize..3).prop_map(Step::Thaw),
+        1 => (0usize..3).prop_map(Step::Cut),
+        1 => (0usize..8).prop_map(Step::Gone),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(192))]
+
+    /// The world checks each action; at the end every caller has exactly one answer.
+    #[test]
+    fn answers_are_true_whatever_replicas_and_daemons_do(
+        fates in proptest::collection::vec(fate(), 1..200),
+        steps in proptest::collection::vec(step(), 1..80),
+    ) {
+        let mut world = World::new(fates);
+        for step in steps {
+            world.step(step);
+        }
+        world.finish();
+    }
+}
+
+fn single(path: &str) -> (Dispatcher<()>, Vec<Action<()>>, Instant) {
+    let now = Instant::now();
+    let mut dispatcher = Dispatcher::new(LIMITS, 1);
+    let mut actions = Vec::new();
+    let view = Arc::new(catalogue("palermo-1", "palermo", 4, now).view().unwrap());
+    dispatcher.handle(Event::View(view), now, &mut actions);
+    actions.clear();
+    let request = Request {
+        host: "a.example".to_owned(),
+        path: format!("{path}x"),
+        time_left: Some(Duration::from_secs(1)),
+    };
+    dispatcher.handle(Event::Request(Ticket(1), request), now, &mut actions);
+    (dispatcher, actions, now)
+}
+
+fn sends(actions: &[Action<()>]) -> Vec<(AttemptKey, ReplicaId)> {
+    let sends = actions.iter().filter_map(|action| match action {
+        Action::Send { attempt, replica, .. } => Some((*attempt, replica.id)),
+        _ => None,
+    });
+    sends.collect()
+}
+
+fn answer(signature: &str) -> Outcome<()> {
+    Outcome::Answered(Reply {
+        status: 200,
+        signature: Some(signature.into()),
+        body: Bytes::from_static(&[7; 16]),
+        headers: (),
+    })
+}
+
+#[test]
+fn a_daemon_without_configuration_refuses_as_not_run() {
+    let (mut dispatcher, mut actions) = (Dispatcher::<()>::new(LIMITS, 1), Vec::new());
+    let request = Request { host: "a.example".to_owned(), path: QUERY.to_owned(), time_left: None };
+    dispatcher.handle(Event::Request(Ticket(1), request), Instant::now(), &mut actions);
+    let [Action::Answer(_, Answer::Refused { reason, verdict, retry_after })] = &actions[..] else {
+        panic!("one answer is expected, not {actions:?}")
+    };
+    assert_eq!((*reason, *verdict), (RefusalReason::NotReady, Verdict::NotRun));
+    assert!(retry_after.is_some());
+}
+
+#[test]
+fn a_query_is_answered_in_part_shortly_before_its_target() {
+    let (mut dispatcher, mut actions, now) = single(QUERY);
+    let sent = sends(&actions);
+    assert_eq!(sent.len(), 4);
+    actions.clear();
+    for (index, (attempt, _)) in sent.iter().take(3).enumerate() {
+        let event = Event::Ended(*attempt, answer(&index.to_string()));
+        dispatcher.handle(event, now + Duration::from_millis(10), &mut actions);
+    }
+    assert!(!actions.iter().any(|action| matches!(action, Action::Answer(..))));
+    dispatcher.handle(Event::Wake, now + Duration::from_millis(200) - ANSWER_LEAD, &mut actions);
+    let answer = actions.iter().find_map(|action| match action {
+        Action::Answer(_, Answer::Merged { signatures, missing, .. }) => {
+            Some((signatures.len(), *missing))
+        }
+        _ => None,
+    });
+    assert_eq!(answer, Some((3, 1)));
+}
+
+#[test]
+fn a_late_attempt_is_hedged_on_another_replica() {
+    let (mut dispatcher, mut actions, now) = single(QUERY);
+    let first = sends(&actions);
+    actions.clear();
+    dispatcher.handle(Event::Wake, now + Duration::from_millis(120), &mut actions);
+    let hedges = sends(&actions);
+    assert!(!hedges.is_empty());
+    assert!(hedges.iter().all(|(_, replica)| first.iter().all(|(_, other)| other != replica)));
+}
+
+#[test]
+fn a_charge_is_never_hedged_and_never_sent_again_after_a_broken_answer() {
+    let (mut dispatcher, mut actions, now) = single(CHARGE);
+    let sent = sends(&actions);
+    assert_eq!(sent.len(), 1);
+    actions.clear();
+    dispatcher.handle(Event::Wake, now + Duration::from_millis(900), &mut actions);
+    assert_eq!(sends(&actions), []);
+    let event = Event::Ended(sent[0].0, Outcome::Broken(Verdict::MayHaveRun));
+    dispatcher.handle(event, now + Duration::from_millis(901), &mut actions);
+    assert_eq!(sends(&actions), []);
+    let refused = actions.iter().find_map(|action| match action {
+        Action::Answer(_, Answer::Refused { verdict, retry_after, .. }) => {
+            Some((*verdict, *retry_after))
+        }
+        _ => None,
+    });
+    assert_eq!(refused, Some((Verdict::MayHaveRun, None)));
+}
+
+#[test]
+fn a_charge_that_was_refused_is_sent_to_another_replica() {
+    let (mut dispatcher, mut actions, now) = single(CHARGE);
+    let sent = sends(&actions);
+    actions.clear();
+    dispatcher.handle(Event::Ended(sent[0].0, Outcome::Refused), now, &mut actions);
+    let again = sends(&actions);
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].1, sent[0].1);
+}
+
+#[test]
+fn nothing_goes_on_for_a_caller_that_left() {
+    let (mut dispatcher, mut actions, now) = single(QUERY);
+    let sent = sends(&actions);
+    actions.clear();
+    dispatcher.handle(Event::CallerGone(Ticket(1)), now, &mut actions);
+    let aborted = actions.iter().filter(|action| matches!(action, Action::Abort { .. }));
+    assert_eq!(aborted.count(), sent.len());
+    assert_eq!(dispatcher.open_requests(), 0);
+}
+
+#[test]
+fn parts_that_a_peer_fetched_are_not_asked_for_again() {
+    let now = Instant::now();
+    let mut dispatcher = Dispatcher::<()>::new(LIMITS, 1);
+    let mut actions = Vec::new();
+    let view = Arc::new(catalogue("messina-1", "messina", 4, now).view().unwrap());
+    for peer in &view.peers {
+        dispatcher.handle(Event::PeerConnected(peer.id, true), now, &mut actions);
+    }
+    dispatcher.handle(Event::View(view), now, &mut actions);
+    actions.clear();
+    let request = Request {
+        host: "a.example".to_owned(),
+        path: QUERY.to_owned(),
+        time_left: Some(Duration::from_secs(1)),
+    };
+    dispatcher.handle(Event::Request(Ticket(1), request), now, &mut actions);
+    assert_eq!(sends(&actions), []);
+    let calls: Vec<_> = actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Delegate { call, request, .. } => Some((*call, request.services.len() as u16)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(calls.iter().map(|(_, parts)| parts).sum::<u16>(), 4);
+    actions.clear();
+    for (call, parts) in calls {
+        let parts = (0..parts).map(|part| (part, format!("{call:?}-{part}").into_boxed_str()));
+        let reply =
+            PartsReply { parts: parts.collect(), missing: Vec::new(), records: Bytes::new() };
+        dispatcher.handle(Event::PartsReply(call, reply, true), now, &mut actions);
+    }
+    assert_eq!(sends(&actions), []);
+    assert!(actions.iter().any(|action| {
+        matches!(action, Action::Answer(_, Answer::Merged { missing: 0, signatures, .. }) if signatures.len() == 4)
+    }));
+}
--- a/crates/berylpin_core/src/direct/replicas/tests.rs
+++ b/crates/berylpin_core/src/direct/replicas/tests.rs
@@ -1,1 +1,143 @@
+use super::*;
+use crate::arena::Slab;
+use crate::direct::testing::catalogue;
+use rand::SeedableRng;
 
+struct Bench {
+    view: View,
+    replicas: Replicas,
+    paces: Paces,
+    rng: SmallRng,
+    keys: Slab<()>,
+    now: Instant,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            view: catalogue("palermo-1", "palermo", 1, now).view().unwrap(),
+            replicas: Replicas::default(),
+            paces: Paces::default(),
+            rng: SmallRng::seed_from_u64(1),
+            keys: Slab::default(),
+            now,
+        }
+    }
+
+    fn choose(&mut self, tried: &[ReplicaId]) -> Option<Choice> {
+        let route = &self.view.routes[1];
+        let service = self.view.services.iter().find(|(_, s)| &*s.name == "shard-0").unwrap().1;
+        let tools = (&self.paces, &mut self.rng);
+        self.replicas.choose((&self.view, service), route, tools, (tried, None), self.now)
+    }
+
+    fn name(&mut self) -> String {
+        self.choose(&[]).unwrap().replica.name.to_string()
+    }
+
+    fn send(&mut self) -> (Choice, AttemptKey) {
+        let choice = self.choose(&[]).unwrap();
+        let key = self.keys.insert(());
+        self.replicas.sent(key, &choice, self.now);
+        (choice, key)
+    }
+}
+
+#[test]
+fn the_near_replica_comes_first() {
+    assert_eq!(Bench::new().name(), "palermo-0");
+}
+
+#[test]
+fn a_replica_that_was_tried_is_left_out() {
+    let mut bench = Bench::new();
+    let first = bench.choose(&[]).unwrap().replica.id;
+    let second = bench.choose(&[first]).unwrap().replica.id;
+    assert_ne!(second, first);
+    assert!(bench.choose(&[first, second]).is_none());
+}
+
+#[test]
+fn a_silent_replica_is_avoided_until_it_answers() {
+    let mut bench = Bench::new();
+    let (choice, key) = bench.send();
+    bench.now += choice.late + Duration::from_millis(1);
+    assert_eq!(bench.name(), "catania-0");
+    bench.replicas.ended(choice.replica.id, key, bench.now);
+    bench.replicas.answered(choice.replica.id, 1.0, false, bench.now);
+    assert_eq!(bench.name(), "palermo-0");
+}
+
+#[test]
+fn a_replica_that_answers_others_is_not_silent() {
+    let mut bench = Bench::new();
+    let (choice, _) = bench.send();
+    let (_, other) = bench.send();
+    bench.now += choice.late;
+    bench.replicas.ended(choice.replica.id, other, bench.now);
+    bench.replicas.answered(choice.replica.id, 1.0, false, bench.now);
+    bench.now += Duration::from_millis(1);
+    assert_eq!(bench.name(), "palermo-0");
+}
+
+#[test]
+fn a_slow_replica_is_avoided_and_tried_again_later() {
+    let mut bench = Bench::new();
+    let id = bench.choose(&[]).unwrap().replica.id;
+    bench.replicas.connected(id, Duration::from_micros(200), bench.now);
+    for _ in 0..8 {
+        bench.replicas.answered(id, 8.0, false, bench.now);
+    }
+    assert_eq!(bench.name(), "catania-0");
+    bench.now += MEMORY * 4;
+    assert_eq!(bench.name(), "palermo-0");
+}
+
+#[test]
+fn a_replica_that_cannot_be_connected_to_is_the_last_choice() {
+    let mut bench = Bench::new();
+    let near = bench.choose(&[]).unwrap().replica.id;
+    bench.replicas.unreachable(near, bench.now);
+    let far = bench.choose(&[]).unwrap().replica.id;
+    assert_ne!(far, near);
+    bench.replicas.unreachable(far, bench.now);
+    assert!(bench.choose(&[]).is_some(), "a request that may be the last chance is still tried");
+}
+
+#[test]
+fn an_address_that_another_replica_has_is_not_used() {
+    let mut bench = Bench::new();
+    let near = bench.choose(&[]).unwrap().replica.id;
+    bench.replicas.replaced(near, bench.now);
+    assert_eq!(bench.name(), "catania-0");
+}
+
+#[test]
+fn connections_are_shared_by_the_fleet() {
+    assert_eq!(connections(26, 8), 2);
+    assert_eq!(connections(110, 8), 12);
+    assert_eq!(connections(60, 75), 1);
+}
+
+#[test]
+fn replicas_of_a_shared_part_are_the_same_at_all_daemons() {
+    let now = Instant::now();
+    let (entry, owner) = (
+        catalogue("messina-1", "messina", 1, now).view().unwrap(),
+        catalogue("palermo-1", "palermo", 1, now).view().unwrap(),
+    );
+    let order = |view: &View| {
+        let service = view.services.iter().find(|(_, s)| &*s.name == "shard-0").unwrap().1;
+        let palermo = service.replicas.iter().find(|r| &*r.name == "palermo-0").unwrap();
+        let mut names: Vec<_> = service
+            .replicas
+            .iter()
+            .map(|r| (rank(&service.replicas, r, palermo.data_centre), r.name.to_string()))
+            .collect();
+        names.sort();
+        names
+    };
+    assert_eq!(order(&entry), order(&owner));
+    assert_eq!(order(&entry)[0], (0, "palermo-0".to_owned()));
+}
