--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -14,18 +14,13 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::warn;
 use std::convert::Infallible;
-use std::io;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-/// Connections that wait to be accepted.
-const BACKLOG: u32 = 1024;
-
 /// The least buffer that the HTTP library takes, in bytes.
 const MIN_BUFFER: usize = 8192;
 
@@ -40,14 +35,6 @@
 /// The pause after a connection could not be accepted, as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Opens the socket that callers connect to.
-pub(super) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// Serves callers until told to stop and all of them are answered.
 pub(super) async fn accept_callers(listener: TcpListener, traffic: Rc<Traffic>, shared: Shared) {
     let mut stop = shared.stop.clone();
--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -1,18 +1,19 @@
 //! Start, signals and stop of a daemon on the users' platform.
 
-use super::caller::{accept_callers, listen};
+use super::caller::accept_callers;
 use super::control::{ControlContext, run_control};
 use super::peers::accept_peers;
 use super::status::{StatusContext, serve_status};
 use super::traffic::{Traffic, TrafficContext};
+use crate::daemon::StartError;
 use crate::logging::Log;
+use crate::sockets::Socket;
 use berylpin_core::clock::Clock;
 use berylpin_core::direct::{ExtraLimits, View};
 use berylpin_platform::{PlatformSettings, SettingsError, Store, StoreError};
 use rand::Rng;
 use slog::{info, warn};
 use std::io;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -43,13 +44,8 @@
     #[error(transparent)]
     Settings(#[from] SettingsError),
     /// An address cannot be listened on.
-    #[error("{address}: {source}")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// The cause.
-        source: io::Error,
-    },
+    #[error(transparent)]
+    Start(#[from] StartError),
     /// There is no client for the store.
     #[error(transparent)]
     Store(#[from] StoreError),
@@ -85,13 +81,16 @@
     info!(log, "daemon: started"; "name" => &settings.name,
         "version" => env!("CARGO_PKG_VERSION"), "data_centre" => &settings.data_centre);
 
+    // An address in use shows before any thread is there to be ended.
+    let status = StatusContext::bind(&settings, &shared)?;
+    let callers = Socket::bind("caller_address", settings.caller_address)?;
+    let peers = Socket::bind("peer_address", (settings.ip, settings.peer_ports.0).into())?;
     let control = {
-        let (shared, settings) = (shared.clone(), settings.clone());
+        let shared = shared.clone();
         let store = Store::new(settings.store, settings.ip)?;
         let cx = ControlContext { settings: settings_rx, view: view_tx, store };
         spawn_thread("control", move |local, runtime| {
             local.block_on(runtime, async move {
-                let status = StatusContext::new(&settings, &shared);
                 tokio::task::spawn_local(serve_status(status));
                 run_control(cx, shared).await;
             });
@@ -99,9 +98,12 @@
     };
     let (drained_tx, drained) = std::sync::mpsc::channel();
     let traffic = {
-        let (shared, settings) = (shared.clone(), settings.clone());
+        let (shared, settings, log) = (shared.clone(), settings.clone(), log.clone());
         spawn_thread("traffic", move |local, runtime| {
-            local.block_on(runtime, run_traffic(settings, shared));
+            let ended = local.block_on(runtime, run_traffic(&settings, shared, callers, peers));
+            if let Err(e) = ended {
+                slog::error!(log, "daemon: traffic not served"; "cause" => %e);
+            }
             // An error means that the process ends anyway.
             let _ = drained_tx.send(());
         })?
@@ -118,16 +120,13 @@
 }
 
 /// Serves callers until told to stop and all of them are answered.
-async fn run_traffic(settings: PlatformSettings, shared: Shared) {
-    let address = settings.caller_address;
-    let listener = match listen(address) {
-        Ok(listener) => listener,
-        Err(source) => {
-            slog::error!(shared.log, "daemon: cannot listen"; "address" => %address,
-                "cause" => %source);
-            std::process::exit(1);
-        }
-    };
+async fn run_traffic(
+    settings: &PlatformSettings,
+    shared: Shared,
+    callers: Socket,
+    peers: Socket,
+) -> Result<(), StartError> {
+    let (callers, peers) = (callers.listen()?, peers.listen()?);
     let limits = ExtraLimits {
         ratio: settings.extra_ratio,
         slack: settings.extra_slack,
@@ -135,15 +134,9 @@
     };
     let cx = TrafficContext { shared: shared.clone(), limits, seed: rand::rng().random() };
     let traffic = Traffic::start(cx);
-    let peers = (settings.ip, settings.peer_ports.0).into();
-    match listen(peers) {
-        Ok(listener) => {
-            tokio::task::spawn_local(accept_peers(listener, traffic.clone(), shared.log.clone()));
-        }
-        // The other daemons then ask the replicas themselves.
-        Err(e) => warn!(shared.log, "daemon: cannot listen"; "address" => %peers, "cause" => %e),
-    }
-    accept_callers(listener, traffic, shared).await;
+    tokio::task::spawn_local(accept_peers(peers, traffic.clone(), shared.log.clone()));
+    accept_callers(callers, traffic, shared).await;
+    Ok(())
 }
 
 fn spawn_thread<F>(name: &str, work: F) -> io::Result<std::thread::JoinHandle<()>>
--- a/crates/berylpin_daemon/src/direct/status.rs
+++ b/crates/berylpin_daemon/src/direct/status.rs
@@ -1,12 +1,15 @@
 //! Readiness for the platform and metrics for its people.
 
 use super::process::Shared;
+use crate::daemon::StartError;
+use crate::logging::Log;
 use crate::metrics::metrics_page;
+use crate::sockets::Socket;
 use berylpin_platform::{PlatformSettings, READY_PATH};
 use poem::http::StatusCode;
-use poem::listener::TcpListener;
+use poem::listener::TcpAcceptor;
 use poem::{Endpoint, IntoEndpoint, Route, Server, get};
-use slog::{info, warn};
+use slog::warn;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 
@@ -15,18 +18,23 @@
 
 /// What the status pages need.
 pub(super) struct StatusContext {
-    ready_address: SocketAddr,
-    metrics_address: SocketAddr,
+    ready: Socket,
+    /// `None` if the port is taken; the daemon serves without metrics then.
+    metrics: Option<Socket>,
     shared: Shared,
 }
 
 impl StatusContext {
-    pub(super) fn new(settings: &PlatformSettings, shared: &Shared) -> Self {
-        Self {
-            ready_address: settings.ready_address,
-            metrics_address: SocketAddr::new(settings.ip, METRICS_PORT),
+    pub(super) fn bind(settings: &PlatformSettings, shared: &Shared) -> Result<Self, StartError> {
+        let metrics = SocketAddr::new(settings.ip, METRICS_PORT);
+        let metrics = Socket::bind("metrics", metrics).inspect_err(|e| {
+            warn!(shared.log, "daemon: metrics not served"; "cause" => %e);
+        });
+        Ok(Self {
+            ready: Socket::bind("ready_address", settings.ready_address)?,
+            metrics: metrics.ok(),
             shared: shared.clone(),
-        }
+        })
     }
 }
 
@@ -44,19 +52,25 @@
     let ready = Route::new().at(READY_PATH, get(ready));
     let metrics = poem::endpoint::make_sync(|_| metrics_page());
     let metrics = Route::new().at("/metrics", get(metrics));
-    tokio::join!(
-        serve(cx.ready_address, ready, &cx.shared),
-        serve(cx.metrics_address, metrics, &cx.shared)
-    );
+    let log = &cx.shared.log;
+    tokio::join!(serve(cx.ready, ready, log), async {
+        if let Some(socket) = cx.metrics {
+            serve(socket, metrics, log).await;
+        }
+    });
 }
 
-async fn serve<E>(address: SocketAddr, pages: E, shared: &Shared)
+async fn serve<E>(socket: Socket, pages: E, log: &Log)
 where
     E: IntoEndpoint,
     E::Endpoint: Endpoint + 'static,
 {
-    info!(shared.log, "daemon: serving status"; "address" => %address);
-    if let Err(e) = Server::new(TcpListener::bind(address)).run(pages).await {
-        warn!(shared.log, "daemon: status not served"; "address" => %address, "cause" => %e);
+    let served = async {
+        let acceptor = TcpAcceptor::from_std(socket.listen()?.into_std()?)?;
+        Server::new_with_acceptor(acceptor).run(pages).await?;
+        Ok::<_, StartError>(())
+    };
+    if let Err(e) = served.await {
+        warn!(log, "daemon: status not served"; "cause" => %e);
     }
 }
--- a/crates/berylpin_daemon/src/sockets.rs
+++ b/crates/berylpin_daemon/src/sockets.rs
@@ -37,7 +37,7 @@
 
 impl Socket {
     /// Binds an address that several threads may share.
-    fn bind(key: &'static str, address: SocketAddr) -> Result<Self, StartError> {
+    pub(crate) fn bind(key: &'static str, address: SocketAddr) -> Result<Self, StartError> {
         let open = || {
             let socket =
                 if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
