--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -278,10 +278,14 @@
         for route in &configuration.routes {
             match &route.target {
                 RouteTarget::Split(parts) => {
-                    parts.iter().for_each(|(name, _)| self.enter_service(name));
+                    for (name, _) in parts {
+                        self.enter_service(name);
+                    }
                 }
                 RouteTarget::Shards { services, .. } => {
-                    services.iter().for_each(|name| self.enter_service(name));
+                    for name in services {
+                        self.enter_service(name);
+                    }
                 }
             }
         }
--- a/crates/berylpin_core/src/direct/delegate.rs
+++ b/crates/berylpin_core/src/direct/delegate.rs
@@ -11,6 +11,7 @@
 use crate::verdict::Verdict;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
@@ -108,7 +109,7 @@
         if data_centre == view.own_data_centre {
             ranked.push((score(view.own_tag, number), None));
         }
-        ranked.sort_unstable_by(|a, b| b.0.cmp(&a.0));
+        ranked.sort_unstable_by_key(|(score, _)| Reverse(*score));
         let mut unconnected = None;
         for (_, peer) in ranked.into_iter().take(CANDIDATES) {
             let Some(peer) = peer else { break };
--- a/crates/berylpin_core/src/direct/dispatcher/tests.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests.rs
@@ -110,7 +110,11 @@
         dispatcher.handle(event, now + Duration::from_millis(10), &mut actions);
     }
     assert!(!actions.iter().any(|action| matches!(action, Action::Answer(..))));
-    dispatcher.handle(Event::Wake, now + Duration::from_millis(200) - ANSWER_LEAD, &mut actions);
+    dispatcher.handle(
+        Event::Wake,
+        now + Duration::from_millis(200).saturating_sub(ANSWER_LEAD),
+        &mut actions,
+    );
     let answer = actions.iter().find_map(|action| match action {
         Action::Answer(_, Answer::Merged { signatures, missing, .. }) => {
             Some((signatures.len(), *missing))
--- a/crates/berylpin_daemon/src/direct/attempt.rs
+++ b/crates/berylpin_daemon/src/direct/attempt.rs
@@ -67,9 +67,8 @@
         }
         let started = traffic.now();
         let open = TcpStream::connect(self.replica.address);
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, open).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(_)) | Err(_) => return Err(Outcome::Unreachable),
+        let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, open).await else {
+            return Err(Outcome::Unreachable);
         };
         traffic.connected(self.replica.id, started);
         // Without it small requests wait for the acknowledgement of earlier ones.
--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -182,7 +182,9 @@
     }
 
     fn list_configuration(&self, objects: Vec<Object>) {
-        objects.iter().for_each(|object| self.configure(object));
+        for object in &objects {
+            self.configure(object);
+        }
     }
 
     fn change_configuration(&self, changes: Vec<Change>) {
@@ -277,7 +279,8 @@
         };
         loop {
             // A daemon that starts again finds its entry as it left it.
-            let known = self.catalogue.borrow().daemon(&entry.name).map(|known| known.cloned());
+            let known =
+                self.catalogue.borrow().daemon(&entry.name).map(Option::<&DaemonEntry>::cloned);
             if known == Some(Some(entry.clone())) {
                 return;
             }
--- a/crates/berylpin_daemon/tests/platform_soak.rs
+++ b/crates/berylpin_daemon/tests/platform_soak.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
@@ -149,10 +149,7 @@
     async fn start(seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let net = Net::new(Duration::from_millis(1));
-        let mut ports = Ports::default();
-        let address = ports.reserve(Ipv4Addr::LOCALHOST).unwrap();
-        drop(ports);
-        let store = Store::start(address);
+        let store = Store::start().await.unwrap();
         let ledger = Arc::new(Ledger::default());
         let mut replicas = Vec::new();
         for service in shards("a").iter().chain(&shards("b")).chain(&["ledger".to_owned()]) {
@@ -175,6 +172,7 @@
         let (mut processes, mut proxies) = (Vec::new(), Vec::new());
         for index in 0..DAEMONS {
             let zone = Zone::PLATFORM;
+            let address = store.address();
             let target = Target { zone, address, limit: usize::MAX, counted: false };
             let proxy = Proxy::start(net.clone(), 10 + index as u8, target).await.unwrap();
             let mut process = Process::new(index, seed, proxy.address());
@@ -204,7 +202,7 @@
         spawn_local(async move {
             let caller = Caller::new(front).unwrap();
             for number in 0u64.. {
-                let wanted = if number % 3 == 0 { Wanted::Charge } else { Wanted::Query };
+                let wanted = if number.is_multiple_of(3) { Wanted::Charge } else { Wanted::Query };
                 let id = format!("{name}-{number}");
                 let seen = caller.send(wanted, &id, PATIENCE).await;
                 records.borrow_mut().push(Record { id, wanted, seen });
@@ -242,7 +240,7 @@
             8 => self.store.forget(),
             9 => {
                 self.version += self.rng.random_range(1..4);
-                let set = if self.version % 2 == 0 { "b" } else { "a" };
+                let set = if self.version.is_multiple_of(2) { "b" } else { "a" };
                 let newer = configuration(self.version, &shards(set), "ledger");
                 self.store.put("config", "main", newer);
             }
@@ -297,7 +295,7 @@
 
     /// Waits until each daemon answers a query and a charge in full by the newest configuration.
     async fn recover(&self) {
-        let set = if self.version % 2 == 0 { "b" } else { "a" };
+        let set = if self.version.is_multiple_of(2) { "b" } else { "a" };
         for process in &self.processes {
             let caller = Caller::new(process.front()).unwrap();
             let served = async {
