Let an owner choose among all replicas until its last attempt

Cause: owners and entries were both bound to two of a shard's three replicas, so that a part that both attempt runs on two at most; with a seventh of the replicas slow, many shards had two slow ones. A part is now bound to its home replica only for a rescue and for an owner's last attempt.

--- a/crates/berylpin_core/src/direct/attempts.rs
+++ b/crates/berylpin_core/src/direct/attempts.rs
@@ -2,9 +2,10 @@
 
 use super::dispatcher::{ANSWER_LEAD, Dispatcher, Timer};
 use super::event::{Action, AttemptKey, Cause, DirectDecision, Outcome, Reply};
-use super::flight::{Attempt, FlightKey, PartState};
-use super::replicas::Choice;
-use super::view::{Route, Target};
+use super::flight::{Attempt, FlightKey, Part, PartState};
+use super::replicas::{Choice, home};
+use super::view::{Route, Service, Target};
+use crate::ids::ReplicaId;
 use crate::verdict::Verdict;
 use std::time::{Duration, Instant};
 
@@ -29,9 +30,10 @@
         // Replicas come and go faster than configurations.
         let newest = self.view.as_ref().unwrap_or(&view);
         let Some(service) = newest.services.get(part.service) else { return false };
+        let Ok(home) = bound_to(part, cause, route, service) else { return false };
         let tools = (&self.paces, &mut self.rng);
         let choice =
-            self.replicas.choose((newest, service), route, tools, (&part.tried, part.near), now);
+            self.replicas.choose((newest, service), route, tools, (&part.tried, home), now);
         let Some(choice) = choice else { return false };
         if cause == Cause::First {
             self.budgets.earn(part.service, newest.fleet_size, now);
@@ -196,6 +198,26 @@
     }
 }
 
+/// Returns the one replica that an attempt is bound to, if it is; an error if that one is gone.
+///
+/// A part that two daemons may attempt runs on its home replica and on one other at the most: the owner
+/// chooses freely until its last attempt, and a rescue goes to the home replica.
+fn bound_to<H>(
+    part: &Part<H>,
+    cause: Cause,
+    route: &Route,
+    service: &Service,
+) -> Result<Option<ReplicaId>, NoHome> {
+    let Some(near) = part.near else { return Ok(None) };
+    let home = home(&service.replicas, near).ok_or(NoHome)?;
+    let last = part.tried.len() as u32 + 1 >= route.max_attempts;
+    let bound = cause == Cause::Rescue || (last && !part.tried.contains(&home));
+    Ok(bound.then_some(home))
+}
+
+/// No replica of a part is known.
+struct NoHome;
+
 /// Returns whether an answer may be a part of an answer to the caller.
 fn is_part<H>(route: &Route, reply: &Reply<H>) -> bool {
     match route.target {
--- a/crates/berylpin_core/src/direct/replicas.rs
+++ b/crates/berylpin_core/src/direct/replicas.rs
@@ -146,14 +146,13 @@
 impl Replicas {
     /// Chooses the replica that is expected to answer first, of those not in `tried`.
     ///
-    /// For a part that two daemons may attempt, `near` is the data centre of the one that fetches it:
-    /// both then choose among the same replicas, no more than the route allows.
+    /// With `home` no other replica than that one is chosen.
     pub(super) fn choose(
         &mut self,
         (view, service): (&View, &Service),
         route: &Route,
         (paces, rng): (&Paces, &mut SmallRng),
-        (tried, near): (&[ReplicaId], Option<DataCentreId>),
+        (tried, home): (&[ReplicaId], Option<ReplicaId>),
         now: Instant,
     ) -> Option<Choice> {
         let median = paces.median(route.id, route.target_latency);
@@ -161,10 +160,8 @@
         let connections = connections(service.max_connections, view.fleet_size);
         let mut best: Option<(Duration, Choice)> = None;
         for replica in &service.replicas {
-            let shared = near.is_none_or(|near| {
-                rank(&service.replicas, replica, near) < route.max_attempts as usize
-            });
-            if tried.contains(&replica.id) || !shared {
+            let other = home.is_some_and(|home| home != replica.id);
+            if tried.contains(&replica.id) || other {
                 continue;
             }
             let state = self.state(replica.id, now);
@@ -291,12 +288,10 @@
     }
 }
 
-/// Returns how many replicas come before this one for a daemon of the data centre `near`; the same at
-/// all daemons.
-fn rank(replicas: &[Arc<Replica>], replica: &Replica, near: DataCentreId) -> usize {
+/// Returns the replica that all daemons take as the nearest one to a data centre.
+pub(super) fn home(replicas: &[Arc<Replica>], near: DataCentreId) -> Option<ReplicaId> {
     let order = |replica: &Replica| (replica.data_centre != near, xxh3_64(replica.name.as_bytes()));
-    let own = order(replica);
-    replicas.iter().filter(|other| order(other) < own).count()
+    replicas.iter().min_by_key(|replica| order(replica)).map(|replica| replica.id)
 }
 
 fn first_round_trip(distance: Distance) -> Duration {
