Name replicas and peers in the log, sum up metrics, and put shared pieces in one place

Decisions named replicas by numbers of one process; an engineer needs the names of the store. Latency samples piled up until the metrics page was visited; they are summed up every 5 s.

--- a/crates/berylpin_core/src/direct/attempts.rs
+++ b/crates/berylpin_core/src/direct/attempts.rs
@@ -45,7 +45,7 @@
                 flight.ticket,
                 DirectDecision::Extra {
                     cause,
-                    replica: choice.replica.id,
+                    replica: choice.replica.name.clone(),
                     waited: now.saturating_duration_since(flight.arrived),
                     budget_left: self.budgets.left(part.service, newest.fleet_size, now),
                 },
@@ -55,6 +55,7 @@
             flight: Some(key),
             part: index,
             replica: choice.replica.id,
+            name: choice.replica.name.clone(),
             route: route.id,
             target: route.target_latency,
             sent: now,
@@ -144,7 +145,7 @@
             }
             outcome => outcome,
         };
-        let (replica, elapsed) = (attempt.replica, now.saturating_duration_since(attempt.sent));
+        let (replica, elapsed) = (attempt.name, now.saturating_duration_since(attempt.sent));
         actions.push(Action::Log(
             flight.ticket,
             DirectDecision::AttemptFailed { replica, outcome: name, verdict, elapsed },
--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -1,9 +1,9 @@
 //! The configuration in force and the replicas known, kept by the control thread.
 
+use super::configuration::{Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget};
 use super::view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
 use crate::arena::Arena;
 use crate::ids::{DataCentreId, Key, MemberTag, PeerId, ReplicaId, ServiceId, ServiceTag};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,103 +18,6 @@
 /// Connections that a replica is taken to accept if the configuration does not say.
 const DEFAULT_CONNECTIONS: u32 = 16;
 
-/// What callers may send and how long they may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ClientLimits {
-    /// The longest head of a request, in bytes.
-    pub header_bytes: usize,
-    /// The longest body of a request, in bytes.
-    pub body_bytes: usize,
-    /// How long a head may take.
-    pub header_timeout: Duration,
-    /// How long a connection may be idle.
-    pub idle_timeout: Duration,
-}
-
-/// One version of the operator's configuration.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Configuration {
-    /// Grows with each change.
-    pub version: u64,
-    /// All routes.
-    pub routes: Vec<RouteConfig>,
-    /// Connections that each replica of a service accepts, from all daemons together.
-    pub max_connections: Vec<(String, u32)>,
-    /// What callers may send.
-    pub limits: ClientLimits,
-}
-
-/// A route as the operator writes it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RouteConfig {
-    /// Unique.
-    pub name: String,
-    /// In lower case.
-    pub host: String,
-    /// Begins and ends with a slash.
-    pub prefix: String,
-    /// What serves it.
-    pub target: RouteTarget,
-    /// Whether a request may run more than once.
-    pub idempotent: bool,
-    /// The longest time that a request is kept waiting.
-    pub timeout: Duration,
-    /// The time within which an answer is worth most.
-    pub target_latency: Duration,
-    /// Replicas that one request may be sent to, for each shard.
-    pub max_attempts: u32,
-    /// 0 is the most urgent.
-    pub urgency: u8,
-}
-
-/// What serves a route, by name.
-#[derive(Clone, Debug, PartialEq)]
-pub enum RouteTarget {
-    /// One of these services, chosen by weight.
-    Split(Vec<(String, f64)>),
-    /// All of these services.
-    Shards {
-        /// Each once.
-        services: Vec<String>,
-        /// Records in an answer.
-        limit: usize,
-        /// The share of the shards that an answer needs, from 0 to 1.
-        min_coverage: f64,
-    },
-}
-
-/// What a replica says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReplicaEntry {
-    /// The replica's own name.
-    pub id: String,
-    /// The service that it belongs to.
-    pub service: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Where it runs.
-    pub data_centre: String,
-    /// Requests that it runs at a time, at least 1.
-    pub slots: u32,
-    /// Whether it is leaving.
-    pub draining: bool,
-    /// How much longer it is slow after its start.
-    pub warm_up_left: Duration,
-    /// Wall time of its start, in ms; tells two lives under one name apart.
-    pub started_ms: u64,
-}
-
-/// What a daemon says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DaemonEntry {
-    /// The name of its VM.
-    pub name: String,
-    /// Where it takes requests for parts.
-    pub address: SocketAddr,
-    /// Where it runs.
-    pub data_centre: String,
-}
-
 /// A replica that has an entry, or had one a moment ago.
 #[derive(Debug)]
 struct Known {
--- a/crates/berylpin_core/src/direct/delegate.rs
+++ b/crates/berylpin_core/src/direct/delegate.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
@@ -67,6 +68,8 @@
 pub(super) struct Call {
     pub(super) flight: SlabKey,
     pub(super) peer: PeerId,
+    /// Where the peer listens, for the log.
+    pub(super) address: SocketAddr,
     /// Indexes into the parts of the flight.
     pub(super) parts: Vec<usize>,
 }
--- a/crates/berylpin_core/src/direct/delegation.rs
+++ b/crates/berylpin_core/src/direct/delegation.rs
@@ -83,7 +83,12 @@
             answer_in: time,
             time_left: flight.deadline.saturating_duration_since(now),
         };
-        let call = self.calls.insert(Call { flight: key, peer: peer.id, parts: parts.clone() });
+        let call = self.calls.insert(Call {
+            flight: key,
+            peer: peer.id,
+            address: peer.address,
+            parts: parts.clone(),
+        });
         for part in &parts {
             flight.parts[*part].call = Some(call);
             flight.parts[*part].near = Some(peer.data_centre);
@@ -91,7 +96,7 @@
         flight.calls.push(call);
         let silent = time.mul_f64(REPORT_SHARE) + round_trip + REPORT_SLACK;
         self.timers.set(now + silent, Timer::Silent(call));
-        let decision = DirectDecision::Delegated { peer: peer.id, parts: parts.len() };
+        let decision = DirectDecision::Delegated { peer: peer.address, parts: parts.len() };
         actions.push(Action::Log(flight.ticket, decision));
         actions.push(Action::Delegate { ticket: flight.ticket, call, peer: peer.clone(), request });
     }
@@ -141,7 +146,7 @@
         now: Instant,
         actions: &mut Vec<Action<H>>,
     ) {
-        let Some(Call { flight, peer, parts }) = self.calls.remove(key) else { return };
+        let Some(Call { flight, peer, parts, .. }) = self.calls.remove(key) else { return };
         self.peers.unanswered(peer, now);
         if let Some(flight) = self.flights.get_mut(flight) {
             flight.calls.retain(|call| *call != key);
@@ -159,6 +164,7 @@
     pub(super) fn peer_silent(&mut self, key: CallKey, now: Instant, actions: &mut Vec<Action<H>>) {
         let Some(call) = self.calls.get(key) else { return };
         let (flight_key, peer, parts) = (call.flight, call.peer, call.parts.clone());
+        let address = call.address;
         let heard =
             |flight: &Flight<H>| parts.iter().any(|part| flight.parts[*part].call.is_none());
         if self.flights.get(flight_key).is_some_and(heard) {
@@ -170,7 +176,7 @@
         actions.push(Action::Disconnect(peer));
         let Some(flight) = self.flights.get_mut(flight_key) else { return };
         flight.calls.retain(|call| *call != key);
-        let decision = DirectDecision::PeerSilent { peer, parts: parts.len() };
+        let decision = DirectDecision::PeerSilent { peer: address, parts: parts.len() };
         actions.push(Action::Log(flight.ticket, decision));
         self.rescue(flight_key, key, &parts, now, actions);
         self.settle(flight_key, now, actions);
@@ -186,14 +192,8 @@
         actions: &mut Vec<Action<H>>,
     ) {
         for index in parts {
-            let Some(flight) = self.flights.get_mut(key) else { return };
-            let part = &mut flight.parts[*index];
-            if part.call != Some(call) {
-                continue;
-            }
-            part.call = None;
-            part.verdict = part.verdict.and(Verdict::MayHaveRun);
-            if part.is_open() && !self.attempt(key, *index, Cause::Rescue, now, actions) {
+            let waits = self.release(key, call, *index, Verdict::MayHaveRun);
+            if waits && !self.attempt(key, *index, Cause::Rescue, now, actions) {
                 self.fail_part(key, *index, None);
             }
         }
@@ -210,22 +210,27 @@
         actions: &mut Vec<Action<H>>,
     ) {
         for index in parts {
-            let Some(flight) = self.flights.get_mut(key) else { return };
-            let part = &mut flight.parts[*index];
-            if part.call != Some(call) {
-                continue;
-            }
-            part.call = None;
             let told = missing.iter().find(|(missing, _)| missing == index);
             let verdict = told.map_or(Verdict::MayHaveRun, |(_, verdict)| *verdict);
-            part.verdict = part.verdict.and(verdict);
-            if part.is_open() && verdict != Verdict::NotRun {
+            if self.release(key, call, *index, verdict) && verdict != Verdict::NotRun {
                 self.fail_part(key, *index, None);
             }
         }
         self.send_first(key, parts.iter().copied(), now, actions);
     }
 
+    /// Takes a part back from a call that is over; returns whether the part still needs an answer.
+    fn release(&mut self, key: FlightKey, call: CallKey, index: usize, verdict: Verdict) -> bool {
+        let Some(flight) = self.flights.get_mut(key) else { return false };
+        let part = &mut flight.parts[index];
+        if part.call != Some(call) {
+            return false;
+        }
+        part.call = None;
+        part.verdict = part.verdict.and(verdict);
+        part.is_open()
+    }
+
     /// Starts to fetch parts for another daemon.
     pub(super) fn start_parts(
         &mut self,
--- a/crates/berylpin_core/src/direct/event.rs
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -3,9 +3,10 @@
 use super::delegate::{CallKey, PartsReply, PartsRequest};
 use super::view::{Peer, Replica, View};
 use crate::arena::SlabKey;
-use crate::ids::{PeerId, ReplicaId};
+use crate::ids::PeerId;
 use crate::verdict::Verdict;
 use bytes::Bytes;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -221,8 +222,8 @@
     Extra {
         /// Why.
         cause: Cause,
-        /// The replica chosen.
-        replica: ReplicaId,
+        /// The name of the replica chosen.
+        replica: Arc<str>,
         /// How long the shard had been waited for.
         waited: Duration,
         /// Extra attempts that are left for the service.
@@ -230,8 +231,8 @@
     },
     /// An attempt ended without a usable answer.
     AttemptFailed {
-        /// The replica.
-        replica: ReplicaId,
+        /// The name of the replica.
+        replica: Arc<str>,
         /// What happened.
         outcome: &'static str,
         /// Whether it ran there.
@@ -241,15 +242,15 @@
     },
     /// Shards were left to another daemon.
     Delegated {
-        /// The daemon.
-        peer: PeerId,
+        /// Where the daemon listens.
+        peer: SocketAddr,
         /// How many shards.
         parts: usize,
     },
     /// Another daemon did not answer.
     PeerSilent {
-        /// The daemon.
-        peer: PeerId,
+        /// Where the daemon listens.
+        peer: SocketAddr,
         /// Shards that it was asked for.
         parts: usize,
     },
--- a/crates/berylpin_core/src/direct/flight.rs
+++ b/crates/berylpin_core/src/direct/flight.rs
@@ -89,6 +89,8 @@
     pub(super) flight: Option<FlightKey>,
     pub(super) part: usize,
     pub(super) replica: ReplicaId,
+    /// The name of the replica, for the log.
+    pub(super) name: Arc<str>,
     pub(super) route: RouteId,
     pub(super) target: Duration,
     pub(super) sent: Instant,
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod budget;
 mod catalogue;
+mod configuration;
 mod delegate;
 mod delegation;
 mod dispatcher;
@@ -21,8 +22,9 @@
 mod view;
 
 pub use budget::ExtraLimits;
-pub use catalogue::{
-    Catalogue, ClientLimits, Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget,
+pub use catalogue::Catalogue;
+pub use configuration::{
+    ClientLimits, Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget,
 };
 pub use delegate::{CallKey, PartsReply, PartsRequest};
 pub use dispatcher::Dispatcher;
--- a/crates/berylpin_core/src/direct/testing.rs
+++ b/crates/berylpin_core/src/direct/testing.rs
@@ -1,7 +1,8 @@
 //! What the tests of this module share: a catalogue of two regions with replicas and daemons.
 
-use super::catalogue::{
-    Catalogue, ClientLimits, Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget,
+use super::catalogue::Catalogue;
+use super::configuration::{
+    ClientLimits, Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget,
 };
 use std::time::{Duration, Instant};
 
--- a/crates/berylpin_core/src/direct/view.rs
+++ b/crates/berylpin_core/src/direct/view.rs
@@ -1,6 +1,6 @@
 //! What traffic threads work by.
 
-use super::catalogue::ClientLimits;
+use super::configuration::ClientLimits;
 use crate::arena::Arena;
 use crate::ids::{DataCentreId, MemberTag, PeerId, ReplicaId, ServiceId, ServiceTag};
 use std::net::SocketAddr;
--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -1,8 +1,8 @@
 //! The front end of callers.
 
 use super::process::Shared;
-use super::traffic::{Payload, Traffic};
-use berylpin_core::direct::{Answer, ClientLimits, RefusalReason, Ticket};
+use super::traffic::{GoneGuard, Payload, Traffic};
+use berylpin_core::direct::{Answer, ClientLimits, RefusalReason};
 use berylpin_core::verdict::Verdict;
 use berylpin_platform::{merged_headers, read_request_head, refusal_headers, relayed_headers};
 use bytes::Bytes;
@@ -85,21 +85,6 @@
     let _ = connection.await;
 }
 
-/// Tells the traffic thread that the caller went away, unless it was answered.
-struct GoneGuard {
-    traffic: Rc<Traffic>,
-    ticket: Ticket,
-    answered: bool,
-}
-
-impl Drop for GoneGuard {
-    fn drop(&mut self) {
-        if !self.answered {
-            self.traffic.caller_gone(self.ticket);
-        }
-    }
-}
-
 async fn answer(request: Request<Incoming>, traffic: Rc<Traffic>) -> Response<Full<Bytes>> {
     let limits = traffic.view().map_or(FIRST_LIMITS, |view| view.limits);
     let (parts, body) = request.into_parts();
@@ -118,9 +103,9 @@
     };
     let payload = Payload { method: parts.method, uri: parts.uri, head, body };
     let (ticket, reply) = traffic.request(payload);
-    let mut guard = GoneGuard { traffic, ticket, answered: false };
+    let mut guard = GoneGuard::new(traffic, ticket);
     let answer = reply.await;
-    guard.answered = true;
+    guard.answered();
     match answer {
         Ok(answer) => encode(answer),
         // The thread is ending.
--- a/crates/berylpin_daemon/src/direct/control/tests.rs
+++ b/crates/berylpin_daemon/src/direct/control/tests.rs
@@ -12,7 +12,6 @@
         ready_address: address,
         peer_ports: (1, 2),
         store: address,
-        heartbeat: Duration::from_secs(1),
         settle_time: Duration::from_millis(settle_ms),
         configure_limit: Duration::from_millis(limit_ms),
         drain_limit: Duration::from_millis(limit_ms),
--- a/crates/berylpin_daemon/src/direct/lines.rs
+++ b/crates/berylpin_daemon/src/direct/lines.rs
@@ -1,8 +1,8 @@
 //! Log lines and metrics of decisions about requests.
 
 use crate::logging::Log;
+use crate::metrics::REQUEST_DURATION;
 use berylpin_core::direct::DirectDecision;
-use berylpin_core::ids::Key;
 use metrics::{counter, histogram};
 use slog::{debug, info, warn};
 use std::time::{Duration, Instant};
@@ -43,21 +43,21 @@
         match decision {
             DirectDecision::Extra { cause, replica, waited, budget_left } => {
                 info!(self.log, "route: extra attempt sent"; "request" => request,
-                    "cause" => cause.name(), "replica" => replica.index(),
+                    "cause" => cause.name(), "replica" => &**replica,
                     "waited_ms" => millis(*waited), "budget_left" => budget_left);
             }
             DirectDecision::AttemptFailed { replica, outcome, verdict, elapsed } => {
                 info!(self.log, "route: attempt failed"; "request" => request,
-                    "replica" => replica.index(), "outcome" => outcome, "verdict" => %verdict,
+                    "replica" => &**replica, "outcome" => outcome, "verdict" => %verdict,
                     "elapsed_ms" => millis(*elapsed));
             }
             DirectDecision::Delegated { peer, parts } => {
                 debug!(self.log, "route: shards left to a peer"; "request" => request,
-                    "peer" => peer.index(), "parts" => parts);
+                    "peer" => %peer, "parts" => parts);
             }
             DirectDecision::PeerSilent { peer, parts } => {
                 info!(self.log, "route: peer silent"; "request" => request,
-                    "peer" => peer.index(), "parts" => parts);
+                    "peer" => %peer, "parts" => parts);
             }
             DirectDecision::Done {
                 route,
@@ -106,7 +106,7 @@
         DirectDecision::Done { outcome, missing, elapsed, .. } => {
             counter!("berylpin_requests_total", "outcome" => *outcome).increment(1);
             counter!("berylpin_missing_parts_total").increment(*missing as u64);
-            histogram!("berylpin_request_duration_seconds").record(*elapsed);
+            histogram!(REQUEST_DURATION).record(*elapsed);
         }
     }
 }
--- a/crates/berylpin_daemon/src/direct/peers.rs
+++ b/crates/berylpin_daemon/src/direct/peers.rs
@@ -1,8 +1,8 @@
 //! Requests for parts from other daemons.
 
-use super::traffic::{Payload, Traffic};
+use super::traffic::{GoneGuard, Payload, Traffic};
 use crate::logging::Log;
-use berylpin_core::direct::{PartsRequest, Ticket};
+use berylpin_core::direct::PartsRequest;
 use berylpin_platform::RequestHead;
 use berylpin_wire::frame::{Decoder, encode_value};
 use berylpin_wire::parts::{DelegatedReply, DelegatedRequest};
@@ -58,21 +58,6 @@
     Ok(())
 }
 
-/// Tells the traffic thread that the other daemon went away, unless it has everything.
-struct GoneGuard {
-    traffic: Rc<Traffic>,
-    ticket: Ticket,
-    finished: bool,
-}
-
-impl Drop for GoneGuard {
-    fn drop(&mut self) {
-        if !self.finished {
-            self.traffic.caller_gone(self.ticket);
-        }
-    }
-}
-
 async fn serve_parts(
     body: RecvStream,
     mut respond: SendResponse<Bytes>,
@@ -80,7 +65,7 @@
 ) -> Result<(), PeerError> {
     let (payload, parts) = read_request(body).await?;
     let (ticket, mut replies) = traffic.parts_request(payload, parts);
-    let mut guard = GoneGuard { traffic, ticket, finished: false };
+    let mut guard = GoneGuard::new(traffic, ticket);
     let mut stream = respond.send_response(Response::new(()), false)?;
     loop {
         let reply = tokio::select! {
@@ -88,9 +73,9 @@
             _ = poll_fn(|cx| stream.poll_reset(cx)) => return Ok(()),
         };
         let Some(reply) = reply else { return Ok(()) };
-        guard.finished = reply.last;
         send(&mut stream, &reply)?;
         if reply.last {
+            guard.answered();
             return Ok(());
         }
     }
--- a/crates/berylpin_daemon/src/direct/status.rs
+++ b/crates/berylpin_daemon/src/direct/status.rs
@@ -3,7 +3,7 @@
 use super::process::Shared;
 use crate::daemon::StartError;
 use crate::logging::Log;
-use crate::metrics::metrics_page;
+use crate::metrics::{metrics_page, sum_up_metrics};
 use crate::sockets::Socket;
 use berylpin_platform::{PlatformSettings, READY_PATH};
 use poem::http::StatusCode;
@@ -12,10 +12,14 @@
 use slog::warn;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 /// Where metrics are served; `deploy/system.toml` names it, too.
 const METRICS_PORT: u16 = 9464;
 
+/// How often metrics are summed up; a second's samples take some KB.
+const UPKEEP_PERIOD: Duration = Duration::from_secs(5);
+
 /// What the status pages need.
 pub(super) struct StatusContext {
     ready: Socket,
@@ -53,11 +57,18 @@
     let metrics = poem::endpoint::make_sync(|_| metrics_page());
     let metrics = Route::new().at("/metrics", get(metrics));
     let log = &cx.shared.log;
-    tokio::join!(serve(cx.ready, ready, log), async {
+    let metrics = async {
         if let Some(socket) = cx.metrics {
             serve(socket, metrics, log).await;
         }
-    });
+    };
+    let upkeep = async {
+        loop {
+            tokio::time::sleep(UPKEEP_PERIOD).await;
+            sum_up_metrics();
+        }
+    };
+    tokio::join!(serve(cx.ready, ready, log), metrics, upkeep);
 }
 
 async fn serve<E>(socket: Socket, pages: E, log: &Log)
--- a/crates/berylpin_daemon/src/direct/traffic.rs
+++ b/crates/berylpin_daemon/src/direct/traffic.rs
@@ -326,6 +326,32 @@
     }
 }
 
+/// Tells the traffic thread that whoever asked went away, unless everything was answered.
+pub(super) struct GoneGuard {
+    traffic: Rc<Traffic>,
+    ticket: Ticket,
+    answered: bool,
+}
+
+impl GoneGuard {
+    pub(super) fn new(traffic: Rc<Traffic>, ticket: Ticket) -> Self {
+        Self { traffic, ticket, answered: false }
+    }
+
+    /// Notes that everything was answered.
+    pub(super) fn answered(&mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for GoneGuard {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.traffic.caller_gone(self.ticket);
+        }
+    }
+}
+
 impl State {
     fn call(&self, ticket: Ticket) -> Option<&Call> {
         let index = self.calls.binary_search_by_key(&ticket, |call| call.ticket).ok()?;
--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -31,6 +31,9 @@
 const MEMBERS: &str = "berylpin_members_live";
 const OWNED: &str = "berylpin_replicas_owned";
 
+/// Requests on the users' platform; the others of that path are named where they are counted.
+pub(crate) const REQUEST_DURATION: &str = "berylpin_request_duration_seconds";
+
 /// Upper bounds of latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] =
     [0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
@@ -49,6 +52,7 @@
 pub fn install_metrics() -> Result<(), BuildError> {
     let recorder = PrometheusBuilder::new()
         .set_buckets_for_metric(full(LATENCY), &LATENCY_BUCKETS)?
+        .set_buckets_for_metric(full(REQUEST_DURATION), &LATENCY_BUCKETS)?
         .set_buckets_for_metric(full(QUEUE_DELAY), &LATENCY_BUCKETS)?
         .set_buckets_for_metric(full(COVERAGE), &COVERAGE_BUCKETS)?
         .build_recorder();
@@ -60,6 +64,13 @@
     Ok(())
 }
 
+/// Sums up what was recorded; without it samples would pile up between two visits of the page.
+pub(crate) fn sum_up_metrics() {
+    if let Some(page) = PAGE.get() {
+        page.run_upkeep();
+    }
+}
+
 /// Returns the page for Prometheus; empty without a recorder.
 pub(crate) fn metrics_page() -> String {
     PAGE.get().map_or_else(String::new, |page| {
@@ -152,6 +163,7 @@
 }
 
 fn describe() {
+    describe_histogram!(REQUEST_DURATION, "Time from a request's arrival to its end");
     describe_histogram!(LATENCY, "Time from request to answer, by rank and target");
     describe_counter!(ANSWERS, "Queries by rank, target and outcome");
     describe_histogram!(COVERAGE, "Share of shards that answers cover, by rank and target");
