Tell the owner which replica a rescue would use

Ruled out: a hedge of the entry beside a rescue alone (the property test showed that as well, and it is mended too). Requests for parts now name the home replica; an owner that does not know it makes no last attempt, and an entry uses no other replica for a part that it had left to an owner. The property test replaces replicas at one daemon at a time and failed on the code before (shard 0 ran on three replicas).

--- a/crates/berylpin_core/src/direct/attempts.rs
+++ b/crates/berylpin_core/src/direct/attempts.rs
@@ -2,8 +2,8 @@
 
 use super::dispatcher::{ANSWER_LEAD, Dispatcher, Timer};
 use super::event::{Action, AttemptKey, Cause, DirectDecision, Outcome, Reply};
-use super::flight::{Attempt, FlightKey, Part, PartState};
-use super::replicas::{Choice, home};
+use super::flight::{Attempt, FlightKey, Origin, Part, PartState};
+use super::replicas::Choice;
 use super::view::{Route, Service, Target};
 use crate::ids::ReplicaId;
 use crate::verdict::Verdict;
@@ -30,7 +30,7 @@
         // Replicas come and go faster than configurations.
         let newest = self.view.as_ref().unwrap_or(&view);
         let Some(service) = newest.services.get(part.service) else { return false };
-        let Ok(home) = bound_to(part, cause, route, service) else { return false };
+        let Ok(home) = bound_to(part, flight.origin, route, service) else { return false };
         let tools = (&self.paces, &mut self.rng);
         let choice =
             self.replicas.choose((newest, service), route, tools, (&part.tried, home), now);
@@ -199,24 +199,29 @@
     }
 }
 
-/// Returns the one replica that an attempt is bound to, if it is; an error if that one is gone.
+/// Returns the one replica that an attempt is bound to, if it is; an error if that one is not known.
 ///
-/// A part that two daemons may attempt runs on its home replica and on one other at the most: the owner
-/// chooses freely until its last attempt, and a rescue goes to the home replica.
+/// A part that two daemons may attempt runs on its home replica and on one other at the most, even if
+/// the daemons know different replicas: the owner chooses freely until its last attempt, and the entry
+/// uses the home replica only.
 fn bound_to<H>(
     part: &Part<H>,
-    cause: Cause,
+    origin: Origin,
     route: &Route,
     service: &Service,
 ) -> Result<Option<ReplicaId>, NoHome> {
-    let Some(near) = part.near else { return Ok(None) };
-    let home = home(&service.replicas, near).ok_or(NoHome)?;
+    let Some(tag) = part.home else { return Ok(None) };
+    let home = service.replicas.iter().find(|replica| replica.tag == tag).map(|r| r.id);
     let last = part.tried.len() as u32 + 1 >= route.max_attempts;
-    let bound = cause == Cause::Rescue || (last && !part.tried.contains(&home));
-    Ok(bound.then_some(home))
+    let tried = home.is_some_and(|home| part.tried.contains(&home));
+    match home {
+        _ if origin != Origin::Caller && (!last || tried) => Ok(None),
+        Some(home) => Ok(Some(home)),
+        None => Err(NoHome),
+    }
 }
 
-/// No replica of a part is known.
+/// The home replica of a part is not known.
 struct NoHome;
 
 /// Returns whether an answer may be a part of an answer to the caller.
--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -3,7 +3,9 @@
 use super::configuration::{Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget};
 use super::view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
 use crate::arena::Arena;
-use crate::ids::{DataCentreId, Key, MemberTag, PeerId, ReplicaId, ServiceId, ServiceTag};
+use crate::ids::{
+    DataCentreId, Key, MemberTag, PeerId, ReplicaId, ReplicaTag, ServiceId, ServiceTag,
+};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -334,6 +336,7 @@
             let entry = &known.entry;
             services[self.service(&entry.service)].replicas.push(Arc::new(Replica {
                 id: known.id,
+                tag: ReplicaTag::of([entry.id.as_str()]),
                 name: Arc::from(&*entry.id),
                 address: entry.address,
                 data_centre: self.data_centre(&entry.data_centre),
--- a/crates/berylpin_core/src/direct/delegate.rs
+++ b/crates/berylpin_core/src/direct/delegate.rs
@@ -7,7 +7,7 @@
 
 use super::view::{Peer, View};
 use crate::arena::SlabKey;
-use crate::ids::{DataCentreId, MemberTag, PeerId, ServiceId, ServiceTag};
+use crate::ids::{DataCentreId, MemberTag, PeerId, ReplicaTag, ServiceId, ServiceTag};
 use crate::verdict::Verdict;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -42,8 +42,8 @@
     pub host: String,
     /// Without the query.
     pub path: String,
-    /// The shards, each once.
-    pub services: Vec<ServiceTag>,
+    /// The shards, each once, with the replica that the entry turns to if it hears nothing.
+    pub services: Vec<(ServiceTag, ReplicaTag)>,
     /// The most records wanted.
     pub limit: u32,
     /// When an incomplete answer is worth more than a later one.
--- a/crates/berylpin_core/src/direct/delegation.rs
+++ b/crates/berylpin_core/src/direct/delegation.rs
@@ -5,6 +5,7 @@
 use super::event::{Action, Cause, DirectDecision, Ticket};
 use super::flight::{Flight, FlightKey, Origin, Part, PartState};
 use super::merge::merge_records;
+use super::replicas::home;
 use super::view::{Distance, Peer, Target, View};
 use crate::ids::{DataCentreId, ServiceId};
 use crate::verdict::Verdict;
@@ -74,11 +75,18 @@
         if time < LEAST_TIME {
             return;
         }
-        let tags = parts.iter().map(|part| view.services[flight.parts[*part].service].tag);
+        let mut services = Vec::with_capacity(parts.len());
+        for index in &parts {
+            let part = &mut flight.parts[*index];
+            let service = &view.services[part.service];
+            let Some(home) = home(&service.replicas, peer.data_centre) else { return };
+            part.home = Some(home);
+            services.push((service.tag, home));
+        }
         let request = PartsRequest {
             host: flight.config().host.to_string(),
             path: flight.config().prefix.to_string(),
-            services: tags.collect(),
+            services,
             limit: limit as u32,
             answer_in: time,
             time_left: flight.deadline.saturating_duration_since(now),
@@ -91,7 +99,6 @@
         });
         for part in &parts {
             flight.parts[*part].call = Some(call);
-            flight.parts[*part].near = Some(peer.data_centre);
         }
         flight.calls.push(call);
         let silent = time.mul_f64(REPORT_SHARE) + round_trip + REPORT_SLACK;
@@ -228,6 +235,9 @@
         }
         part.call = None;
         part.verdict = part.verdict.and(verdict);
+        if verdict == Verdict::NotRun {
+            part.home = None;
+        }
         part.is_open()
     }
 
@@ -241,10 +251,13 @@
     ) {
         let found = self.view.clone().and_then(|view| {
             let route = view.route(&request.host, &request.path)?;
-            let services = request.services.iter().map(|tag| view.service(*tag));
+            let services = request.services.iter().map(|(service, home)| {
+                let home = Some(*home);
+                Some(Part { home, ..Part::new(view.service(*service)?) })
+            });
             Some((route, services.collect::<Option<Vec<_>>>()?, view))
         });
-        let Some((route, services, view)) = found else {
+        let Some((route, parts, view)) = found else {
             // Another configuration is in force here; the entry asks the replicas itself.
             let missing = (0..request.services.len() as u16).map(|p| (p, Verdict::NotRun));
             let reply = PartsReply {
@@ -254,18 +267,14 @@
             };
             return actions.push(Action::SendParts(ticket, reply, true));
         };
-        let count = services.len();
-        let near = Some(view.own_data_centre);
+        let count = parts.len();
         let key = self.insert(Flight {
             ticket,
             route,
             arrived: now,
             deadline: now + request.time_left,
             answer_by: now + request.answer_in,
-            parts: services
-                .into_iter()
-                .map(|service| Part { near, ..Part::new(service) })
-                .collect(),
+            parts,
             attempts: 0,
             origin: Origin::Peer { limit: request.limit as usize },
             calls: Vec::new(),
--- a/crates/berylpin_core/src/direct/dispatcher/tests.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests.rs
@@ -34,6 +34,7 @@
         1 => (0usize..3).prop_map(Step::Thaw),
         1 => (0usize..3).prop_map(Step::Cut),
         1 => (0usize..8).prop_map(Step::Gone),
+        2 => (0usize..3, 0usize..6, 0usize..2).prop_map(|(d, s, c)| Step::Replace(d, s, c)),
     ]
 }
 
--- a/crates/berylpin_core/src/direct/dispatcher/tests/world.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests/world.rs
@@ -1,7 +1,10 @@
 //! Three daemons with scripted replicas in virtual time.
 
 use super::*;
+use crate::direct::catalogue::Catalogue;
+use crate::direct::configuration::ReplicaEntry;
 use crate::direct::delegate::{CallKey, PartsRequest};
+use crate::direct::testing::{HOMES, entry, shard};
 use crate::direct::view::Replica;
 use crate::ids::MemberTag;
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,6 +36,8 @@
     Cut(usize),
     /// A caller leaves.
     Gone(usize),
+    /// One daemon hears that a replica of a shard was replaced.
+    Replace(usize, usize, usize),
 }
 
 /// What happens at a time.
@@ -62,6 +67,7 @@
 }
 
 struct Daemon {
+    catalogue: Catalogue,
     dispatcher: Dispatcher<()>,
     view: Arc<View>,
     frozen: bool,
@@ -83,6 +89,8 @@
     next_fate: usize,
     asked: Vec<Asked>,
     next_ticket: u64,
+    /// Counts replicas that were replaced.
+    replaced: usize,
 }
 
 const NAMES: [(&str, &str); 3] =
@@ -95,7 +103,8 @@
     pub(super) fn new(fates: Vec<Fate>) -> Self {
         let now = Instant::now();
         let daemons = NAMES.iter().enumerate().map(|(index, (name, centre))| {
-            let view = Arc::new(catalogue(name, centre, 6, now).view().unwrap());
+            let catalogue = catalogue(name, centre, 6, now);
+            let view = Arc::new(catalogue.view().unwrap());
             let mut dispatcher = Dispatcher::new(LIMITS, index as u64);
             let mut actions = Vec::new();
             for peer in &view.peers {
@@ -104,6 +113,7 @@
             }
             dispatcher.handle(Event::View(view.clone()), now, &mut actions);
             Daemon {
+                catalogue,
                 dispatcher,
                 view,
                 frozen: false,
@@ -122,6 +132,7 @@
             next_fate: 0,
             asked: Vec::new(),
             next_ticket: 0,
+            replaced: 0,
         }
     }
 
@@ -132,6 +143,7 @@
             Step::Freeze(daemon) => self.daemons[daemon].frozen = true,
             Step::Thaw(daemon) => self.thaw(daemon),
             Step::Cut(daemon) => self.cut(daemon),
+            Step::Replace(daemon, shard, copy) => self.replace(daemon, shard, copy),
             Step::Gone(index) => {
                 let open = self.asked.iter().position(|a| a.answers == 0 && !a.gone);
                 if let Some(first) = open.filter(|_| index < 4) {
@@ -168,6 +180,22 @@
         }
     }
 
+    fn replace(&mut self, daemon: usize, index: usize, copy: usize) {
+        let (centre, service) = (HOMES[copy], shard(index));
+        self.replaced += 1;
+        let known = &mut self.daemons[daemon];
+        let names = known.view.services.iter().find(|(_, s)| *s.name == *service);
+        let of_centre = |name: &str| name.starts_with(centre);
+        let old = names.and_then(|(_, s)| s.replicas.iter().find(|r| of_centre(&r.name)));
+        let Some(old) = old.map(|replica| replica.name.to_string()) else { return };
+        known.catalogue.put(ReplicaEntry { draining: true, ..entry(&old, &service, centre) });
+        let new = format!("{centre}-{index}-{}", self.replaced);
+        known.catalogue.put(entry(&new, &service, centre));
+        known.view = Arc::new(known.catalogue.view().unwrap());
+        let view = known.view.clone();
+        self.event(daemon, Event::View(view));
+    }
+
     fn request(&mut self, daemon: usize, query: bool, ms: u64) {
         let ticket = self.ticket();
         self.asked.push(Asked {
@@ -325,7 +353,7 @@
         let (asked, _) = self.daemons[daemon].tickets[&ticket];
         let fate = self.fates[self.next_fate % self.fates.len()];
         self.next_fate += 1;
-        let service = self.service(daemon, &replica);
+        let service = service_of(&replica.name).to_owned();
         self.daemons[daemon].attempts.insert(attempt, (ticket, replica.clone(), asked));
         let signature = format!("{}-{}", replica.name, self.next_fate);
         let reply = |status| {
@@ -355,12 +383,6 @@
         }
     }
 
-    fn service(&self, daemon: usize, replica: &Replica) -> String {
-        let services = self.daemons[daemon].view.services.iter();
-        let mut of = services.filter(|(_, s)| s.replicas.iter().any(|r| r.id == replica.id));
-        of.next().map(|(_, service)| service.name.to_string()).expect("the view has the replica")
-    }
-
     fn answered(&mut self, daemon: usize, ticket: Ticket, answer: &Answer<()>) {
         let (asked, origin) = self.daemons[daemon].tickets[&ticket];
         assert!(origin.is_none(), "a peer gets parts and no answer");
@@ -390,7 +412,7 @@
     }
 }
 
-/// Returns the shard of a signature, which is `CENTRE-SHARD-NUMBER`.
+/// Returns the shard of a replica or signature; both begin with `CENTRE-SHARD`.
 fn service_of(signature: &str) -> &str {
     signature.split('-').nth(1).expect("signatures name the shard")
 }
--- a/crates/berylpin_core/src/direct/flight.rs
+++ b/crates/berylpin_core/src/direct/flight.rs
@@ -4,7 +4,7 @@
 use super::event::{AttemptKey, Reply, Ticket};
 use super::view::{Route, RouteId, Target, View};
 use crate::arena::SlabKey;
-use crate::ids::{DataCentreId, ReplicaId, ServiceId};
+use crate::ids::{ReplicaId, ReplicaTag, ServiceId};
 use crate::verdict::Verdict;
 use bytes::Bytes;
 use std::sync::Arc;
@@ -60,8 +60,8 @@
     pub(super) open: Vec<AttemptKey>,
     /// The call to another daemon that is to fetch it.
     pub(super) call: Option<CallKey>,
-    /// The data centre whose daemon fetches it, or was to; set where two daemons may attempt it.
-    pub(super) near: Option<DataCentreId>,
+    /// Set where two daemons may attempt it: the replica of a rescue.
+    pub(super) home: Option<ReplicaTag>,
     pub(super) state: PartState<H>,
     /// Over all attempts that ended.
     pub(super) verdict: Verdict,
@@ -136,7 +136,7 @@
             tried: Vec::new(),
             open: Vec::new(),
             call: None,
-            near: None,
+            home: None,
             state: PartState::Open,
             verdict: Verdict::NotRun,
         }
--- a/crates/berylpin_core/src/direct/replicas.rs
+++ b/crates/berylpin_core/src/direct/replicas.rs
@@ -3,12 +3,11 @@
 use super::event::AttemptKey;
 use super::pace::Paces;
 use super::view::{Distance, Replica, Route, Service, View};
-use crate::ids::{DataCentreId, ReplicaId};
+use crate::ids::{DataCentreId, ReplicaId, ReplicaTag};
 use rand::Rng;
 use rand::rngs::SmallRng;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Round trips until one is measured: within a data centre, a region, and between regions.
 const FIRST_ROUND_TRIPS: [Duration; 3] =
@@ -288,10 +287,10 @@
     }
 }
 
-/// Returns the replica that all daemons take as the nearest one to a data centre.
-pub(super) fn home(replicas: &[Arc<Replica>], near: DataCentreId) -> Option<ReplicaId> {
-    let order = |replica: &Replica| (replica.data_centre != near, xxh3_64(replica.name.as_bytes()));
-    replicas.iter().min_by_key(|replica| order(replica)).map(|replica| replica.id)
+/// Returns the replica of a service that is nearest to a data centre.
+pub(super) fn home(replicas: &[Arc<Replica>], near: DataCentreId) -> Option<ReplicaTag> {
+    let nearest = replicas.iter().min_by_key(|r| (r.data_centre != near, r.tag));
+    nearest.map(|replica| replica.tag)
 }
 
 fn first_round_trip(distance: Distance) -> Duration {
--- a/crates/berylpin_core/src/direct/replicas/tests.rs
+++ b/crates/berylpin_core/src/direct/replicas/tests.rs
@@ -128,7 +128,7 @@
         let service = view.services.iter().find(|(_, s)| &*s.name == "shard-0").unwrap().1;
         for name in ["palermo-0", "catania-0"] {
             let replica = service.replicas.iter().find(|r| &*r.name == name).unwrap();
-            assert_eq!(home(&service.replicas, replica.data_centre), Some(replica.id));
+            assert_eq!(home(&service.replicas, replica.data_centre), Some(replica.tag));
         }
     }
 }
--- a/crates/berylpin_core/src/direct/view.rs
+++ b/crates/berylpin_core/src/direct/view.rs
@@ -2,7 +2,7 @@
 
 use super::configuration::ClientLimits;
 use crate::arena::Arena;
-use crate::ids::{DataCentreId, MemberTag, PeerId, ReplicaId, ServiceId, ServiceTag};
+use crate::ids::{DataCentreId, MemberTag, PeerId, ReplicaId, ReplicaTag, ServiceId, ServiceTag};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -104,6 +104,8 @@
 pub struct Replica {
     /// Stays the same while the replica lives; never used again for another one.
     pub id: ReplicaId,
+    /// The same on every daemon: a hash of the name.
+    pub tag: ReplicaTag,
     /// The replica's own name; another replica may get its address.
     pub name: Arc<str>,
     /// Where it listens.
