--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -31,6 +31,9 @@
 /// What is left of the time to stop when the last requests are given up.
 const STOP_RESERVE: Duration = Duration::from_millis(300);
 
+/// How long the last lines may take to be written; a full queue of the log takes less.
+const LOG_TIME: Duration = Duration::from_millis(100);
+
 /// How often the settings file is read, as it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(5);
 
@@ -116,6 +119,8 @@
     let limit = settings.stop_limit.saturating_sub(STOP_NOTICE + STOP_RESERVE);
     let in_time = drained.recv_timeout(limit).is_ok();
     info!(log, "daemon: stopped"; "all_answered" => in_time);
+    // The thread that writes the log has no end of its own.
+    std::thread::sleep(LOG_TIME);
     Ok(())
 }
 
--- a/crates/berylpin_daemon/tests/platform_soak.rs
+++ b/crates/berylpin_daemon/tests/platform_soak.rs
@@ -103,12 +103,15 @@
     }
 
     async fn ends(&mut self) {
-        let end = Instant::now() + GRACE + Duration::from_secs(2);
+        let end = Instant::now() + GRACE;
         let mut child = self.child.take().unwrap();
         while child.try_wait().unwrap().is_none() {
             assert!(Instant::now() < end, "{} does not end after SIGTERM", self.name);
             sleep(Duration::from_millis(20)).await;
         }
+        let log = std::fs::read_to_string(&self.log).unwrap();
+        let last = log.lines().last().unwrap_or_default();
+        assert!(last.contains("daemon: stopped"), "{} ends with {last}", self.name);
     }
 }
 
