--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -1,11 +1,11 @@
 //! The configuration in force and the replicas known, kept by the control thread.
 
 use super::configuration::{Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget};
+use super::fleet::Fleet;
 use super::view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
 use crate::arena::Arena;
-use crate::ids::{
-    DataCentreId, Key, MemberTag, PeerId, ReplicaId, ReplicaTag, ServiceId, ServiceTag,
-};
+use crate::ids::{DataCentreId, Key, MemberTag, ReplicaId, ReplicaTag, ServiceId, ServiceTag};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,9 +14,6 @@
 /// that left serves for longer than that.
 const LAPSE_GRACE: Duration = Duration::from_millis(2300);
 
-/// Daemons that share budgets and connections until they are listed; more than most fleets have.
-const UNKNOWN_FLEET: u32 = 100;
-
 /// Connections that a replica is taken to accept if the configuration does not say.
 const DEFAULT_CONNECTIONS: u32 = 16;
 
@@ -29,13 +26,6 @@
     drop_at: Option<Instant>,
 }
 
-/// Another daemon that has an entry, or this one.
-#[derive(Debug)]
-struct KnownDaemon {
-    entry: DaemonEntry,
-    id: PeerId,
-}
-
 /// Where this daemon runs.
 #[derive(Clone, Debug)]
 struct Place {
@@ -51,8 +41,8 @@
 pub struct Catalogue {
     place: Place,
     configuration: Option<Configuration>,
-    /// Whether the replicas have been listed.
-    listed: bool,
+    /// The store's revision that the replicas hold at; `None` before they were listed.
+    revision: Option<u64>,
     /// Sorted by the replicas' names.
     replicas: Vec<Known>,
     /// Names of services; the index is the id.
@@ -61,15 +51,11 @@
     service_names: Vec<ServiceId>,
     /// Names of routes in force, sorted, with their ids.
     routes: Vec<(Arc<str>, RouteId)>,
-    /// Sorted by name; the one of this VM is among them.
-    daemons: Vec<KnownDaemon>,
-    /// Whether the daemons have been listed.
-    daemons_listed: bool,
+    pub(super) fleet: Fleet,
     /// All data centres that were named; the index is the id.
     data_centres: Vec<String>,
     next_replica: usize,
     next_route: u32,
-    next_peer: usize,
 }
 
 impl Catalogue {
@@ -79,73 +65,69 @@
         Self {
             place: Place { daemon, data_centre, regions },
             configuration: None,
-            listed: false,
+            revision: None,
             replicas: Vec::new(),
             services: Vec::new(),
             service_names: Vec::new(),
             routes: Vec::new(),
-            daemons: Vec::new(),
-            daemons_listed: false,
+            fleet: Fleet::default(),
             data_centres: vec![own_data_centre],
             next_replica: 0,
             next_route: 0,
-            next_peer: 0,
         }
     }
 
-    /// Takes the complete list of daemons; returns whether anything changed.
-    pub fn list_daemons(&mut self, entries: Vec<DaemonEntry>) -> bool {
-        let mut changed = !self.daemons_listed;
-        self.daemons_listed = true;
-        let mut names: Vec<String> = entries.iter().map(|entry| entry.name.clone()).collect();
-        names.sort();
-        let before = self.daemons.len();
-        self.daemons.retain(|known| names.binary_search(&known.entry.name).is_ok());
-        changed |= self.daemons.len() != before;
-        for entry in entries {
-            changed |= self.put_daemon(entry);
+    /// Takes the complete list of daemons at a revision; returns whether anything changed.
+    pub fn list_daemons(&mut self, entries: Vec<DaemonEntry>, revision: u64, now: Instant) -> bool {
+        for entry in &entries {
+            self.enter_data_centre(&entry.data_centre);
         }
-        changed
+        self.fleet.list(entries, revision, now)
     }
 
-    /// Takes a daemon's entry; returns whether anything changed.
-    pub fn put_daemon(&mut self, entry: DaemonEntry) -> bool {
+    /// Takes a daemon's entry; returns whether it is more than a renewal.
+    pub fn put_daemon(&mut self, entry: DaemonEntry, now: Instant) -> bool {
         self.enter_data_centre(&entry.data_centre);
-        let position = self.daemon_position(&entry.name);
-        if position.is_ok_and(|index| self.daemons[index].entry == entry) {
-            return false;
-        }
-        let known = KnownDaemon { entry, id: PeerId::from_index(self.next_peer) };
-        self.next_peer += 1;
-        match position {
-            Ok(index) => self.daemons[index] = known,
-            Err(index) => self.daemons.insert(index, known),
-        }
-        true
+        self.fleet.put(entry, now)
     }
 
-    /// Takes the end of a daemon's entry; returns whether anything changed.
+    /// Takes the end of a daemon's entry; returns whether there was one.
     pub fn remove_daemon(&mut self, name: &str) -> bool {
-        let position = self.daemon_position(name);
-        position.is_ok_and(|index| {
-            self.daemons.remove(index);
-            true
-        })
+        self.fleet.remove(name)
     }
 
-    /// Returns the entry of a daemon; `None` in `Some` if there is none, `None` before they are listed.
-    pub fn daemon(&self, name: &str) -> Option<Option<&DaemonEntry>> {
-        let found = self.daemon_position(name).ok().map(|index| &self.daemons[index].entry);
-        self.daemons_listed.then_some(found)
+    /// Notes that the daemons hold at a newer revision.
+    pub fn advance_daemons(&mut self, revision: u64) {
+        self.fleet.advance(revision);
     }
 
-    /// Returns how many daemons share budgets and connections.
-    pub fn fleet_size(&self) -> u32 {
-        if self.daemons_listed { self.daemons.len().max(1) as u32 } else { UNKNOWN_FLEET }
+    /// Notes that the store is back after an outage.
+    pub fn store_regained(&mut self, now: Instant) {
+        self.fleet.store_regained(now);
     }
 
-    fn daemon_position(&self, name: &str) -> Result<usize, usize> {
-        self.daemons.binary_search_by(|known| known.entry.name.as_str().cmp(name))
+    /// Returns the entries of other daemons that were not renewed in time.
+    pub fn lapsed_daemons(&self, now: Instant) -> Vec<DaemonEntry> {
+        let mut lapsed = self.fleet.lapsed(now);
+        lapsed.retain(|entry| entry.name != self.place.daemon);
+        lapsed
+    }
+
+    /// Returns where other daemons take requests.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let others = self.fleet.daemons().filter(|(entry, _)| entry.name != self.place.daemon);
+        others.map(|(entry, _)| entry.address).collect()
+    }
+
+    /// Returns the entry of this daemon; `None` in `Some` if there is none, `None` before the daemons
+    /// are listed.
+    pub fn own_entry(&self) -> Option<Option<&DaemonEntry>> {
+        self.fleet.revision().map(|_| self.fleet.entry(&self.place.daemon))
+    }
+
+    /// Returns how many daemons share budgets and connections.
+    pub fn fleet_size(&self) -> u32 {
+        self.fleet.size()
     }
 
     /// Returns the version in force.
@@ -153,9 +135,8 @@
         self.configuration.as_ref().map(|configuration| configuration.version)
     }
 
-    /// Returns how many replicas are known, the leaving ones included.
-    pub fn replica_count(&self) -> usize {
-        self.replicas.len()
+    pub(super) fn configuration(&self) -> Option<&Configuration> {
+        self.configuration.as_ref()
     }
 
     /// Puts a configuration in force unless one as new is; returns whether it did.
@@ -198,10 +179,9 @@
         true
     }
 
-    /// Takes the complete list of entries; returns whether anything changed.
-    pub fn list(&mut self, entries: Vec<ReplicaEntry>, now: Instant) -> bool {
-        let mut changed = !self.listed;
-        self.listed = true;
+    /// Takes the complete list of entries at a revision; returns whether anything changed.
+    pub fn list(&mut self, entries: Vec<ReplicaEntry>, revision: u64, now: Instant) -> bool {
+        let mut changed = self.revision.replace(revision).is_none();
         let mut names: Vec<String> = entries.iter().map(|entry| entry.id.clone()).collect();
         names.sort();
         for entry in entries {
@@ -259,6 +239,21 @@
         false
     }
 
+    /// Notes that the replicas hold at a newer revision.
+    pub fn advance(&mut self, revision: u64) {
+        self.revision = Some(revision);
+    }
+
+    pub(super) fn replicas_revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    /// Returns the entries of all replicas that have one.
+    pub(super) fn replica_entries(&self) -> Vec<ReplicaEntry> {
+        let listed = self.replicas.iter().filter(|known| known.drop_at.is_none());
+        listed.map(|known| known.entry.clone()).collect()
+    }
+
     /// Drops the replicas whose entries did not come back; returns their names.
     pub fn expire(&mut self, now: Instant) -> Vec<String> {
         let mut dropped = Vec::new();
@@ -274,7 +269,7 @@
 
     /// Returns a picture of the present state; `None` before configuration and replicas are known.
     pub fn view(&self) -> Option<View> {
-        let configuration = self.configuration.as_ref().filter(|_| self.listed)?;
+        let configuration = self.configuration.as_ref().filter(|_| self.revision.is_some())?;
         let mut routes: Vec<Route> =
             configuration.routes.iter().map(|route| self.route(route)).collect();
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
@@ -360,14 +355,14 @@
     }
 
     fn peers(&self) -> Vec<Arc<Peer>> {
-        let others = self.daemons.iter().filter(|known| known.entry.name != self.place.daemon);
+        let others = self.fleet.daemons().filter(|(entry, _)| entry.name != self.place.daemon);
         let mut peers: Vec<_> = others
-            .map(|known| {
+            .map(|(entry, id)| {
                 Arc::new(Peer {
-                    id: known.id,
-                    tag: MemberTag::of([known.entry.name.as_str()]),
-                    address: known.entry.address,
-                    data_centre: self.data_centre(&known.entry.data_centre),
+                    id,
+                    tag: MemberTag::of([entry.name.as_str()]),
+                    address: entry.address,
+                    data_centre: self.data_centre(&entry.data_centre),
                 })
             })
             .collect();
--- a/crates/berylpin_core/src/direct/catalogue/tests.rs
+++ b/crates/berylpin_core/src/direct/catalogue/tests.rs
@@ -21,7 +21,7 @@
     assert!(catalogue.view().is_none());
     catalogue.configure(configuration(1, 2));
     assert!(catalogue.view().is_none());
-    catalogue.list(Vec::new(), Instant::now());
+    catalogue.list(Vec::new(), 1, Instant::now());
     assert!(catalogue.view().is_some());
 }
 
--- a/crates/berylpin_core/src/direct/configuration.rs
+++ b/crates/berylpin_core/src/direct/configuration.rs
@@ -1,10 +1,11 @@
 //! What the operator, the replicas and the daemons say, as the front end decoded it.
 
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// What callers may send and how long they may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClientLimits {
     /// The longest head of a request, in bytes.
     pub header_bytes: usize,
@@ -17,7 +18,7 @@
 }
 
 /// One version of the operator's configuration.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
     /// Grows with each change.
     pub version: u64,
@@ -30,7 +31,7 @@
 }
 
 /// A route as the operator writes it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RouteConfig {
     /// Unique.
     pub name: String,
@@ -53,7 +54,7 @@
 }
 
 /// What serves a route, by name.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RouteTarget {
     /// One of these services, chosen by weight.
     Split(Vec<(String, f64)>),
@@ -69,7 +70,7 @@
 }
 
 /// What a replica says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaEntry {
     /// The replica's own name.
     pub id: String,
@@ -90,12 +91,21 @@
 }
 
 /// What a daemon says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DaemonEntry {
     /// The name of its VM.
     pub name: String,
-    /// Where it takes requests for parts.
+    /// Where it takes requests of other daemons.
     pub address: SocketAddr,
     /// Where it runs.
     pub data_centre: String,
+    /// The store's revision of its last change; a renewal is one, too.
+    pub revision: u64,
+}
+
+impl DaemonEntry {
+    /// Returns whether both entries name the same place.
+    pub fn is_at_same_place(&self, other: &Self) -> bool {
+        self.address == other.address && self.data_centre == other.data_centre
+    }
 }
--- a/crates/berylpin_core/src/direct/dispatcher.rs
+++ b/crates/berylpin_core/src/direct/dispatcher.rs
@@ -147,7 +147,7 @@
         self.splits.retain(known);
         self.paces.retain(known);
         self.replicas.retain(|id| view.has_replica(id));
-        self.peers.retain(|id| view.peers.binary_search_by_key(&id, |peer| peer.id).is_ok());
+        self.peers.retain(|id| view.has_peer(id));
         if self.view.replace(view).is_none() {
             self.connect_owners(now, actions);
         }
--- /dev/null
+++ b/crates/berylpin_core/src/direct/fleet.rs
@@ -0,0 +1,126 @@
+//! The daemons that have entries in the store.
+
+use super::configuration::DaemonEntry;
+use crate::ids::{Key, PeerId};
+use std::time::{Duration, Instant};
+
+/// How often a daemon renews its entry; at 600 daemons that is one write a second in all.
+pub const RENEWAL_PERIOD: Duration = Duration::from_mins(10);
+
+/// Renewals that a daemon may miss before the others remove its entry.
+const MISSED_RENEWALS: u32 = 3;
+
+/// Daemons that share budgets and connections until they are listed; more than most fleets have.
+const UNKNOWN_SIZE: u32 = 100;
+
+/// A daemon that has an entry.
+#[derive(Debug)]
+struct Known {
+    entry: DaemonEntry,
+    /// Stays the same while the daemon listens at the same place.
+    id: PeerId,
+    /// When the entry changed or the store was regained, whichever came last.
+    renewed: Instant,
+}
+
+/// All daemons that have entries; this one is among them once it has entered.
+#[derive(Debug, Default)]
+pub(super) struct Fleet {
+    /// Sorted by name.
+    daemons: Vec<Known>,
+    /// The store's revision that the entries hold at; `None` before they were listed.
+    revision: Option<u64>,
+    next_peer: usize,
+}
+
+impl Fleet {
+    /// Takes the complete list of entries; returns whether anything changed that peers need to know.
+    pub(super) fn list(&mut self, entries: Vec<DaemonEntry>, revision: u64, now: Instant) -> bool {
+        let mut changed = self.revision.replace(revision).is_none();
+        let mut names: Vec<String> = entries.iter().map(|entry| entry.name.clone()).collect();
+        names.sort();
+        let before = self.daemons.len();
+        self.daemons.retain(|known| names.binary_search(&known.entry.name).is_ok());
+        changed |= self.daemons.len() != before;
+        for entry in entries {
+            changed |= self.put(entry, now);
+        }
+        changed
+    }
+
+    /// Takes an entry; returns whether it is more than a renewal.
+    pub(super) fn put(&mut self, entry: DaemonEntry, now: Instant) -> bool {
+        match self.position(&entry.name) {
+            Ok(index) => {
+                let known = &mut self.daemons[index];
+                if known.entry.revision != entry.revision {
+                    known.renewed = now;
+                }
+                let moved = !known.entry.is_at_same_place(&entry);
+                if moved {
+                    known.id = PeerId::from_index(self.next_peer);
+                    self.next_peer += 1;
+                }
+                known.entry = entry;
+                moved
+            }
+            Err(index) => {
+                let id = PeerId::from_index(self.next_peer);
+                self.next_peer += 1;
+                self.daemons.insert(index, Known { entry, id, renewed: now });
+                true
+            }
+        }
+    }
+
+    /// Takes the end of an entry; returns whether there was one.
+    pub(super) fn remove(&mut self, name: &str) -> bool {
+        self.position(name).is_ok_and(|index| {
+            self.daemons.remove(index);
+            true
+        })
+    }
+
+    /// Notes that the entries hold at a newer revision.
+    pub(super) fn advance(&mut self, revision: u64) {
+        self.revision = Some(revision);
+    }
+
+    /// Notes that the store is back; nobody could renew an entry while it was away.
+    pub(super) fn store_regained(&mut self, now: Instant) {
+        self.daemons.iter_mut().for_each(|known| known.renewed = now);
+    }
+
+    /// Returns the entries that were not renewed for so long that their VMs are taken as gone.
+    pub(super) fn lapsed(&self, now: Instant) -> Vec<DaemonEntry> {
+        let limit = RENEWAL_PERIOD * (MISSED_RENEWALS + 1);
+        let lapsed = |known: &&Known| now.saturating_duration_since(known.renewed) > limit;
+        self.daemons.iter().filter(lapsed).map(|known| known.entry.clone()).collect()
+    }
+
+    /// Returns the entry of a daemon.
+    pub(super) fn entry(&self, name: &str) -> Option<&DaemonEntry> {
+        self.position(name).ok().map(|index| &self.daemons[index].entry)
+    }
+
+    /// Returns all entries with their ids.
+    pub(super) fn daemons(&self) -> impl Iterator<Item = (&DaemonEntry, PeerId)> {
+        self.daemons.iter().map(|known| (&known.entry, known.id))
+    }
+
+    pub(super) fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    /// Returns how many daemons share budgets and connections.
+    pub(super) fn size(&self) -> u32 {
+        self.revision.map_or(UNKNOWN_SIZE, |_| self.daemons.len().max(1) as u32)
+    }
+
+    fn position(&self, name: &str) -> Result<usize, usize> {
+        self.daemons.binary_search_by(|known| known.entry.name.as_str().cmp(name))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/direct/fleet/tests.rs
@@ -0,0 +1,70 @@
+use super::*;
+use crate::direct::testing::daemon;
+use std::net::SocketAddr;
+
+const LAPSE: Duration = RENEWAL_PERIOD.saturating_mul(MISSED_RENEWALS + 1);
+
+fn fleet(now: Instant) -> Fleet {
+    let mut fleet = Fleet::default();
+    assert!(fleet.list(vec![daemon("a", "palermo"), daemon("b", "catania")], 5, now));
+    fleet
+}
+
+fn renewed(name: &str, revision: u64) -> DaemonEntry {
+    DaemonEntry { revision, ..daemon(name, "palermo") }
+}
+
+fn id(fleet: &Fleet, name: &str) -> PeerId {
+    fleet.daemons().find(|(entry, _)| entry.name == name).map(|(_, id)| id).unwrap()
+}
+
+#[test]
+fn a_renewal_is_no_news_and_keeps_the_peer() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    let before = id(&fleet, "a");
+    assert!(!fleet.put(renewed("a", 9), now));
+    assert_eq!(id(&fleet, "a"), before);
+    let address = SocketAddr::from(([127, 0, 0, 9], 7380));
+    assert!(fleet.put(DaemonEntry { address, ..renewed("a", 10) }, now));
+    assert_ne!(id(&fleet, "a"), before);
+}
+
+#[test]
+fn an_entry_lapses_that_is_not_renewed() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    fleet.put(renewed("a", 9), now + LAPSE / 2);
+    assert!(fleet.lapsed(now + LAPSE).is_empty());
+    let later = now + LAPSE + Duration::from_secs(1);
+    assert_eq!(fleet.lapsed(later), [daemon("b", "catania")]);
+    assert!(fleet.remove("b"));
+    assert!(!fleet.remove("b"));
+    assert_eq!(fleet.size(), 1);
+}
+
+#[test]
+fn no_entry_lapses_because_the_store_was_away() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    let back = now + LAPSE * 2;
+    fleet.store_regained(back);
+    assert!(fleet.lapsed(back + LAPSE).is_empty());
+}
+
+#[test]
+fn the_same_list_again_renews_nothing() {
+    let now = Instant::now();
+    let mut fleet = fleet(now);
+    let again = vec![daemon("a", "palermo"), daemon("b", "catania")];
+    assert!(!fleet.list(again, 6, now + LAPSE));
+    assert_eq!(fleet.lapsed(now + LAPSE + Duration::from_secs(1)).len(), 2);
+}
+
+#[test]
+fn budgets_are_shared_with_many_until_the_daemons_are_listed() {
+    let mut fleet = Fleet::default();
+    assert_eq!(fleet.size(), UNKNOWN_SIZE);
+    fleet.list(Vec::new(), 1, Instant::now());
+    assert_eq!(fleet.size(), 1);
+}
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -12,8 +12,10 @@
 mod delegation;
 mod dispatcher;
 mod event;
+mod fleet;
 mod flight;
 mod merge;
+mod news;
 mod pace;
 mod replicas;
 mod split;
@@ -32,4 +34,6 @@
     Action, Answer, AttemptKey, Cause, DirectDecision, Event, Outcome, RefusalReason, Reply,
     Request, Ticket,
 };
+pub use fleet::RENEWAL_PERIOD;
+pub use news::{News, Progress};
 pub use view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
--- a/crates/berylpin_core/src/direct/testing.rs
+++ b/crates/berylpin_core/src/direct/testing.rs
@@ -40,6 +40,7 @@
         name: name.to_owned(),
         address: ([127, 0, 0, 1], 7380).into(),
         data_centre: data_centre.to_owned(),
+        revision: 1,
     }
 }
 
@@ -91,10 +92,10 @@
         }
         entries.push(entry(&format!("{centre}-ledger"), "ledger", centre));
     }
-    catalogue.list(entries, now);
+    catalogue.list(entries, 1, now);
     let daemons = [HOMES[0], FAR, HOMES[1]]
         .iter()
         .flat_map(|centre| [1, 2].map(|n| daemon(&format!("{centre}-{n}"), centre)));
-    catalogue.list_daemons(daemons.collect());
+    catalogue.list_daemons(daemons.collect(), 1, now);
     catalogue
 }
--- a/crates/berylpin_core/src/direct/view.rs
+++ b/crates/berylpin_core/src/direct/view.rs
@@ -151,6 +151,11 @@
         self.services.get(service).map_or(&[], |service| service.replicas.as_slice())
     }
 
+    /// Returns whether another daemon is known.
+    pub fn has_peer(&self, id: PeerId) -> bool {
+        self.peers.binary_search_by_key(&id, |peer| peer.id).is_ok()
+    }
+
     /// Returns whether a replica may get new work.
     pub fn has_replica(&self, id: ReplicaId) -> bool {
         let has = |service: &Service| service.replicas.binary_search_by_key(&id, |r| r.id).is_ok();
--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -1,18 +1,23 @@
 //! Follows the store: the configuration, the replicas and the other daemons.
 
+mod entries;
+mod news;
+
 use super::process::Shared;
-use berylpin_core::direct::{Catalogue, DaemonEntry, ReplicaEntry, View};
+use berylpin_core::direct::{Catalogue, ReplicaEntry, View};
 use berylpin_platform::{
     Change, Freshness, Kind, Object, PlatformSettings, Store, StoreError, decode_configuration,
-    decode_daemon, decode_entry,
+    decode_entry,
 };
 use rand::Rng;
 use slog::{info, warn};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+
+pub(super) use news::NewsRequest;
 
 /// What a watch leaves of the time in which a change has to be in force: a call that gets no answer is
 /// given up after 1.2 s beyond its wait, and the next one needs some time.
@@ -42,6 +47,8 @@
     pub(super) settings: watch::Receiver<PlatformSettings>,
     pub(super) view: watch::Sender<Option<Arc<View>>>,
     pub(super) store: Store,
+    /// What other daemons ask.
+    pub(super) news: mpsc::Receiver<NewsRequest>,
 }
 
 /// The state of the control thread.
@@ -51,6 +58,8 @@
     settings: watch::Receiver<PlatformSettings>,
     store: RefCell<Store>,
     catalogue: RefCell<Catalogue>,
+    /// Since when no call about the configuration has succeeded; `None` while they do.
+    lost_since: Cell<Option<Instant>>,
 }
 
 /// How the objects of one kind are followed.
@@ -61,26 +70,30 @@
     list_freshness: Freshness,
     /// The pause after each change, in which more changes may gather.
     pause: Duration,
-    /// Takes the complete list.
-    list: fn(&Control, Vec<Object>),
-    /// Takes changes in their order.
-    change: fn(&Control, Vec<Change>),
+    /// Takes the complete list, which holds at a revision.
+    list: fn(&Control, Vec<Object>, u64),
+    /// Takes changes in their order, which lead to a revision.
+    change: fn(&Control, Vec<Change>, u64),
+    /// Returns the revision that a peer may have told.
+    revision: fn(&Catalogue) -> Option<u64>,
 }
 
 /// Follows the store until the process ends.
 pub(super) async fn run_control(cx: ControlContext, shared: Shared) {
-    let ControlContext { settings, view, store } = cx;
+    let ControlContext { settings, view, store, news } = cx;
     let (catalogue, wait) = {
         let settings = settings.borrow();
         let (centre, regions) = (settings.data_centre.clone(), settings.regions.clone());
         (Catalogue::new(settings.name.clone(), centre, regions), watch_wait(&settings))
     };
+    let started = shared.clock.now();
     let control = Rc::new(Control {
         shared,
         view,
         settings,
         store: RefCell::new(store),
         catalogue: RefCell::new(catalogue),
+        lost_since: Cell::new(Some(started)),
     });
     let configuration = Follower {
         kind: Kind::Configuration,
@@ -90,6 +103,7 @@
         pause: Duration::ZERO,
         list: Control::list_configuration,
         change: Control::change_configuration,
+        revision: |_| None,
     };
     let replicas = Follower {
         kind: Kind::Replicas,
@@ -99,6 +113,7 @@
         pause: REPLICAS_PAUSE,
         list: Control::list_replicas,
         change: Control::change_replicas,
+        revision: |catalogue| catalogue.progress().replicas,
     };
     let daemons = Follower {
         kind: Kind::Daemons,
@@ -108,13 +123,17 @@
         pause: DAEMONS_PAUSE,
         list: Control::list_daemons,
         change: Control::change_daemons,
+        revision: |catalogue| catalogue.progress().daemons,
     };
     tokio::join!(
         control.follow(configuration),
         control.follow(replicas),
         control.follow(daemons),
         control.enter(),
+        control.remove_lapsed(),
         control.expire_replicas(),
+        control.answer_peers(news),
+        control.ask_peers(),
     );
 }
 
@@ -142,11 +161,18 @@
         let mut revision = None;
         let mut reached = true;
         loop {
+            // A peer may have told more meanwhile; older changes would undo that for a moment.
+            revision = revision
+                .max((follower.revision)(&self.catalogue.borrow()).filter(|_| revision.is_some()));
             let result = self.call(&follower, revision, watch_time(follower.wait, reached)).await;
             if reached != result.is_ok() {
                 reached = result.is_ok();
                 self.note_contact(follower.kind, result.as_ref().err());
             }
+            if follower.kind == Kind::Configuration {
+                let lost_since = self.lost_since.get().unwrap_or_else(|| self.now());
+                self.lost_since.set((!reached).then_some(lost_since));
+            }
             match result {
                 Ok(newest) => {
                     let changed = revision.replace(newest) != Some(newest);
@@ -173,21 +199,21 @@
         let store = self.store();
         let Some(since) = since else {
             let listing = store.list(*kind, *list_freshness).await?;
-            list(self, listing.objects);
+            list(self, listing.objects, listing.revision);
             return Ok(listing.revision);
         };
         let (changes, revision) = store.watch(*kind, since, wait, *freshness).await?;
-        change(self, changes);
+        change(self, changes, revision);
         Ok(revision)
     }
 
-    fn list_configuration(&self, objects: Vec<Object>) {
+    fn list_configuration(&self, objects: Vec<Object>, _: u64) {
         for object in &objects {
             self.configure(object);
         }
     }
 
-    fn change_configuration(&self, changes: Vec<Change>) {
+    fn change_configuration(&self, changes: Vec<Change>, _: u64) {
         for change in changes {
             if let Change::Put(object) = change {
                 self.configure(&object);
@@ -212,16 +238,16 @@
         }
     }
 
-    fn list_replicas(&self, objects: Vec<Object>) {
+    fn list_replicas(&self, objects: Vec<Object>, revision: u64) {
         let entries: Vec<_> = objects.iter().filter_map(|object| self.entry(object)).collect();
         let count = entries.len();
-        if self.catalogue.borrow_mut().list(entries, self.now()) {
+        if self.catalogue.borrow_mut().list(entries, revision, self.now()) {
             info!(self.shared.log, "control: replicas listed"; "count" => count);
             self.publish();
         }
     }
 
-    fn change_replicas(&self, changes: Vec<Change>) {
+    fn change_replicas(&self, changes: Vec<Change>, revision: u64) {
         let mut news = false;
         for change in changes {
             news |= match change {
@@ -232,6 +258,7 @@
                 }
             };
         }
+        self.catalogue.borrow_mut().advance(revision);
         if news {
             self.publish();
         }
@@ -267,72 +294,11 @@
         }
     }
 
-    /// Makes this daemon known to the others.
-    async fn enter(&self) {
-        let entry = {
-            let settings = self.settings.borrow();
-            DaemonEntry {
-                name: settings.name.clone(),
-                address: (settings.ip, settings.peer_ports.0).into(),
-                data_centre: settings.data_centre.clone(),
-            }
-        };
-        loop {
-            // A daemon that starts again finds its entry as it left it.
-            let known =
-                self.catalogue.borrow().daemon(&entry.name).map(Option::<&DaemonEntry>::cloned);
-            if known == Some(Some(entry.clone())) {
-                return;
-            }
-            if known.is_some() {
-                match self.store().enter_daemon(&entry).await {
-                    Ok(()) => return,
-                    Err(e) => self.note_contact(Kind::Daemons, Some(&e)),
-                }
-            }
-            let spread = rand::rng().random_range(1.0..2.0);
-            tokio::time::sleep(RETRY_PAUSE.mul_f64(spread)).await;
-        }
-    }
-
-    fn list_daemons(&self, objects: Vec<Object>) {
-        let entries = objects.iter().filter_map(|object| self.daemon(object)).collect();
-        if self.catalogue.borrow_mut().list_daemons(entries) {
-            self.fleet_changed();
-        }
-    }
-
-    fn change_daemons(&self, changes: Vec<Change>) {
-        let mut news = false;
-        for change in changes {
-            news |= match change {
-                Change::Put(object) => self
-                    .daemon(&object)
-                    .is_some_and(|entry| self.catalogue.borrow_mut().put_daemon(entry)),
-                Change::Removed(name) => self.catalogue.borrow_mut().remove_daemon(&name),
-            };
-        }
-        if news {
-            self.fleet_changed();
-        }
-    }
-
-    fn daemon(&self, object: &Object) -> Option<DaemonEntry> {
-        let decoded = decode_daemon(object);
-        decoded.inspect_err(|e| self.ignore(object, e)).ok()
-    }
-
     fn ignore(&self, object: &Object, cause: &dyn std::error::Error) {
         warn!(self.shared.log, "control: entry ignored"; "entry" => &object.name,
             "cause" => %cause);
     }
 
-    fn fleet_changed(&self) {
-        let size = self.catalogue.borrow().fleet_size();
-        info!(self.shared.log, "control: daemons changed"; "daemons" => size);
-        self.publish();
-    }
-
     /// Returns the client of the store, a new one if the store has moved.
     fn store(&self) -> Store {
         let settings = self.settings.borrow();
--- a/crates/berylpin_daemon/src/direct/control/tests.rs
+++ b/crates/berylpin_daemon/src/direct/control/tests.rs
@@ -11,6 +11,7 @@
         caller_address: address,
         ready_address: address,
         peer_ports: (1, 2),
+        seeds: Vec::new(),
         store: address,
         settle_time: Duration::from_millis(settle_ms),
         configure_limit: Duration::from_millis(limit_ms),
--- a/crates/berylpin_daemon/src/direct/links.rs
+++ b/crates/berylpin_daemon/src/direct/links.rs
@@ -1,33 +1,25 @@
 //! Connections to other daemons, and the calls for parts on them.
 
+use super::streams::{CONNECT_TIMEOUT, PARTS_PATH, StreamError, connect, framed, post};
 use super::traffic::{Payload, Traffic};
 use crate::logging::Log;
 use berylpin_core::direct::{CallKey, PartsRequest, Peer};
 use berylpin_core::ids::PeerId;
 use berylpin_core::verdict::Verdict;
-use berylpin_wire::frame::{Decoder, encode_value};
+use berylpin_wire::frame::Decoder;
 use berylpin_wire::parts::{DelegatedReply, DelegatedRequest};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use h2::client::SendRequest;
-use http::{Method, Request};
 use slog::info;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-/// How long a connection may take, the first ping included; three round trips between regions.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// The pause between two attempts to connect to one daemon.
 const CONNECT_PAUSE: Duration = Duration::from_millis(500);
 
-/// The path of requests for parts.
-const PARTS_PATH: &str = "http://peer/v1/parts";
-
 /// The open end of a connection to another daemon; dropping the last one closes it.
 #[derive(Clone)]
 pub(super) struct PeerSender {
@@ -85,23 +77,20 @@
         }
     }
 
+    /// Closes the connections to daemons that `keep` turns down.
+    pub(super) fn retain<F>(&mut self, keep: F)
+    where
+        F: Fn(PeerId) -> bool,
+    {
+        self.links.retain(|link| keep(link.peer));
+    }
+
     pub(super) fn sender(&self, peer: PeerId) -> Option<PeerSender> {
         let index = self.links.binary_search_by_key(&peer, |link| link.peer).ok()?;
         self.links[index].sender.clone()
     }
 }
 
-/// Why there is no connection to a daemon.
-#[derive(Debug, Error)]
-enum LinkError {
-    #[error("no answer within {CONNECT_TIMEOUT:?}")]
-    Timeout(#[from] tokio::time::error::Elapsed),
-    #[error("connection failed: {0}")]
-    Connect(#[from] std::io::Error),
-    #[error("protocol error: {0}")]
-    Protocol(#[from] h2::Error),
-}
-
 /// Connects to another daemon and reports once it has answered a ping.
 pub(super) async fn connect_peer(peer: Arc<Peer>, traffic: Rc<Traffic>, log: Log) {
     match open(&peer, &traffic).await {
@@ -113,11 +102,8 @@
     }
 }
 
-async fn open(peer: &Peer, traffic: &Rc<Traffic>) -> Result<PeerSender, LinkError> {
-    let tcp = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer.address)).await??;
-    // Without it a small request waits for the acknowledgement of the one before.
-    tcp.set_nodelay(true)?;
-    let (requests, mut connection) = h2::client::handshake(tcp).await?;
+async fn open(peer: &Peer, traffic: &Rc<Traffic>) -> Result<PeerSender, StreamError> {
+    let (requests, mut connection) = connect(peer.address).await?;
     let ping = connection.ping_pong();
     let (id, watched) = (peer.id, traffic.clone());
     let driver = tokio::task::spawn_local(async move {
@@ -159,12 +145,9 @@
         let _driver = sender.driver.clone();
         let key = self.key;
         let body = self.encode();
-        let mut request = Request::new(());
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = http::Uri::from_static(PARTS_PATH);
         let mut requests = sender.requests.ready().await.map_err(|_| not_run())?;
         let (response, mut stream) =
-            requests.send_request(request, false).map_err(|_| not_run())?;
+            requests.send_request(post(PARTS_PATH), false).map_err(|_| not_run())?;
         stream.send_data(body, true).map_err(may_have_run)?;
         let mut body = response.await.map_err(may_have_run)?.into_body();
         let mut decoder = Decoder::default();
@@ -203,8 +186,6 @@
             body: body.clone(),
             parts: self.request,
         };
-        let mut buf = BytesMut::new();
-        encode_value(&request, &mut buf);
-        buf.freeze()
+        framed(&request)
     }
 }
--- a/crates/berylpin_daemon/src/direct/mod.rs
+++ b/crates/berylpin_daemon/src/direct/mod.rs
@@ -10,6 +10,7 @@
 mod pool;
 mod process;
 mod status;
+mod streams;
 mod traffic;
 
 pub use process::{RunError, run_on_platform};
--- a/crates/berylpin_daemon/src/direct/peers.rs
+++ b/crates/berylpin_daemon/src/direct/peers.rs
@@ -1,69 +1,107 @@
-//! Requests for parts from other daemons.
+//! Requests of other daemons.
 
+use super::control::NewsRequest;
+use super::streams::{NEWS_PATH, StreamError, framed, read_value};
 use super::traffic::{GoneGuard, Payload, Traffic};
 use crate::logging::Log;
 use berylpin_core::direct::PartsRequest;
 use berylpin_platform::RequestHead;
-use berylpin_wire::frame::{Decoder, encode_value};
 use berylpin_wire::parts::{DelegatedReply, DelegatedRequest};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use h2::server::SendResponse;
 use h2::{RecvStream, SendStream};
 use http::{HeaderMap, HeaderName, HeaderValue, Response};
-use slog::debug;
+use slog::{debug, warn};
 use std::future::poll_fn;
 use std::rc::Rc;
-use thiserror::Error;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 
 /// The longest request of another daemon, in bytes: a caller's head and body at their usual limits.
 const REQUEST_LIMIT: usize = 1 << 20;
 
-#[derive(Debug, Error)]
-enum PeerError {
-    #[error("protocol error: {0}")]
-    Protocol(#[from] h2::Error),
-    #[error("request over {REQUEST_LIMIT} bytes")]
-    TooLong,
-    #[error("malformed request")]
-    Malformed,
+/// How long a connection is kept without a request; the VM at its other end may be gone without a word.
+const IDLE_LIMIT: Duration = Duration::from_mins(1);
+
+/// The pause after a connection could not be accepted, as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the requests of other daemons are served with.
+#[derive(Clone)]
+pub(super) struct PeerContext {
+    pub(super) traffic: Rc<Traffic>,
+    /// The control thread, which knows the store.
+    pub(super) control: mpsc::Sender<NewsRequest>,
+    pub(super) log: Log,
 }
 
 /// Accepts connections of other daemons until the task is dropped.
-pub(super) async fn accept_peers(listener: TcpListener, traffic: Rc<Traffic>, log: Log) {
+pub(super) async fn accept_peers(listener: TcpListener, cx: PeerContext) {
     loop {
-        let Ok((tcp, address)) = listener.accept().await else { continue };
-        let (traffic, log) = (traffic.clone(), log.clone());
+        let (tcp, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                warn!(cx.log, "link: connection not accepted"; "cause" => %e);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let cx = cx.clone();
         tokio::task::spawn_local(async move {
-            if let Err(e) = serve_peer(tcp, &traffic, &log).await {
-                debug!(log, "link: connection of a peer ended"; "peer" => %address, "cause" => %e);
+            if let Err(e) = serve_peer(tcp, &cx).await {
+                debug!(cx.log, "link: connection of a peer ended"; "peer" => %address, "cause" => %e);
             }
         });
     }
 }
 
-async fn serve_peer(tcp: TcpStream, traffic: &Rc<Traffic>, log: &Log) -> Result<(), PeerError> {
+async fn serve_peer(tcp: TcpStream, cx: &PeerContext) -> Result<(), StreamError> {
     // Without it a small reply waits for the acknowledgement of the one before.
     let _ = tcp.set_nodelay(true);
     let mut connection = h2::server::handshake(tcp).await?;
-    while let Some(accepted) = connection.accept().await {
+    while let Some(accepted) = timeout(IDLE_LIMIT, connection.accept()).await? {
         let (request, respond) = accepted?;
-        let (traffic, log) = (traffic.clone(), log.clone());
+        let cx = cx.clone();
         tokio::task::spawn_local(async move {
-            if let Err(e) = serve_parts(request.into_body(), respond, traffic).await {
-                debug!(log, "link: request of a peer ended"; "cause" => %e);
+            let served = if request.uri() == NEWS_PATH {
+                serve_news(request.into_body(), respond, &cx.control).await
+            } else {
+                serve_parts(request.into_body(), respond, cx.traffic).await
+            };
+            if let Err(e) = served {
+                debug!(cx.log, "link: request of a peer ended"; "cause" => %e);
             }
         });
     }
     Ok(())
 }
 
+/// Tells a daemon that cannot reach the store what is known here.
+async fn serve_news(
+    body: RecvStream,
+    mut respond: SendResponse<Bytes>,
+    control: &mpsc::Sender<NewsRequest>,
+) -> Result<(), StreamError> {
+    let progress = read_value(body, REQUEST_LIMIT).await?;
+    let (reply, news) = oneshot::channel();
+    let asked = control.try_send(NewsRequest { progress, reply });
+    // Dropping the stream tells the other daemon to ask elsewhere.
+    asked.map_err(|_| StreamError::Incomplete)?;
+    let news = news.await.map_err(|_| StreamError::Incomplete)?;
+    let mut stream = respond.send_response(Response::new(()), false)?;
+    stream.send_data(framed(&news), true)?;
+    Ok(())
+}
+
 async fn serve_parts(
     body: RecvStream,
     mut respond: SendResponse<Bytes>,
     traffic: Rc<Traffic>,
-) -> Result<(), PeerError> {
-    let (payload, parts) = read_request(body).await?;
+) -> Result<(), StreamError> {
+    let request = read_value(body, REQUEST_LIMIT).await?;
+    let (payload, parts) = decode(request).ok_or(StreamError::Incomplete)?;
     let (ticket, mut replies) = traffic.parts_request(payload, parts);
     let mut guard = GoneGuard::new(traffic, ticket);
     let mut stream = respond.send_response(Response::new(()), false)?;
@@ -81,30 +119,12 @@
     }
 }
 
-fn send(stream: &mut SendStream<Bytes>, reply: &DelegatedReply) -> Result<(), PeerError> {
-    let mut buf = BytesMut::new();
-    encode_value(reply, &mut buf);
+fn send(stream: &mut SendStream<Bytes>, reply: &DelegatedReply) -> Result<(), StreamError> {
     // The library keeps what the window does not allow yet; a reply is a few KB.
-    stream.send_data(buf.freeze(), reply.last)?;
+    stream.send_data(framed(reply), reply.last)?;
     Ok(())
 }
 
-async fn read_request(mut body: RecvStream) -> Result<(Payload, PartsRequest), PeerError> {
-    let mut decoder = Decoder::default();
-    let mut read = 0;
-    while let Some(bytes) = body.data().await {
-        let bytes = bytes?;
-        let _ = body.flow_control().release_capacity(bytes.len());
-        read += bytes.len();
-        if read > REQUEST_LIMIT {
-            return Err(PeerError::TooLong);
-        }
-        decoder.extend(&bytes);
-    }
-    let request = decoder.next_value::<DelegatedRequest>().ok().flatten();
-    request.and_then(decode).ok_or(PeerError::Malformed)
-}
-
 fn decode(request: DelegatedRequest) -> Option<(Payload, PartsRequest)> {
     let DelegatedRequest { request_id, method, uri, headers, body, parts } = request;
     let mut forwarded = HeaderMap::with_capacity(headers.len());
--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -1,8 +1,8 @@
 //! Start, signals and stop of a daemon on the users' platform.
 
 use super::caller::accept_callers;
-use super::control::{ControlContext, run_control};
-use super::peers::accept_peers;
+use super::control::{ControlContext, NewsRequest, run_control};
+use super::peers::{PeerContext, accept_peers};
 use super::status::{StatusContext, serve_status};
 use super::traffic::{Traffic, TrafficContext};
 use crate::daemon::StartError;
@@ -21,7 +21,7 @@
 use thiserror::Error;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
 /// How long a stopping daemon reports not ready and goes on accepting. The balancer asks once a second
@@ -37,6 +37,9 @@
 /// How often the settings file is read, as it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(5);
 
+/// Requests for news that wait for the control thread; a daemon that finds no room asks another one.
+const NEWS_QUEUE: usize = 16;
+
 /// The stack of each thread, in bytes; the deepest calls are those of the HTTP libraries.
 const STACK_BYTES: usize = 512 * 1024;
 
@@ -79,6 +82,7 @@
     let (view_tx, view) = watch::channel(None);
     let (stop_tx, stop) = watch::channel(false);
     let (settings_tx, settings_rx) = watch::channel(settings.clone());
+    let (news_tx, news) = mpsc::channel(NEWS_QUEUE);
     let leaving = Arc::new(AtomicBool::new(false));
     let shared = Shared { clock, log: log.clone(), view, leaving: leaving.clone(), stop };
     info!(log, "daemon: started"; "name" => &settings.name,
@@ -88,14 +92,19 @@
     let status = StatusContext::bind(&settings, &shared)?;
     let callers = Socket::bind("caller_address", settings.caller_address)?;
     let peers = Socket::bind("peer_address", (settings.ip, settings.peer_ports.0).into())?;
+    let (end_control, end) = oneshot::channel();
     let control = {
         let shared = shared.clone();
         let store = Store::new(settings.store, settings.ip)?;
-        let cx = ControlContext { settings: settings_rx, view: view_tx, store };
+        let cx = ControlContext { settings: settings_rx, view: view_tx, store, news };
         spawn_thread("control", move |local, runtime| {
             local.block_on(runtime, async move {
                 tokio::task::spawn_local(serve_status(status));
-                run_control(cx, shared).await;
+                tokio::select! {
+                    () = run_control(cx, shared) => {}
+                    // An error means that the process ends anyway.
+                    _ = end => {}
+                }
             });
         })?
     };
@@ -103,7 +112,8 @@
     let traffic = {
         let (shared, settings, log) = (shared.clone(), settings.clone(), log.clone());
         spawn_thread("traffic", move |local, runtime| {
-            let ended = local.block_on(runtime, run_traffic(&settings, shared, callers, peers));
+            let sockets = (callers, peers);
+            let ended = local.block_on(runtime, run_traffic(&settings, shared, sockets, news_tx));
             if let Err(e) = ended {
                 slog::error!(log, "daemon: traffic not served"; "cause" => %e);
             }
@@ -111,14 +121,17 @@
             let _ = drained_tx.send(());
         })?
     };
-    drop((control, traffic));
+    drop(traffic);
     follow_signals(path.to_owned(), settings_tx, &log)?;
     leaving.store(true, Ordering::Relaxed);
     std::thread::sleep(STOP_NOTICE);
     stop_tx.send_replace(true);
     let limit = settings.stop_limit.saturating_sub(STOP_NOTICE + STOP_RESERVE);
     let in_time = drained.recv_timeout(limit).is_ok();
-    info!(log, "daemon: stopped"; "all_answered" => in_time);
+    // Nothing is written after the last line but for requests that are cut off.
+    let _ = end_control.send(());
+    let control_ended = control.join().is_ok();
+    info!(log, "daemon: stopped"; "all_answered" => in_time, "control_ended" => control_ended);
     // The thread that writes the log has no end of its own.
     std::thread::sleep(LOG_TIME);
     Ok(())
@@ -128,8 +141,8 @@
 async fn run_traffic(
     settings: &PlatformSettings,
     shared: Shared,
-    callers: Socket,
-    peers: Socket,
+    (callers, peers): (Socket, Socket),
+    control: mpsc::Sender<NewsRequest>,
 ) -> Result<(), StartError> {
     let (callers, peers) = (callers.listen()?, peers.listen()?);
     let limits = ExtraLimits {
@@ -139,7 +152,8 @@
     };
     let cx = TrafficContext { shared: shared.clone(), limits, seed: rand::rng().random() };
     let traffic = Traffic::start(cx);
-    tokio::task::spawn_local(accept_peers(peers, traffic.clone(), shared.log.clone()));
+    let cx = PeerContext { traffic: traffic.clone(), control, log: shared.log.clone() };
+    tokio::task::spawn_local(accept_peers(peers, cx));
     accept_callers(callers, traffic, shared).await;
     Ok(())
 }
--- a/crates/berylpin_daemon/src/direct/traffic.rs
+++ b/crates/berylpin_daemon/src/direct/traffic.rs
@@ -307,6 +307,7 @@
         loop {
             let view = views.borrow_and_update().clone();
             if let Some(view) = view {
+                self.state.borrow_mut().links.retain(|id| view.has_peer(id));
                 self.handle(Event::View(view));
             }
             if views.changed().await.is_err() {
--- /dev/null
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -0,0 +1,5 @@
+//! Daemons of the users' platform, run as processes on stand-ins.
+
+mod news;
+mod process;
+mod soak;
--- /dev/null
+++ b/crates/berylpin_daemon/tests/platform/process.rs
@@ -0,0 +1,133 @@
+//! Daemons of the platform as processes, which a test starts and ends.
+
+use berylpin_platform_standin::Vm;
+use berylpin_standin::net::Zone;
+use berylpin_standin::ports::Ports;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How long a daemon may take to end after SIGTERM.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// Returns where the daemon of a data centre runs.
+pub(super) fn address_of(zone: Zone) -> Ipv4Addr {
+    zone.address(1)
+}
+
+/// The ports that all daemons of a test use; each has an address of its own.
+pub(super) struct FleetPorts {
+    ports: [u16; 3],
+    _reserved: Ports,
+}
+
+impl FleetPorts {
+    pub(super) fn reserve() -> Self {
+        let mut reserved = Ports::default();
+        let ports = [(); 3].map(|()| reserved.reserve(Ipv4Addr::UNSPECIFIED).unwrap().port());
+        Self { ports, _reserved: reserved }
+    }
+}
+
+/// A daemon.
+pub(super) struct Process {
+    child: Option<Child>,
+    vm: Vm,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Describes the daemon of a data centre; the daemon of the first one is its seed.
+    ///
+    /// What it writes goes to a file that `name` and the id of this test's process name.
+    pub(super) fn new(zone: Zone, ports: &FleetPorts, store: SocketAddr, name: &str) -> Self {
+        let file = format!("{name}-{}-{}.log", zone.0, std::process::id());
+        let log = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
+        let _ = std::fs::remove_file(&log);
+        let vm = Vm {
+            name: format!("front-{}", zone.0),
+            ip: address_of(zone).into(),
+            data_centre: data_centre(zone),
+            ports: ports.ports,
+            store,
+            seeds: vec![address_of(Zone(0)).into()],
+        };
+        Self { child: None, vm, log }
+    }
+
+    pub(super) fn name(&self) -> &str {
+        &self.vm.name
+    }
+
+    pub(super) fn front(&self) -> SocketAddr {
+        SocketAddr::new(self.vm.ip, self.vm.ports[0])
+    }
+
+    /// Returns where it takes requests of other daemons.
+    pub(super) fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.vm.ip, self.vm.ports[2])
+    }
+
+    pub(super) fn start(&mut self) {
+        let file = self.log.with_extension("json");
+        std::fs::write(&file, self.vm.settings().to_string()).unwrap();
+        let log = std::fs::File::options().create(true).append(true).open(&self.log).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_berylpind"))
+            .arg("--platform")
+            .arg(file)
+            .stdout(log)
+            .stderr(Stdio::inherit())
+            .spawn();
+        self.child = Some(child.unwrap());
+    }
+
+    /// Sends a signal to the process that this test started.
+    pub(super) fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            let id = child.id().to_string();
+            let status = Command::new("kill").args([name, &id]).status().unwrap();
+            assert!(status.success(), "{} has ended by itself", self.name());
+        }
+    }
+
+    pub(super) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Waits for the end after SIGTERM, which the last line of the log tells.
+    pub(super) async fn ends(&mut self) {
+        let end = Instant::now() + GRACE;
+        let mut child = self.child.take().unwrap();
+        while child.try_wait().unwrap().is_none() {
+            assert!(Instant::now() < end, "{} does not end after SIGTERM", self.name());
+            sleep(Duration::from_millis(20)).await;
+        }
+        let log = self.log();
+        let last = log.lines().last().unwrap_or_default();
+        assert!(last.contains("daemon: stopped"), "{} ends with {last}", self.name());
+    }
+
+    /// Returns what it has written so far.
+    pub(super) fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Returns the name of a data centre.
+pub(super) fn data_centre(zone: Zone) -> String {
+    format!("centre-{}", zone.0)
+}
--- a/crates/berylpin_daemon/tests/platform_soak.rs
+++ b/crates/berylpin_daemon/tests/platform/soak.rs
@@ -3,29 +3,29 @@
 //! `BERYLPIN_SOAK_SEEDS` names the first seed and how many follow (`1+50`), `BERYLPIN_SOAK_STEPS` how many
 //! faults a seed injects.
 
+use super::process::{FleetPorts, Process, data_centre};
 use berylpin_platform_standin::{
-    Caller, Fault, Ledger, Replica, Seen, Store, StoreFault, Wanted, configuration, entry, settings,
+    Caller, Fault, Ledger, Replica, Seen, Store, StoreFault, Wanted, configuration, entry,
 };
 use berylpin_standin::net::{Net, Proxy, Target, Zone};
-use berylpin_standin::ports::Ports;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::{IpAddr, SocketAddr};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 /// Seeds that failed once, with the cause in a line each; they are always run.
-const FAILED_ONCE: [u64; 1] = [
+const FAILED_ONCE: [u64; 2] = [
     // A process that was told to stop ended before its last log line was written.
     16,
+    // The control thread wrote a line after the last one of a process that was told to stop.
+    301,
 ];
 
 /// Seeds of a run without `BERYLPIN_SOAK_SEEDS`.
@@ -34,7 +34,12 @@
 /// Faults of a seed without `BERYLPIN_SOAK_STEPS`.
 const STEPS: usize = 12;
 
-const DAEMONS: usize = 3;
+/// One in each data centre.
+const DAEMONS: u8 = 3;
+
+/// The data centres with replicas; the daemon of the other one leaves its shards to those here.
+const HOMES: u8 = 2;
+
 const SHARDS: usize = 6;
 
 /// How long a daemon may take to start, and the fleet to serve again after the last fault.
@@ -46,87 +51,6 @@
 /// The pause between two requests of a caller.
 const PAUSE: Duration = Duration::from_millis(15);
 
-/// How long a daemon may take to end after SIGTERM.
-const GRACE: Duration = Duration::from_secs(6);
-
-struct Process {
-    child: Option<Child>,
-    name: String,
-    ip: IpAddr,
-    ports: [u16; 3],
-    store: SocketAddr,
-    log: PathBuf,
-    _ports: Ports,
-}
-
-impl Process {
-    fn new(index: usize, seed: u64, store: SocketAddr) -> Self {
-        let ip = Zone(index as u8).address(1);
-        let mut reserved = Ports::default();
-        let ports = [(); 3].map(|()| reserved.reserve(ip).unwrap().port());
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let log = folder.join(format!("soak-{seed}-{index}.log"));
-        let _ = std::fs::remove_file(&log);
-        let name = format!("front-{index}");
-        Self { child: None, name, ip: ip.into(), ports, store, log, _ports: reserved }
-    }
-
-    fn front(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, self.ports[0])
-    }
-
-    fn start(&mut self) {
-        let file = self.log.with_extension("json");
-        let text = settings(&self.name, self.ip, self.ports, self.store).to_string();
-        std::fs::write(&file, text).unwrap();
-        let log = std::fs::File::options().create(true).append(true).open(&self.log).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_berylpind"))
-            .arg("--platform")
-            .arg(file)
-            .stdout(log)
-            .stderr(Stdio::inherit())
-            .spawn();
-        self.child = Some(child.unwrap());
-    }
-
-    /// Sends a signal to the process that this test started.
-    fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let id = child.id().to_string();
-            let status = Command::new("kill").args([name, &id]).status().unwrap();
-            assert!(status.success(), "{} has ended by itself", self.name);
-        }
-    }
-
-    fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            child.kill().unwrap();
-            child.wait().unwrap();
-        }
-    }
-
-    async fn ends(&mut self) {
-        let end = Instant::now() + GRACE;
-        let mut child = self.child.take().unwrap();
-        while child.try_wait().unwrap().is_none() {
-            assert!(Instant::now() < end, "{} does not end after SIGTERM", self.name);
-            sleep(Duration::from_millis(20)).await;
-        }
-        let log = std::fs::read_to_string(&self.log).unwrap();
-        let last = log.lines().last().unwrap_or_default();
-        assert!(last.contains("daemon: stopped"), "{} ends with {last}", self.name);
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        if let Some(child) = &mut self.child {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
 /// A request that was sent and what came of it.
 struct Record {
     id: String,
@@ -134,17 +58,33 @@
     seen: Seen,
 }
 
+/// A replica behind its proxy.
+struct Served {
+    replica: Replica,
+    proxy: Proxy,
+    data_centre: String,
+}
+
+impl Served {
+    fn enter(&self, store: &Store, draining: bool) {
+        let entry =
+            entry(self.replica.service(), self.proxy.address(), &self.data_centre, draining);
+        store.put("servers", self.replica.id(), entry);
+    }
+}
+
 struct Soak {
     rng: SmallRng,
     seed: u64,
     net: Arc<Net>,
     store: Store,
     ledger: Arc<Ledger>,
-    replicas: Vec<(Replica, Proxy)>,
+    replicas: Vec<Served>,
     processes: Vec<Process>,
     records: Rc<RefCell<Vec<Record>>>,
     version: u64,
     _proxies: Vec<Proxy>,
+    _ports: FleetPorts,
 }
 
 fn shards(set: &str) -> Vec<String> {
@@ -159,32 +99,28 @@
         let ledger = Arc::new(Ledger::default());
         let mut replicas = Vec::new();
         for service in shards("a").iter().chain(&shards("b")).chain(&["ledger".to_owned()]) {
-            for copy in 0..2 {
+            for copy in 0..HOMES {
                 let id = format!("{service}-{copy}");
                 let replica = Replica::start(&id, service, ledger.clone(), rng.random()).await;
                 let replica = replica.unwrap();
-                let target = Target {
-                    zone: Zone(8),
-                    address: replica.address(),
-                    limit: usize::MAX,
-                    counted: false,
-                };
-                let proxy = Proxy::start(net.clone(), 2, target).await.unwrap();
-                store.put("servers", &id, entry(service, proxy.address(), false));
-                replicas.push((replica, proxy));
+                let proxy = proxy(&net, 2, Zone(8), replica.address()).await;
+                let served = Served { replica, proxy, data_centre: data_centre(Zone(copy)) };
+                served.enter(&store, false);
+                replicas.push(served);
             }
         }
         store.put("config", "main", configuration(1, &shards("a"), "ledger"));
         let (mut processes, mut proxies) = (Vec::new(), Vec::new());
-        for index in 0..DAEMONS {
-            let zone = Zone::PLATFORM;
-            let address = store.address();
-            let target = Target { zone, address, limit: usize::MAX, counted: false };
-            let proxy = Proxy::start(net.clone(), 10 + index as u8, target).await.unwrap();
-            let mut process = Process::new(index, seed, proxy.address());
+        let ports = FleetPorts::reserve();
+        for zone in (0..DAEMONS).map(Zone) {
+            let to_store = proxy(&net, 10 + zone.0, Zone::PLATFORM, store.address()).await;
+            let mut process =
+                Process::new(zone, &ports, to_store.address(), &format!("soak-{seed}"));
+            let to_daemon = proxy(&net, 20, zone, process.peer_address()).await;
+            store.redirect(process.peer_address(), to_daemon.address());
             process.start();
             processes.push(process);
-            proxies.push(proxy);
+            proxies.extend([to_store, to_daemon]);
         }
         let records = Rc::default();
         let version = 1;
@@ -199,6 +135,7 @@
             records,
             version,
             _proxies: proxies,
+            _ports: ports,
         }
     }
 
@@ -219,8 +156,8 @@
 
     /// Injects one fault; what it takes away comes back before the next one or later.
     async fn fault(&mut self) {
-        let daemon = self.rng.random_range(0..DAEMONS);
-        match self.rng.random_range(0..14) {
+        let daemon = usize::from(self.rng.random_range(0..DAEMONS));
+        match self.rng.random_range(0..18) {
             0 => self.net.silence(),
             1 => self.net.reset(),
             2 => {
@@ -239,7 +176,13 @@
             }
             5 => self.processes[daemon].signal("-HUP"),
             6 => {
-                let faults = [StoreFault::Busy, StoreFault::Limited, StoreFault::Slow];
+                let faults = [
+                    StoreFault::Busy,
+                    StoreFault::Limited,
+                    StoreFault::Slow,
+                    StoreFault::Silent,
+                    StoreFault::Lost,
+                ];
                 self.store.set_fault(*faults.choose(&mut self.rng).unwrap());
             }
             7 => self.store.set_fault(StoreFault::None),
@@ -251,14 +194,35 @@
                 self.store.put("config", "main", newer);
             }
             10 => {
-                let zone = Zone(daemon as u8);
-                let cut = self.rng.random_bool(0.6);
-                self.net.set_cut(zone, Zone::PLATFORM, cut);
+                let (zone, cut) = (Zone(daemon as u8), self.rng.random_bool(0.6));
+                match self.rng.random_range(0..3) {
+                    0 => self.net.set_cut(zone, Zone::PLATFORM, cut),
+                    1 => self.net.set_one_way_cut(zone, Zone::PLATFORM, cut),
+                    _ => self.net.set_one_way_cut(Zone::PLATFORM, zone, cut),
+                }
             }
             11 => self.processes.iter_mut().for_each(|process| {
                 process.kill();
                 process.start();
             }),
+            // The links of the others to a daemon, one way or both.
+            12 | 13 => {
+                let (zone, cut) = (Zone(daemon as u8), self.rng.random_bool(0.6));
+                match self.rng.random_range(0..3) {
+                    0 => self.net.set_cut(Zone::ANY, zone, cut),
+                    1 => self.net.set_one_way_cut(Zone::ANY, zone, cut),
+                    _ => self.net.set_one_way_cut(zone, Zone::ANY, cut),
+                }
+            }
+            14 => {
+                let leaving = self.rng.random_bool(0.5);
+                let chosen = self.replicas.choose(&mut self.rng).unwrap();
+                chosen.enter(&self.store, leaving);
+            }
+            15 => {
+                let chosen = self.replicas.choose(&mut self.rng).unwrap();
+                self.store.remove("servers", chosen.replica.id());
+            }
             _ => {
                 let faults = [
                     Fault::None,
@@ -272,9 +236,9 @@
                 ];
                 let share = self.rng.random_range(0.05..0.6);
                 let fault = *faults.choose(&mut self.rng).unwrap();
-                for (replica, _) in &self.replicas {
+                for served in &self.replicas {
                     if self.rng.random_bool(0.4) {
-                        replica.set_fault(fault, share);
+                        served.replica.set_fault(fault, share);
                     }
                 }
             }
@@ -284,21 +248,16 @@
     /// Takes all faults back.
     fn calm(&self) {
         self.store.set_fault(StoreFault::None);
-        for index in 0..DAEMONS {
-            self.net.set_cut(Zone(index as u8), Zone::PLATFORM, false);
+        for zone in (0..DAEMONS).map(Zone) {
+            self.net.set_cut(zone, Zone::PLATFORM, false);
+            self.net.set_cut(zone, Zone::ANY, false);
         }
-        for (replica, _) in &self.replicas {
-            replica.set_fault(Fault::None, 0.0);
-            let entry = entry(replica.service(), self.proxy_of(replica), false);
-            self.store.put("servers", replica.id(), entry);
+        for served in &self.replicas {
+            served.replica.set_fault(Fault::None, 0.0);
+            served.enter(&self.store, false);
         }
     }
 
-    fn proxy_of(&self, replica: &Replica) -> SocketAddr {
-        let found = self.replicas.iter().find(|(other, _)| other.id() == replica.id());
-        found.map(|(_, proxy)| proxy.address()).unwrap()
-    }
-
     /// Waits until each daemon answers a query and a charge in full by the newest configuration.
     async fn recover(&self) {
         let set = if self.version.is_multiple_of(2) { "b" } else { "a" };
@@ -306,7 +265,7 @@
             let caller = Caller::new(process.front()).unwrap();
             let served = async {
                 for number in 0u64.. {
-                    let id = format!("recover-{}-{number}", process.name);
+                    let id = format!("recover-{}-{number}", process.name());
                     let query = caller.send(Wanted::Query, &id, PATIENCE).await;
                     let charge = caller.send(Wanted::Charge, &(id + "c"), PATIENCE).await;
                     let whole = |seen: &Seen| match seen {
@@ -322,7 +281,7 @@
                 }
             };
             let recovered = timeout(RECOVERY, served).await;
-            assert!(recovered.is_ok(), "seed {}: {} serves nothing", self.seed, process.name);
+            assert!(recovered.is_ok(), "seed {}: {} serves nothing", self.seed, process.name());
         }
     }
 
@@ -371,10 +330,15 @@
     }
 }
 
+async fn proxy(net: &Arc<Net>, host: u8, zone: Zone, address: SocketAddr) -> Proxy {
+    let target = Target { zone, address, limit: usize::MAX, counted: false };
+    Proxy::start(net.clone(), host, target).await.unwrap()
+}
+
 async fn soak(seed: u64, steps: usize) {
     let mut soak = Soak::start(seed).await;
     soak.recover().await;
-    let fronts: Vec<_> = soak.processes.iter().map(|p| (p.front(), p.name.clone())).collect();
+    let fronts: Vec<_> = soak.processes.iter().map(|p| (p.front(), p.name().to_owned())).collect();
     let drivers: Vec<_> = fronts.into_iter().map(|(at, name)| soak.drive(at, name)).collect();
     for _ in 0..steps {
         soak.fault().await;
--- a/crates/berylpin_standin/src/net.rs
+++ b/crates/berylpin_standin/src/net.rs
@@ -30,24 +30,27 @@
     /// Where the platform runs.
     pub const PLATFORM: Self = Self(9);
 
+    /// Where connections come from whose ends did not choose an address.
+    pub const ANY: Self = Self(u8::MAX);
+
     /// Returns a loopback address of the zone.
     pub fn address(self, host: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, 0, FIRST_ZONE + self.0, host)
     }
 
-    /// Returns the zone of an address; `None` outside of all zones.
-    fn of(address: IpAddr) -> Option<Self> {
-        let IpAddr::V4(address) = address else { return None };
+    /// Returns the zone of an address; `ANY` outside of all zones.
+    fn of(address: IpAddr) -> Self {
+        let IpAddr::V4(address) = address else { return Self::ANY };
         let [_, _, zone, _] = address.octets();
-        (FIRST_ZONE..=FIRST_ZONE + Self::PLATFORM.0)
-            .contains(&zone)
-            .then(|| Self(zone - FIRST_ZONE))
+        let known = (FIRST_ZONE..=FIRST_ZONE + Self::PLATFORM.0).contains(&zone);
+        if known { Self(zone - FIRST_ZONE) } else { Self::ANY }
     }
 }
 
 /// The state of all proxies.
 #[derive(Clone, Debug, Default)]
 struct NetState {
+    /// From where to where nothing gets through.
     cuts: Vec<(Zone, Zone)>,
     /// Connections with lower numbers carry nothing any more.
     silent_below: u64,
@@ -79,11 +82,16 @@
 
     /// Cuts or heals the path between two zones, both ways.
     pub fn set_cut(&self, a: Zone, b: Zone, cut: bool) {
-        let pair = (a.min(b), a.max(b));
+        self.set_one_way_cut(a, b, cut);
+        self.set_one_way_cut(b, a, cut);
+    }
+
+    /// Cuts or heals the path from one zone to another; the way back stays as it is.
+    pub fn set_one_way_cut(&self, from: Zone, to: Zone, cut: bool) {
         self.state.send_modify(|state| {
-            state.cuts.retain(|other| *other != pair);
+            state.cuts.retain(|other| *other != (from, to));
             if cut {
-                state.cuts.push(pair);
+                state.cuts.push((from, to));
             }
         });
     }
@@ -175,42 +183,39 @@
 #[derive(Clone)]
 struct Path {
     net: Arc<Net>,
-    from: Option<Zone>,
+    from: Zone,
     target: Target,
     number: u64,
 }
 
 impl Path {
     fn delay(&self) -> Duration {
-        let ends = [self.from, Some(self.target.zone)];
-        let local =
-            self.from.is_none() || ends.contains(&Some(Zone::PLATFORM)) || ends[0] == ends[1];
-        if local { Duration::ZERO } else { self.net.delay }
+        let ends = [self.from, self.target.zone];
+        let near = ends.contains(&Zone::ANY) || ends.contains(&Zone::PLATFORM);
+        if near || ends[0] == ends[1] { Duration::ZERO } else { self.net.delay }
     }
 
     async fn forward(self, client: TcpStream) -> io::Result<()> {
-        self.wait_open().await;
+        let (there, back) = ((self.from, self.target.zone), (self.target.zone, self.from));
+        self.wait_open(there).await;
         let server = TcpStream::connect(self.target.address).await?;
         client.set_nodelay(true)?;
         server.set_nodelay(true)?;
         let (client_rx, client_tx) = client.into_split();
         let (server_rx, server_tx) = server.into_split();
         tokio::select! {
-            () = self.carry(client_rx, server_tx) => {}
-            () = self.carry(server_rx, client_tx) => {}
+            () = self.carry(client_rx, server_tx, there) => {}
+            () = self.carry(server_rx, client_tx, back) => {}
             () = self.wait_closed() => {}
         }
         Ok(())
     }
 
     /// Waits until the path carries bytes; for ever on a silent connection.
-    async fn wait_open(&self) {
-        let zones = self.from.map(|from| (from.min(self.target.zone), from.max(self.target.zone)));
+    async fn wait_open(&self, way: (Zone, Zone)) {
         let mut state = self.net.state.subscribe();
-        let open = |state: &NetState| {
-            self.number >= state.silent_below
-                && !zones.is_some_and(|pair| state.cuts.contains(&pair))
-        };
+        let open =
+            |state: &NetState| self.number >= state.silent_below && !state.cuts.contains(&way);
         // The network outlives its connections.
         let _ = state.wait_for(open).await;
     }
@@ -222,7 +227,7 @@
         let _ = state.wait_for(|state| self.number < state.closed_below).await;
     }
 
-    async fn carry(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+    async fn carry(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, way: (Zone, Zone)) {
         let delay = self.delay();
         let (tx, mut rx) = mpsc::channel::<(Instant, Bytes)>(PIECES);
         let read = async move {
@@ -241,7 +246,7 @@
                 if !delay.is_zero() {
                     sleep_until(due).await;
                 }
-                self.wait_open().await;
+                self.wait_open(way).await;
                 if self.target.counted {
                     self.net.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
                 }
--- a/crates/berylpin_standin/src/net/tests.rs
+++ b/crates/berylpin_standin/src/net/tests.rs
@@ -57,6 +57,21 @@
     assert_eq!(net.control_bytes(), 4);
 }
 
+#[tokio::test]
+async fn a_cut_of_one_way_leaves_the_way_back_open() {
+    let net = Net::new(Duration::ZERO);
+    let proxy = start(&net, 10).await;
+    let mut near = connect(Zone(0), &proxy).await;
+    send(&mut near).await;
+    assert!(hears(&mut near, LIMIT).await);
+    net.set_one_way_cut(Zone(1), Zone(0), true);
+    send(&mut near).await;
+    assert!(!hears(&mut near, SILENCE).await);
+    assert_eq!(net.control_bytes(), 3, "the byte arrived and its echo is held back");
+    net.set_one_way_cut(Zone(1), Zone(0), false);
+    assert!(hears(&mut near, LIMIT).await);
+}
+
 #[tokio::test]
 async fn silent_connections_stay_silent_and_new_ones_work() {
     let net = Net::new(Duration::ZERO);
