Let parts wait for a replica, and count refusals against it

It now waits for a connection, for 20 ms after refusals, or for the budget, the most urgent that is still in time first; a request that was sent nowhere is refused as not run after a quarter of its target. Replicas that did not run a part may be asked again. A refusal counts as a failure of its replica, so that the other one is preferred: retries had used up the budget.

Tests (failed before): a query waits for connections that get free; one that was sent nowhere is refused in time; a part that all replicas refused is tried again after a pause; a connection is waited for rather than a replica that is down.

--- a/crates/berylpin_core/src/direct/attempts.rs
+++ b/crates/berylpin_core/src/direct/attempts.rs
@@ -5,6 +5,7 @@
 use super::flight::{Attempt, FlightKey, Origin, Part, PartState};
 use super::replicas::Choice;
 use super::view::{Route, Service, Target};
+use super::waiting::Wait;
 use crate::ids::ReplicaId;
 use crate::verdict::Verdict;
 use std::time::{Duration, Instant};
@@ -14,32 +15,49 @@
 const SINGLE_HEDGE_MEDIANS: f64 = 2.5;
 
 impl<H> Dispatcher<H> {
-    /// Sends an attempt at a part; returns whether there was a replica for it.
-    pub(super) fn attempt(
+    /// Sends an attempt at a part, lets the part wait, or gives it up.
+    pub(super) fn attempt_or_fail(
         &mut self,
         key: FlightKey,
         index: usize,
         cause: Cause,
         now: Instant,
         actions: &mut Vec<Action<H>>,
-    ) -> bool {
-        let Some(flight) = self.flights.get_mut(key) else { return false };
+    ) {
+        let waits = match self.attempt(key, index, cause, now, actions) {
+            Ok(()) => true,
+            Err(NotSent::Wait(wait)) => self.wait(key, index, (cause, wait), now),
+            Err(NotSent::NoReplica) => false,
+        };
+        if !waits {
+            self.fail_part(key, index, None);
+        }
+    }
+
+    /// Sends an attempt at a part.
+    fn attempt(
+        &mut self,
+        key: FlightKey,
+        index: usize,
+        cause: Cause,
+        now: Instant,
+        actions: &mut Vec<Action<H>>,
+    ) -> Result<(), NotSent> {
+        let flight = self.flights.get_mut(key).ok_or(NotSent::NoReplica)?;
         let (view, route) = (flight.view.clone(), flight.route);
         let route = &view.routes[route];
         let part = &mut flight.parts[index];
         // Replicas come and go faster than configurations.
         let newest = self.view.as_ref().unwrap_or(&view);
-        let Some(service) = newest.services.get(part.service) else { return false };
-        let Ok(home) = bound_to(part, flight.origin, route, service) else { return false };
+        let service = newest.services.get(part.service).ok_or(NotSent::NoReplica)?;
+        let home = bound_to(part, flight.origin, route, service)?;
         let tools = (&self.paces, &mut self.rng);
-        let choice =
-            self.replicas.choose((newest, service), route, tools, (&part.tried, home), now);
-        let Some(choice) = choice else { return false };
+        let choice = self.replicas.choose((newest, service), route, tools, (part, home), now)?;
         if cause == Cause::First {
             self.budgets.earn(part.service, newest.fleet_size, now);
         } else {
             if !self.budgets.take(part.service, newest.fleet_size, now) {
-                return false;
+                return Err(NotSent::Wait(Wait::Budget));
             }
             actions.push(Action::Log(
                 flight.ticket,
@@ -55,6 +73,7 @@
             flight: Some(key),
             part: index,
             replica: choice.replica.id,
+            service: part.service,
             name: choice.replica.name.clone(),
             route: route.id,
             target: route.target_latency,
@@ -76,7 +95,7 @@
             idempotent: route.idempotent,
             replica: choice.replica,
         });
-        true
+        Ok(())
     }
 
     /// Sends a second attempt beside one that is late.
@@ -94,7 +113,8 @@
         let part = &flight.parts[index];
         let more = (part.tried.len() as u32) < flight.config().max_attempts;
         if more && part.is_open() && part.call.is_none() && part.open.len() == 1 {
-            self.attempt(key, index, Cause::Hedge, now, actions);
+            // A hedge that cannot be sent now is not worth waiting for.
+            let _ = self.attempt(key, index, Cause::Hedge, now, actions);
         }
     }
 
@@ -104,11 +124,10 @@
         now: Instant,
         actions: &mut Vec<Action<H>>,
     ) {
-        let Some(Attempt { replica, route, target, sent, .. }) = self.attempts.remove(attempt)
-        else {
-            return;
-        };
+        let Some(ended) = self.attempts.remove(attempt) else { return };
+        let Attempt { replica, service, route, target, sent, .. } = ended;
         self.replicas.ended(replica, attempt, now);
+        self.waiting.freed(service);
         let median = self.paces.median(route, target);
         let factor = now.saturating_duration_since(sent).div_duration_f64(median);
         self.replicas.given_up(replica, factor, now);
@@ -124,6 +143,7 @@
     ) {
         let Some(attempt) = self.attempts.remove(key) else { return };
         let work = self.replicas.ended(attempt.replica, key, now);
+        self.waiting.freed(attempt.service);
         self.learn(&attempt, &outcome, work, now);
         let Some(flight_key) = attempt.flight else { return };
         let Some(flight) = self.flights.get_mut(flight_key) else { return };
@@ -134,6 +154,9 @@
         if !part.is_open() {
             return;
         }
+        if verdict == Verdict::NotRun {
+            part.not_run_by(attempt.replica);
+        }
         let outcome = match outcome {
             Outcome::Answered(reply) if is_final(&reply) => {
                 part.state = if is_part(&flight.view.routes[flight.route], &reply) {
@@ -171,11 +194,17 @@
         let part = &flight.parts[index];
         let allowed = flight.config().idempotent || verdict == Verdict::NotRun;
         let more = (part.tried.len() as u32) < flight.config().max_attempts;
-        let others_open = !part.is_idle();
-        if allowed && more && self.attempt(key, index, Cause::Retry, now, actions) {
+        if !part.is_idle() {
+            if allowed && more {
+                // The other attempt may still be answered, so there is no need to wait for this one.
+                let _ = self.attempt(key, index, Cause::Retry, now, actions);
+            }
             return;
         }
-        if !others_open {
+        if allowed && more {
+            self.attempt_or_fail(key, index, Cause::Retry, now, actions);
+        }
+        if self.flights.get(key).is_some_and(|flight| flight.parts[index].is_idle()) {
             self.fail_part(key, index, own);
         }
     }
@@ -199,6 +228,15 @@
     }
 }
 
+/// Why no attempt was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NotSent {
+    /// No replica is left that the part may be sent to.
+    NoReplica,
+    /// There may be one later.
+    Wait(Wait),
+}
+
 /// Returns the one replica that an attempt is bound to, if it is; an error if that one is not known.
 ///
 /// A part that two daemons may attempt runs on its home replica and on one other at the most, even if
@@ -209,7 +247,7 @@
     origin: Origin,
     route: &Route,
     service: &Service,
-) -> Result<Option<ReplicaId>, NoHome> {
+) -> Result<Option<ReplicaId>, NotSent> {
     let Some(tag) = part.home else { return Ok(None) };
     let home = service.replicas.iter().find(|replica| replica.tag == tag).map(|r| r.id);
     let last = part.tried.len() as u32 + 1 >= route.max_attempts;
@@ -217,13 +255,10 @@
     match home {
         _ if origin != Origin::Caller && (!last || tried) => Ok(None),
         Some(home) => Ok(Some(home)),
-        None => Err(NoHome),
+        None => Err(NotSent::NoReplica),
     }
 }
 
-/// The home replica of a part is not known.
-struct NoHome;
-
 /// Returns whether an answer may be a part of an answer to the caller.
 fn is_part<H>(route: &Route, reply: &Reply<H>) -> bool {
     match route.target {
--- a/crates/berylpin_core/src/direct/delegation.rs
+++ b/crates/berylpin_core/src/direct/delegation.rs
@@ -200,8 +200,8 @@
     ) {
         for index in parts {
             let waits = self.release(key, call, *index, Verdict::MayHaveRun);
-            if waits && !self.attempt(key, *index, Cause::Rescue, now, actions) {
-                self.fail_part(key, *index, None);
+            if waits {
+                self.attempt_or_fail(key, *index, Cause::Rescue, now, actions);
             }
         }
     }
@@ -307,7 +307,8 @@
         let missing = flight.parts.iter().enumerate().filter(|(_, part)| !part.is_answered());
         let missing = missing.map(|(index, part)| {
             // What a replica refused counts as an attempt all the same.
-            let verdict = if part.tried.is_empty() { Verdict::NotRun } else { Verdict::MayHaveRun };
+            let sent = !part.tried.is_empty() || part.refusals > 0;
+            let verdict = if sent { Verdict::MayHaveRun } else { Verdict::NotRun };
             (index as u16, part.verdict.and(verdict))
         });
         reply.missing = missing.collect();
--- a/crates/berylpin_core/src/direct/dispatcher.rs
+++ b/crates/berylpin_core/src/direct/dispatcher.rs
@@ -11,8 +11,9 @@
 use super::replicas::Replicas;
 use super::split::Splits;
 use super::view::{Target, View};
+use super::waiting::{Waiting, unsent_limit};
 use crate::arena::Slab;
-use crate::ids::ReplicaId;
+use crate::ids::{ReplicaId, ServiceId};
 use crate::timers::Timers;
 use crate::verdict::Verdict;
 use rand::SeedableRng;
@@ -53,6 +54,10 @@
     Silent(CallKey),
     /// Owners that are not connected are tried again.
     Connect,
+    /// Parts of a service that wait may be due.
+    Resume(ServiceId),
+    /// A request has waited long enough for its first attempt.
+    Unsent(FlightKey),
 }
 
 /// The requests of one thread.
@@ -70,6 +75,7 @@
     pub(super) peers: Peers,
     pub(super) paces: Paces,
     pub(super) budgets: Budgets,
+    pub(super) waiting: Waiting,
     splits: Splits,
     pub(super) timers: Timers<Timer>,
     pub(super) rng: SmallRng,
@@ -88,6 +94,7 @@
             peers: Peers::default(),
             paces: Paces::default(),
             budgets: Budgets::new(limits),
+            waiting: Waiting::default(),
             splits: Splits::default(),
             timers: Timers::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -101,11 +108,12 @@
         self.timers.drop_dead(|timer| match timer {
             Timer::Late(attempt) => attempts.get(*attempt).is_some_and(|a| a.flight.is_some()),
             Timer::Linger(attempt) => attempts.get(*attempt).is_some(),
-            Timer::AnswerBy(flight) | Timer::Deadline(flight) | Timer::Report(flight) => {
-                flights.get(*flight).is_some()
-            }
+            Timer::AnswerBy(flight)
+            | Timer::Deadline(flight)
+            | Timer::Report(flight)
+            | Timer::Unsent(flight) => flights.get(*flight).is_some(),
             Timer::Silent(call) => calls.get(*call).is_some(),
-            Timer::Connect => true,
+            Timer::Connect | Timer::Resume(_) => true,
         });
         self.timers.next()
     }
@@ -140,6 +148,7 @@
         while let Some(timer) = self.timers.pop_due(now) {
             self.fire(timer, now, actions);
         }
+        self.resume_freed(now, actions);
     }
 
     fn take_view(&mut self, view: Arc<View>, now: Instant, actions: &mut Vec<Action<H>>) {
@@ -202,8 +211,10 @@
             return refuse(ticket, RefusalReason::NoReplica, Some(RETRY_AFTER), actions);
         }
         let is_query = matches!(flight.config().target, Target::Shards { .. });
+        let unsent = flight.arrived + unsent_limit(flight.config().target_latency);
         let key = self.insert(flight);
         self.timers.set(deadline, Timer::Deadline(key));
+        self.timers.set(unsent.min(deadline), Timer::Unsent(key));
         if is_query {
             self.timers.set(answer_by.min(deadline), Timer::AnswerBy(key));
             self.delegate(key, now, actions);
@@ -236,9 +247,7 @@
             if !self.flights.get(key).is_some_and(|flight| waits(&flight.parts[part])) {
                 continue;
             }
-            if !self.attempt(key, part, Cause::First, now, actions) {
-                self.fail_part(key, part, None);
-            }
+            self.attempt_or_fail(key, part, Cause::First, now, actions);
         }
     }
 
@@ -251,6 +260,8 @@
             Timer::Report(key) => self.report(key, now, actions),
             Timer::Silent(call) => self.peer_silent(call, now, actions),
             Timer::Connect => self.connect_owners(now, actions),
+            Timer::Resume(service) => self.resume(service, now, actions),
+            Timer::Unsent(key) => self.refuse_unsent(key, now, actions),
         }
     }
 
@@ -271,8 +282,9 @@
                 self.timers.set(flight.deadline, Timer::Linger(*attempt));
                 continue;
             }
-            if let Some(Attempt { replica, sent, .. }) = self.attempts.remove(*attempt) {
+            if let Some(Attempt { replica, service, sent, .. }) = self.attempts.remove(*attempt) {
                 self.replicas.ended(replica, *attempt, sent);
+                self.waiting.freed(service);
                 actions.push(Action::Abort { attempt: *attempt, silent: false });
             }
         }
@@ -327,7 +339,7 @@
         actions.push(Action::Answer(ticket, answer));
     }
 
-    fn give_up(
+    pub(super) fn give_up(
         &mut self,
         key: FlightKey,
         reason: Option<RefusalReason>,
@@ -384,6 +396,9 @@
 
     fn remove(&mut self, key: FlightKey) -> Option<Flight<H>> {
         let flight = self.flights.remove(key)?;
+        if flight.parts.iter().any(|part| part.waits) {
+            self.waiting.forget(key);
+        }
         self.tickets.retain(|(ticket, _)| *ticket != flight.ticket);
         for open in flight.parts.iter().flat_map(|part| &part.open) {
             if let Some(attempt) = self.attempts.get_mut(*open) {
--- a/crates/berylpin_core/src/direct/dispatcher/tests.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests.rs
@@ -167,6 +167,93 @@
     assert_ne!(again[0].1, sent[0].1);
 }
 
+fn query(ticket: u64) -> Event<()> {
+    let request = Request {
+        host: "a.example".to_owned(),
+        path: format!("{QUERY}x"),
+        time_left: Some(Duration::from_secs(1)),
+    };
+    Event::Request(Ticket(ticket), request)
+}
+
+/// Returns the answers, each with whether it refuses the request as not run.
+fn answers(actions: &[Action<()>]) -> Vec<(Ticket, bool)> {
+    let answers = actions.iter().filter_map(|action| match action {
+        Action::Answer(ticket, answer) => {
+            let not_run = matches!(answer, Answer::Refused { verdict: Verdict::NotRun, .. });
+            Some((*ticket, not_run))
+        }
+        _ => None,
+    });
+    answers.collect()
+}
+
+/// Sends queries until one finds no connection free; returns the attempts that are open.
+fn fill(
+    dispatcher: &mut Dispatcher<()>,
+    actions: &mut Vec<Action<()>>,
+    now: Instant,
+) -> (Vec<(AttemptKey, ReplicaId)>, Ticket) {
+    let mut sent = sends(actions);
+    for ticket in 2.. {
+        actions.clear();
+        dispatcher.handle(query(ticket), now, actions);
+        let more = sends(actions);
+        if more.is_empty() {
+            return (sent, Ticket(ticket));
+        }
+        sent.extend(more);
+    }
+    unreachable!("connections are bounded")
+}
+
+#[test]
+fn a_query_waits_for_connections_that_get_free() {
+    let (mut dispatcher, mut actions, now) = single(QUERY);
+    let (open, waiting) = fill(&mut dispatcher, &mut actions, now);
+    assert_eq!(answers(&actions), []);
+    let later = now + Duration::from_millis(5);
+    for (attempt, _) in open {
+        dispatcher.handle(Event::Ended(attempt, answer("x")), later, &mut actions);
+    }
+    let sent = sends(&actions);
+    assert_eq!(sent.len(), 4, "one attempt for each part that waited");
+    for (attempt, _) in sent {
+        dispatcher.handle(Event::Ended(attempt, answer("y")), later, &mut actions);
+    }
+    assert!(answers(&actions).contains(&(waiting, false)));
+}
+
+#[test]
+fn a_query_that_was_sent_nowhere_is_refused_in_time_for_another_daemon() {
+    let (mut dispatcher, mut actions, now) = single(QUERY);
+    let (_, waiting) = fill(&mut dispatcher, &mut actions, now);
+    let quarter = now + Duration::from_millis(200) / 4;
+    dispatcher.handle(Event::Wake, quarter, &mut actions);
+    assert_eq!(answers(&actions), [(waiting, true)]);
+}
+
+#[test]
+fn a_part_that_all_replicas_refused_is_tried_again_after_a_pause() {
+    let (mut dispatcher, mut actions, now) = single(QUERY);
+    let mut now = now;
+    let mut rounds = 0;
+    while answers(&actions).is_empty() {
+        let sent = sends(&actions);
+        actions.clear();
+        for (attempt, _) in &sent {
+            dispatcher.handle(Event::Ended(*attempt, Outcome::Refused), now, &mut actions);
+        }
+        if sends(&actions).is_empty() && answers(&actions).is_empty() {
+            rounds += 1;
+            now += Duration::from_millis(25);
+            dispatcher.handle(Event::Wake, now, &mut actions);
+        }
+    }
+    assert!(rounds >= 2, "{rounds} pauses");
+    assert_eq!(answers(&actions), [(Ticket(1), true)], "given up in the end, as not run");
+}
+
 #[test]
 fn nothing_goes_on_for_a_caller_that_left() {
     let (mut dispatcher, mut actions, now) = single(QUERY);
--- a/crates/berylpin_core/src/direct/flight.rs
+++ b/crates/berylpin_core/src/direct/flight.rs
@@ -54,8 +54,14 @@
 #[derive(Debug)]
 pub(super) struct Part<H> {
     pub(super) service: ServiceId,
-    /// Replicas that it was sent to.
+    /// Replicas that it was sent to and that did not prove that it did not run there.
     pub(super) tried: Vec<ReplicaId>,
+    /// Replicas that did not run it and are left alone for now.
+    pub(super) refused: Vec<ReplicaId>,
+    /// How often it did not run where it was sent.
+    pub(super) refusals: u32,
+    /// Whether it is entered among the parts that wait for a replica.
+    pub(super) waits: bool,
     /// Attempts that are not over.
     pub(super) open: Vec<AttemptKey>,
     /// The call to another daemon that is to fetch it.
@@ -89,6 +95,7 @@
     pub(super) flight: Option<FlightKey>,
     pub(super) part: usize,
     pub(super) replica: ReplicaId,
+    pub(super) service: ServiceId,
     /// The name of the replica, for the log.
     pub(super) name: Arc<str>,
     pub(super) route: RouteId,
@@ -122,7 +129,7 @@
     pub(super) fn verdict(&self) -> Verdict {
         let parts = self.parts.iter().map(|part| match &part.state {
             PartState::Answered(_) | PartState::Fetched(_) | PartState::Reported => Verdict::Ran,
-            _ if part.is_idle() => part.verdict,
+            _ if part.is_sent_nowhere() => part.verdict,
             _ => part.verdict.and(Verdict::MayHaveRun),
         });
         parts.fold(Verdict::NotRun, Verdict::and)
@@ -134,6 +141,9 @@
         Self {
             service,
             tried: Vec::new(),
+            refused: Vec::new(),
+            refusals: 0,
+            waits: false,
             open: Vec::new(),
             call: None,
             home: None,
@@ -146,11 +156,22 @@
         matches!(self.state, PartState::Answered(_) | PartState::Fetched(_) | PartState::Reported)
     }
 
-    /// Returns whether nothing is under way for it.
+    /// Returns whether nothing is under way for it and nothing is to follow.
     pub(super) fn is_idle(&self) -> bool {
+        self.is_sent_nowhere() && !self.waits
+    }
+
+    fn is_sent_nowhere(&self) -> bool {
         self.open.is_empty() && self.call.is_none()
     }
 
+    /// Notes that a replica did not run it.
+    pub(super) fn not_run_by(&mut self, replica: ReplicaId) {
+        self.tried.retain(|tried| *tried != replica);
+        self.refused.push(replica);
+        self.refusals += 1;
+    }
+
     pub(super) fn is_open(&self) -> bool {
         matches!(self.state, PartState::Open)
     }
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -22,6 +22,7 @@
 #[cfg(test)]
 mod testing;
 mod view;
+mod waiting;
 
 pub use budget::ExtraLimits;
 pub use catalogue::Catalogue;
--- a/crates/berylpin_core/src/direct/replicas.rs
+++ b/crates/berylpin_core/src/direct/replicas.rs
@@ -1,8 +1,11 @@
 //! What a traffic thread knows of each replica, and the choice between replicas.
 
+use super::attempts::NotSent;
 use super::event::AttemptKey;
+use super::flight::Part;
 use super::pace::Paces;
 use super::view::{Distance, Replica, Route, Service, View};
+use super::waiting::Wait;
 use crate::ids::{DataCentreId, ReplicaId, ReplicaTag};
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -125,6 +128,10 @@
     fn is_idle(&self) -> bool {
         self.open.is_empty()
     }
+
+    fn is_down(&self, now: Instant) -> bool {
+        self.down_until.is_some_and(|until| until > now)
+    }
 }
 
 /// A replica that was chosen.
@@ -143,28 +150,39 @@
 }
 
 impl Replicas {
-    /// Chooses the replica that is expected to answer first, of those not in `tried`.
+    /// Chooses the replica that is expected to answer first, of those that the part may be sent to.
     ///
     /// With `home` no other replica than that one is chosen.
-    pub(super) fn choose(
+    pub(super) fn choose<H>(
         &mut self,
         (view, service): (&View, &Service),
         route: &Route,
         (paces, rng): (&Paces, &mut SmallRng),
-        (tried, home): (&[ReplicaId], Option<ReplicaId>),
+        (part, home): (&Part<H>, Option<ReplicaId>),
         now: Instant,
-    ) -> Option<Choice> {
+    ) -> Result<Choice, NotSent> {
         let median = paces.median(route.id, route.target_latency);
         let late = paces.late(route.id, route.target_latency);
         let connections = connections(service.max_connections, view.fleet_size);
         let mut best: Option<(Duration, Choice)> = None;
+        let mut wait = None;
         for replica in &service.replicas {
             let other = home.is_some_and(|home| home != replica.id);
-            if tried.contains(&replica.id) || other {
+            if part.tried.contains(&replica.id) || other {
                 continue;
             }
             let state = self.state(replica.id, now);
-            if state.replaced || state.open.len() >= connections {
+            if state.replaced {
+                continue;
+            }
+            if part.refused.contains(&replica.id) {
+                wait.get_or_insert(Wait::Refusal);
+                continue;
+            }
+            if state.open.len() >= connections {
+                if !state.is_down(now) {
+                    wait = Some(Wait::Connection);
+                }
                 continue;
             }
             state.fade(now);
@@ -179,7 +197,15 @@
                 best = Some((cost, Choice { replica: replica.clone(), late }));
             }
         }
-        best.map(|(_, choice)| choice)
+        match (best, wait) {
+            // One that answers is worth waiting for.
+            (Some((cost, _)), Some(Wait::Connection)) if cost >= DOWN_COST => {
+                Err(NotSent::Wait(Wait::Connection))
+            }
+            (Some((_, choice)), _) => Ok(choice),
+            (None, Some(wait)) => Err(NotSent::Wait(wait)),
+            (None, None) => Err(NotSent::NoReplica),
+        }
     }
 
     /// Notes that an attempt was sent.
@@ -225,6 +251,8 @@
         let state = self.state(id, now);
         state.heard = Some(now);
         state.busy_until = Some(now + BUSY_TIME);
+        let factor = state.factor;
+        state.learn(factor, 1.0, now);
     }
 
     /// Learns from a failed connection.
@@ -269,7 +297,6 @@
 impl State {
     /// Returns what speaks against a replica beside its expected time.
     fn penalty(&self, replica: &Replica, median: Duration, now: Instant) -> Duration {
-        let until = |until: Option<Instant>| until.is_some_and(|until| until > now);
         let mut penalty = median.mul_f64(self.failure_rate * FAILURE_COST);
         if replica.distance == Distance::Remote {
             penalty += REMOTE_COST;
@@ -277,10 +304,10 @@
         if self.is_silent(now) {
             penalty += SILENCE_COST;
         }
-        if until(self.busy_until) {
+        if self.busy_until.is_some_and(|until| until > now) {
             penalty += BUSY_COST;
         }
-        if until(self.down_until) {
+        if self.is_down(now) {
             penalty += DOWN_COST;
         }
         penalty
--- a/crates/berylpin_core/src/direct/replicas/tests.rs
+++ b/crates/berylpin_core/src/direct/replicas/tests.rs
@@ -26,10 +26,22 @@
     }
 
     fn choose(&mut self, tried: &[ReplicaId]) -> Option<Choice> {
+        self.choose_for(tried, &[]).ok()
+    }
+
+    fn choose_for(
+        &mut self,
+        tried: &[ReplicaId],
+        refused: &[ReplicaId],
+    ) -> Result<Choice, NotSent> {
         let route = &self.view.routes[1];
-        let service = self.view.services.iter().find(|(_, s)| &*s.name == "shard-0").unwrap().1;
+        let found = self.view.services.iter().find(|(_, s)| &*s.name == "shard-0");
+        let (id, service) = found.unwrap();
+        let mut part = Part::<()>::new(id);
+        part.tried.extend(tried);
+        part.refused.extend(refused);
         let tools = (&self.paces, &mut self.rng);
-        self.replicas.choose((&self.view, service), route, tools, (tried, None), self.now)
+        self.replicas.choose((&self.view, service), route, tools, (&part, None), self.now)
     }
 
     fn name(&mut self) -> String {
@@ -55,7 +67,21 @@
     let first = bench.choose(&[]).unwrap().replica.id;
     let second = bench.choose(&[first]).unwrap().replica.id;
     assert_ne!(second, first);
-    assert!(bench.choose(&[first, second]).is_none());
+    assert_eq!(bench.choose_for(&[first, second], &[]).unwrap_err(), NotSent::NoReplica);
+    let refused = bench.choose_for(&[first], &[second]).unwrap_err();
+    assert_eq!(refused, NotSent::Wait(Wait::Refusal));
+}
+
+#[test]
+fn a_connection_is_waited_for_rather_than_a_replica_that_is_down() {
+    let mut bench = Bench::new();
+    let near = bench.choose(&[]).unwrap().replica.id;
+    let far = bench.choose(&[near]).unwrap().replica.id;
+    bench.replicas.unreachable(far, bench.now);
+    while bench.choose(&[]).is_some() {
+        bench.send();
+    }
+    assert_eq!(bench.choose_for(&[], &[]).unwrap_err(), NotSent::Wait(Wait::Connection));
 }
 
 #[test]
--- /dev/null
+++ b/crates/berylpin_core/src/direct/waiting.rs
@@ -0,0 +1,161 @@
+//! Parts that wait for a replica: for a free connection, after a refusal, or for the budget.
+
+use super::dispatcher::{Dispatcher, Timer};
+use super::event::{Action, Cause, RefusalReason};
+use super::flight::{Flight, FlightKey};
+use crate::ids::ServiceId;
+use std::time::{Duration, Instant};
+
+/// The pause after all replicas of a service refused a part; longer than most replicas need to get a
+/// slot free.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(20);
+
+/// The pause while the budget allows no extra attempt; it earns about one within that time.
+const BUDGET_PAUSE: Duration = Duration::from_millis(40);
+
+/// How often the replicas of a service may refuse a part before it is given up.
+const REFUSAL_LIMIT: u32 = 6;
+
+/// How long a request waits that was sent nowhere yet, as a share of its target: its caller can still
+/// be served in time by another daemon.
+const UNSENT_SHARE: f64 = 0.25;
+
+/// A part that waits.
+#[derive(Clone, Copy, Debug)]
+struct WaitingPart {
+    service: ServiceId,
+    flight: FlightKey,
+    part: usize,
+    cause: Cause,
+    /// When the next attempt may be made.
+    due: Instant,
+    urgency: u8,
+    /// When its request is late.
+    answer_by: Instant,
+}
+
+/// All parts of a thread that wait.
+#[derive(Debug, Default)]
+pub(super) struct Waiting {
+    /// Sorted by service; of one service in the order in which they came.
+    parts: Vec<WaitingPart>,
+    /// Services at which a connection got free.
+    freed: Vec<ServiceId>,
+}
+
+/// Why a part has to wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Wait {
+    /// All connections that this daemon may have are in use.
+    Connection,
+    /// The fleet's budget is used up.
+    Budget,
+    /// All replicas that may be used refused.
+    Refusal,
+}
+
+impl Waiting {
+    /// Notes that a connection of a service got free.
+    pub(super) fn freed(&mut self, service: ServiceId) {
+        if !self.parts.is_empty() {
+            self.freed.push(service);
+        }
+    }
+
+    /// Forgets the parts of a request.
+    pub(super) fn forget(&mut self, flight: FlightKey) {
+        self.parts.retain(|part| part.flight != flight);
+    }
+
+    /// Takes out the part of a service that is to go first: one in time, the most urgent, the oldest.
+    fn take(&mut self, service: ServiceId, now: Instant) -> Option<WaitingPart> {
+        let first = self.parts.partition_point(|part| part.service < service);
+        let of_service = self.parts[first..].iter().take_while(|part| part.service == service);
+        let due = of_service.enumerate().filter(|(_, part)| part.due <= now);
+        let next = due.min_by_key(|(_, part)| (part.answer_by <= now, part.urgency));
+        next.map(|(index, _)| index).map(|index| self.parts.remove(first + index))
+    }
+}
+
+impl<H> Dispatcher<H> {
+    /// Lets a part wait; returns whether it may.
+    pub(super) fn wait(
+        &mut self,
+        key: FlightKey,
+        index: usize,
+        (cause, wait): (Cause, Wait),
+        now: Instant,
+    ) -> bool {
+        let Some(flight) = self.flights.get_mut(key) else { return false };
+        let (urgency, answer_by) = (flight.config().urgency, flight.answer_by);
+        let part = &mut flight.parts[index];
+        let pause = match wait {
+            Wait::Connection => Duration::ZERO,
+            Wait::Budget => BUDGET_PAUSE,
+            Wait::Refusal if part.refusals >= REFUSAL_LIMIT => return false,
+            Wait::Refusal => {
+                part.refused.clear();
+                REFUSAL_PAUSE
+            }
+        };
+        part.waits = true;
+        let (service, due) = (part.service, now + pause);
+        let entry =
+            WaitingPart { service, flight: key, part: index, cause, due, urgency, answer_by };
+        let position = self.waiting.parts.partition_point(|other| other.service <= service);
+        self.waiting.parts.insert(position, entry);
+        if due > now {
+            self.timers.set(due, Timer::Resume(service));
+        }
+        true
+    }
+
+    /// Sends what waited for connections that got free.
+    pub(super) fn resume_freed(&mut self, now: Instant, actions: &mut Vec<Action<H>>) {
+        while let Some(service) = self.waiting.freed.pop() {
+            self.resume(service, now, actions);
+        }
+    }
+
+    /// Sends the parts of a service that wait, for as long as there is room.
+    pub(super) fn resume(
+        &mut self,
+        service: ServiceId,
+        now: Instant,
+        actions: &mut Vec<Action<H>>,
+    ) {
+        while let Some(WaitingPart { flight: key, part, cause, .. }) =
+            self.waiting.take(service, now)
+        {
+            let Some(flight) = self.flights.get_mut(key) else { continue };
+            flight.parts[part].waits = false;
+            if !flight.parts[part].is_open() {
+                continue;
+            }
+            self.attempt_or_fail(key, part, cause, now, actions);
+            let waits = self.flights.get(key).is_some_and(|flight| flight.parts[part].waits);
+            self.settle(key, now, actions);
+            if waits {
+                break;
+            }
+        }
+    }
+
+    /// Refuses a request that was sent nowhere, so that its caller may try another daemon.
+    pub(super) fn refuse_unsent(
+        &mut self,
+        key: FlightKey,
+        now: Instant,
+        actions: &mut Vec<Action<H>>,
+    ) {
+        let unsent = |flight: &Flight<H>| flight.attempts == 0 && flight.calls.is_empty();
+        if self.flights.get(key).is_some_and(unsent) {
+            self.give_up(key, Some(RefusalReason::Overloaded), now, actions);
+        }
+    }
+}
+
+/// Returns how long a request may wait that was sent nowhere.
+pub(super) fn unsent_limit(target: Duration) -> Duration {
+    target.mul_f64(UNSENT_SHARE)
+}
