Close connections of requests that may not run twice after use

Cause: each such request gets a connection of its own, but the connection was then kept for a next one that never takes it, so they piled up to the 8 s that idle ones are kept, and the replica reset what came beyond its limit. It is closed now, and opening one closes an idle one of the same replica.

--- a/crates/berylpin_daemon/src/direct/attempt.rs
+++ b/crates/berylpin_daemon/src/direct/attempt.rs
@@ -45,7 +45,8 @@
         };
         let (outcome, reusable) = self.exchange(connection).await;
         traffic.attempt_ended(self.key, outcome);
-        if let Some((mut connection, keep_alive)) = reusable {
+        // One that would wait for the next request of its kind in vain still counts at the replica.
+        if let Some((mut connection, keep_alive)) = reusable.filter(|_| self.idempotent) {
             let ready = tokio::time::timeout(REUSE_TIMEOUT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 traffic.keep_connection(self.replica.id, connection, keep_alive);
@@ -58,9 +59,12 @@
     /// Nobody can tell whether a request ran that was sent on a connection as the replica closed
     /// it, so a request that may not run twice gets a new one.
     async fn connect(&self, traffic: &Rc<Traffic>) -> Result<Connection, Outcome<HeaderMap>> {
-        while self.idempotent
-            && let Some(mut connection) = traffic.idle_connection(self.replica.id)
-        {
+        while let Some(mut connection) = traffic.idle_connection(self.replica.id) {
+            if !self.idempotent {
+                // Its place at the replica is taken by the new one.
+                drop(connection);
+                break;
+            }
             if connection.sender.ready().await.is_ok() {
                 return Ok(connection);
             }
