Say why parts are missing, log refusals, and keep room for lines of failures

Cause: a partial or failed answer left a line with the number of missing parts only, a request that was refused on arrival or whose caller left had no line at all, and lines of good requests used up the bound that those of failures share. Lines of what went well and of everything else are bounded apart now (40 and 150 a second); dropped lines are told once a second.

--- a/crates/berylpin_core/src/direct/dispatcher.rs
+++ b/crates/berylpin_core/src/direct/dispatcher.rs
@@ -133,7 +133,7 @@
         match event {
             Event::View(view) => self.take_view(view, now, actions),
             Event::Request(ticket, request) => self.start(ticket, &request, now, actions),
-            Event::CallerGone(ticket) => self.caller_gone(ticket, actions),
+            Event::CallerGone(ticket) => self.caller_gone(ticket, now, actions),
             Event::Ended(attempt, outcome) => self.ended(attempt, outcome, now, actions),
             Event::PartsRequest(ticket, request) => {
                 self.start_parts(ticket, &request, now, actions);
@@ -170,14 +170,14 @@
         actions: &mut Vec<Action<H>>,
     ) {
         let Some(view) = self.view.clone() else {
-            return refuse(ticket, RefusalReason::NotReady, Some(RETRY_AFTER_START), actions);
+            return refuse(ticket, None, RefusalReason::NotReady, actions);
         };
         let path = request.path.split_once('?').map_or(&*request.path, |(path, _)| path);
         let Some(index) = view.route(&request.host, path) else {
-            return refuse(ticket, RefusalReason::NoRoute, None, actions);
+            return refuse(ticket, Some(view.version), RefusalReason::NoRoute, actions);
         };
         if self.flights.len() >= FLIGHT_LIMIT {
-            return refuse(ticket, RefusalReason::Overloaded, Some(RETRY_AFTER), actions);
+            return refuse(ticket, Some(view.version), RefusalReason::Overloaded, actions);
         }
         let route = &view.routes[index];
         let services = match &route.target {
@@ -208,7 +208,8 @@
         let (count, deadline, answer_by) = (flight.parts.len(), flight.deadline, flight.answer_by);
         let sendable = flight.parts.iter().filter(|p| !flight.view.replicas(p.service).is_empty());
         if sendable.count() < min_parts {
-            return refuse(ticket, RefusalReason::NoReplica, Some(RETRY_AFTER), actions);
+            let version = Some(flight.view.version);
+            return refuse(ticket, version, RefusalReason::NoReplica, actions);
         }
         let is_query = matches!(flight.config().target, Target::Shards { .. });
         let unsent = flight.arrived + unsent_limit(flight.config().target_latency);
@@ -265,13 +266,14 @@
         }
     }
 
-    fn caller_gone(&mut self, ticket: Ticket, actions: &mut Vec<Action<H>>) {
+    fn caller_gone(&mut self, ticket: Ticket, now: Instant, actions: &mut Vec<Action<H>>) {
         let Ok(index) = self.tickets.binary_search_by_key(&ticket, |(ticket, _)| *ticket) else {
             return;
         };
         let key = self.tickets[index].1;
         let repeatable = self.flights.get(key).is_some_and(|flight| flight.config().idempotent);
         let Some(flight) = self.remove(key) else { return };
+        self.log_done(&flight, "caller_left", now, actions);
         for call in &flight.calls {
             self.calls.remove(*call);
             actions.push(Action::Withdraw(*call));
@@ -374,29 +376,38 @@
         actions: &mut Vec<Action<H>>,
     ) -> Option<Flight<H>> {
         let flight = self.remove(key)?;
-        let answered = flight.answered();
-        actions.push(Action::Log(
-            flight.ticket,
-            DirectDecision::Done {
-                route: Some(flight.config().name.clone()),
-                version: flight.view.version,
-                outcome,
-                parts: flight.parts.len(),
-                missing: flight.parts.len() - answered,
-                attempts: flight.attempts,
-                elapsed: now.saturating_duration_since(flight.arrived),
-                target: flight.config().target_latency,
-            },
-        ));
+        self.log_done(&flight, outcome, now, actions);
         for attempt in flight.parts.iter().flat_map(|part| &part.open) {
             self.timers.set(now + LINGER, Timer::Linger(*attempt));
         }
         Some(flight)
     }
 
+    fn log_done(
+        &self,
+        flight: &Flight<H>,
+        outcome: &'static str,
+        now: Instant,
+        actions: &mut Vec<Action<H>>,
+    ) {
+        let name = |key| self.attempts.get(key).map(|attempt| attempt.name.clone());
+        let decision = DirectDecision::Done {
+            route: flight.config().name.clone(),
+            version: flight.view.version,
+            outcome,
+            parts: flight.parts.len(),
+            missing: flight.parts.len() - flight.answered(),
+            lacking: flight.lacking(name),
+            attempts: flight.attempts,
+            elapsed: now.saturating_duration_since(flight.arrived),
+            target: flight.config().target_latency,
+        };
+        actions.push(Action::Log(flight.ticket, decision));
+    }
+
     fn remove(&mut self, key: FlightKey) -> Option<Flight<H>> {
         let flight = self.flights.remove(key)?;
-        if flight.parts.iter().any(|part| part.waits) {
+        if flight.parts.iter().any(|part| part.waits.is_some()) {
             self.waiting.forget(key);
         }
         self.tickets.retain(|(ticket, _)| *ticket != flight.ticket);
@@ -430,10 +441,16 @@
 /// Answers a request that nothing was sent for.
 fn refuse<H>(
     ticket: Ticket,
+    version: Option<u64>,
     reason: RefusalReason,
-    retry_after: Option<Duration>,
     actions: &mut Vec<Action<H>>,
 ) {
+    actions.push(Action::Log(ticket, DirectDecision::Refused { reason, version }));
+    let retry_after = match reason {
+        RefusalReason::NoRoute => None,
+        RefusalReason::NotReady => Some(RETRY_AFTER_START),
+        _ => Some(RETRY_AFTER),
+    };
     let verdict = Verdict::NotRun;
     actions.push(Action::Answer(ticket, Answer::Refused { reason, verdict, retry_after }));
 }
--- a/crates/berylpin_core/src/direct/dispatcher/tests.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests.rs
@@ -93,7 +93,11 @@
     let (mut dispatcher, mut actions) = (Dispatcher::<()>::new(LIMITS, 1), Vec::new());
     let request = Request { host: "a.example".to_owned(), path: QUERY.to_owned(), time_left: None };
     dispatcher.handle(Event::Request(Ticket(1), request), Instant::now(), &mut actions);
-    let [Action::Answer(_, Answer::Refused { reason, verdict, retry_after })] = &actions[..] else {
+    let [
+        Action::Log(_, DirectDecision::Refused { version: None, .. }),
+        Action::Answer(_, Answer::Refused { reason, verdict, retry_after }),
+    ] = &actions[..]
+    else {
         panic!("one answer is expected, not {actions:?}")
     };
     assert_eq!((*reason, *verdict), (RefusalReason::NotReady, Verdict::NotRun));
--- a/crates/berylpin_core/src/direct/event.rs
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -6,6 +6,7 @@
 use crate::ids::PeerId;
 use crate::verdict::Verdict;
 use bytes::Bytes;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -215,6 +216,46 @@
     }
 }
 
+/// A part without an answer when its request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lacking {
+    /// The service that was asked.
+    pub service: Arc<str>,
+    /// What it lacked.
+    pub cause: LackCause,
+}
+
+/// Why a part has no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LackCause {
+    /// This replica has not answered.
+    UnderWay(Arc<str>),
+    /// All connections that this daemon may have were in use.
+    NoConnection,
+    /// The budget of extra attempts was used up.
+    NoBudget,
+    /// All its replicas had failed it a moment before.
+    ReplicasFailed,
+    /// The daemon that was to fetch it has not sent it.
+    AtPeer,
+    /// It was given up.
+    GivenUp,
+}
+
+impl fmt::Display for Lacking {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { service, cause } = self;
+        match cause {
+            LackCause::UnderWay(replica) => write!(f, "{service} under way at {replica}"),
+            LackCause::NoConnection => write!(f, "{service} waits for a connection"),
+            LackCause::NoBudget => write!(f, "{service} waits for the budget"),
+            LackCause::ReplicasFailed => write!(f, "{service} waits after failures"),
+            LackCause::AtPeer => write!(f, "{service} left to a peer"),
+            LackCause::GivenUp => write!(f, "{service} given up"),
+        }
+    }
+}
+
 /// A decision about a request, for the log.
 #[derive(Clone, Debug)]
 pub enum DirectDecision {
@@ -254,10 +295,17 @@
         /// Shards that it was asked for.
         parts: usize,
     },
+    /// The request was refused on arrival.
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// The version of the configuration, if one is known.
+        version: Option<u64>,
+    },
     /// The request is over.
     Done {
-        /// The route, if one matched.
-        route: Option<Arc<str>>,
+        /// The route.
+        route: Arc<str>,
         /// The version of the configuration that it was routed by.
         version: u64,
         /// What became of it.
@@ -266,6 +314,8 @@
         parts: usize,
         /// Parts without an answer.
         missing: usize,
+        /// Some of the parts without an answer.
+        lacking: Vec<Lacking>,
         /// Attempts made.
         attempts: u32,
         /// From the request's arrival.
--- a/crates/berylpin_core/src/direct/flight.rs
+++ b/crates/berylpin_core/src/direct/flight.rs
@@ -1,8 +1,9 @@
 //! Requests in progress and their attempts.
 
 use super::delegate::CallKey;
-use super::event::{AttemptKey, Reply, Ticket};
+use super::event::{AttemptKey, LackCause, Lacking, Reply, Ticket};
 use super::view::{Route, RouteId, Target, View};
+use super::waiting::Wait;
 use crate::arena::SlabKey;
 use crate::ids::{ReplicaId, ReplicaTag, ServiceId};
 use crate::verdict::Verdict;
@@ -10,6 +11,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Parts without an answer that the log tells the cause of; a line stays under 1 KB.
+const LACKING_TOLD: usize = 4;
+
 /// Names a request in progress within one thread.
 pub(super) type FlightKey = SlabKey;
 
@@ -60,8 +64,8 @@
     pub(super) refused: Vec<ReplicaId>,
     /// How often it did not run where it was sent.
     pub(super) refusals: u32,
-    /// Whether it is entered among the parts that wait for a replica.
-    pub(super) waits: bool,
+    /// What it waits for, if it is entered among the parts that wait for a replica.
+    pub(super) waits: Option<Wait>,
     /// Attempts that are not over.
     pub(super) open: Vec<AttemptKey>,
     /// The call to another daemon that is to fetch it.
@@ -125,6 +129,28 @@
         self.parts.iter().filter(|part| matches!(part.state, PartState::Failed(_))).count()
     }
 
+    /// Returns why some parts have no answer; `name` tells the replica of an attempt.
+    pub(super) fn lacking<F>(&self, name: F) -> Vec<Lacking>
+    where
+        F: Fn(AttemptKey) -> Option<Arc<str>>,
+    {
+        let missing = self.parts.iter().filter(|part| !part.is_answered());
+        let lacking = missing.take(LACKING_TOLD).map(|part| {
+            let open = part.open.first().and_then(|open| name(*open));
+            let cause = match (open, part.waits) {
+                (Some(replica), _) => LackCause::UnderWay(replica),
+                (None, Some(Wait::Connection)) => LackCause::NoConnection,
+                (None, Some(Wait::Budget)) => LackCause::NoBudget,
+                (None, Some(Wait::Refusal)) => LackCause::ReplicasFailed,
+                (None, None) if part.call.is_some() => LackCause::AtPeer,
+                (None, None) => LackCause::GivenUp,
+            };
+            let service = self.view.services.get(part.service).map(|service| service.name.clone());
+            Lacking { service: service.unwrap_or_default(), cause }
+        });
+        lacking.collect()
+    }
+
     /// Returns whether any attempt may have run, the open ones included.
     pub(super) fn verdict(&self) -> Verdict {
         let parts = self.parts.iter().map(|part| match &part.state {
@@ -143,7 +169,7 @@
             tried: Vec::new(),
             refused: Vec::new(),
             refusals: 0,
-            waits: false,
+            waits: None,
             open: Vec::new(),
             call: None,
             home: None,
@@ -158,7 +184,7 @@
 
     /// Returns whether nothing is under way for it and nothing is to follow.
     pub(super) fn is_idle(&self) -> bool {
-        self.is_sent_nowhere() && !self.waits
+        self.is_sent_nowhere() && self.waits.is_none()
     }
 
     fn is_sent_nowhere(&self) -> bool {
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -32,8 +32,8 @@
 pub use delegate::{CallKey, PartsReply, PartsRequest};
 pub use dispatcher::Dispatcher;
 pub use event::{
-    Action, Answer, AttemptKey, Cause, DirectDecision, Event, Outcome, RefusalReason, Reply,
-    Request, Ticket,
+    Action, Answer, AttemptKey, Cause, DirectDecision, Event, LackCause, Lacking, Outcome,
+    RefusalReason, Reply, Request, Ticket,
 };
 pub use fleet::RENEWAL_PERIOD;
 pub use news::{News, Progress};
--- a/crates/berylpin_core/src/direct/waiting.rs
+++ b/crates/berylpin_core/src/direct/waiting.rs
@@ -98,7 +98,7 @@
                 REFUSAL_PAUSE
             }
         };
-        part.waits = true;
+        part.waits = Some(wait);
         let (service, due) = (part.service, now + pause);
         let entry =
             WaitingPart { service, flight: key, part: index, cause, due, urgency, answer_by };
@@ -128,12 +128,13 @@
             self.waiting.take(service, now)
         {
             let Some(flight) = self.flights.get_mut(key) else { continue };
-            flight.parts[part].waits = false;
+            flight.parts[part].waits = None;
             if !flight.parts[part].is_open() {
                 continue;
             }
             self.attempt_or_fail(key, part, cause, now, actions);
-            let waits = self.flights.get(key).is_some_and(|flight| flight.parts[part].waits);
+            let waits =
+                self.flights.get(key).is_some_and(|flight| flight.parts[part].waits.is_some());
             self.settle(key, now, actions);
             if waits {
                 break;
--- a/crates/berylpin_daemon/src/direct/lines.rs
+++ b/crates/berylpin_daemon/src/direct/lines.rs
@@ -7,39 +7,89 @@
 use slog::{debug, info, warn};
 use std::time::{Duration, Instant};
 
-/// Lines a second that a thread writes at most; those above are counted and told. Some hundred bytes
+/// Lines a second of requests that went well; they only show what is usual.
+const USUAL_PER_SECOND: f64 = 40.0;
+
+/// Lines a second of everything else: refusals, failures, partial and late answers. Some hundred bytes
 /// each, so that a flood costs under a tenth of a percent of the processor.
-const LINES_PER_SECOND: f64 = 100.0;
+const NOTABLE_PER_SECOND: f64 = 150.0;
+
+/// Seconds of unused lines that are saved up.
+const SAVED_SECONDS: f64 = 3.0;
+
+/// How often dropped lines are told.
+const TELL_PERIOD: Duration = Duration::from_secs(1);
+
+/// A bound of lines a second.
+struct Allowance {
+    per_second: f64,
+    /// Lines that may be written.
+    left: f64,
+    filled: Instant,
+}
+
+impl Allowance {
+    fn new(per_second: f64, now: Instant) -> Self {
+        Self { per_second, left: per_second * SAVED_SECONDS, filled: now }
+    }
 
-/// Lines that may be saved up.
-const BURST: f64 = 200.0;
+    fn take(&mut self, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.filled).as_secs_f64();
+        let most = self.per_second * SAVED_SECONDS;
+        self.left = (self.left + elapsed * self.per_second).min(most);
+        self.filled = now;
+        let taken = self.left >= 1.0;
+        if taken {
+            self.left -= 1.0;
+        }
+        taken
+    }
+}
 
 /// The lines of one thread, bounded in number.
 pub(super) struct Lines {
     log: Log,
-    /// Lines that may be written; from 0 to `BURST`.
-    room: f64,
-    filled: Instant,
+    usual: Allowance,
+    notable: Allowance,
+    /// Lines dropped since that was last told.
     dropped: u64,
+    told: Instant,
 }
 
 impl Lines {
     pub(super) fn new(log: Log, now: Instant) -> Self {
-        Self { log, room: BURST, filled: now, dropped: 0 }
+        Self {
+            log,
+            usual: Allowance::new(USUAL_PER_SECOND, now),
+            notable: Allowance::new(NOTABLE_PER_SECOND, now),
+            dropped: 0,
+            told: now,
+        }
     }
 
     /// Counts a decision and writes its line.
     pub(super) fn write(&mut self, request: &str, decision: &DirectDecision, now: Instant) {
         count(decision);
-        if !self.has_room(now) {
+        if !self.admits(decision, now) {
             self.dropped += 1;
             counter!("berylpin_log_lines_dropped_total").increment(1);
             return;
         }
-        if self.dropped > 0 {
+        if self.dropped > 0 && now.saturating_duration_since(self.told) >= TELL_PERIOD {
             warn!(self.log, "route: lines dropped"; "count" => self.dropped);
             self.dropped = 0;
+            self.told = now;
         }
+        self.render(request, decision);
+    }
+
+    fn admits(&mut self, decision: &DirectDecision, now: Instant) -> bool {
+        let notable = is_notable(decision);
+        let allowance = if notable { &mut self.notable } else { &mut self.usual };
+        allowance.take(now)
+    }
+
+    fn render(&self, request: &str, decision: &DirectDecision) {
         match decision {
             DirectDecision::Extra { cause, replica, waited, budget_left } => {
                 info!(self.log, "route: extra attempt sent"; "request" => request,
@@ -59,33 +109,40 @@
                 info!(self.log, "route: peer silent"; "request" => request,
                     "peer" => %peer, "parts" => parts);
             }
+            DirectDecision::Refused { reason, version } => {
+                info!(self.log, "route: request refused"; "request" => request,
+                    "reason" => reason.name(), "version" => version);
+            }
             DirectDecision::Done {
                 route,
                 version,
                 outcome,
                 parts,
                 missing,
+                lacking,
                 attempts,
                 elapsed,
                 target,
             } => {
+                let lacking: Vec<String> = lacking.iter().map(ToString::to_string).collect();
                 info!(self.log, "route: request done"; "request" => request,
-                    "route" => route.as_deref(), "version" => version, "outcome" => outcome,
-                    "parts" => parts, "missing" => missing, "attempts" => attempts,
-                    "elapsed_ms" => millis(*elapsed), "late" => elapsed > target);
+                    "route" => &**route, "version" => version, "outcome" => outcome,
+                    "parts" => parts, "missing" => missing, "lacking" => lacking.join("; "),
+                    "attempts" => attempts, "elapsed_ms" => millis(*elapsed),
+                    "late" => elapsed > target);
             }
         }
     }
+}
 
-    fn has_room(&mut self, now: Instant) -> bool {
-        let elapsed = now.saturating_duration_since(self.filled).as_secs_f64();
-        self.room = (self.room + elapsed * LINES_PER_SECOND).min(BURST);
-        self.filled = now;
-        let room = self.room >= 1.0;
-        if room {
-            self.room -= 1.0;
-        }
-        room
+/// Returns whether an engineer would look for the line of a decision.
+fn is_notable(decision: &DirectDecision) -> bool {
+    match decision {
+        DirectDecision::AttemptFailed { .. }
+        | DirectDecision::PeerSilent { .. }
+        | DirectDecision::Refused { .. } => true,
+        DirectDecision::Extra { .. } | DirectDecision::Delegated { .. } => false,
+        DirectDecision::Done { missing, elapsed, target, .. } => *missing > 0 || elapsed > target,
     }
 }
 
@@ -103,6 +160,9 @@
         DirectDecision::PeerSilent { .. } => {
             counter!("berylpin_silent_peers_total").increment(1);
         }
+        DirectDecision::Refused { reason, .. } => {
+            counter!("berylpin_requests_total", "outcome" => reason.name()).increment(1);
+        }
         DirectDecision::Done { outcome, missing, elapsed, .. } => {
             counter!("berylpin_requests_total", "outcome" => *outcome).increment(1);
             counter!("berylpin_missing_parts_total").increment(*missing as u64);
@@ -114,3 +174,6 @@
 fn millis(time: Duration) -> f64 {
     time.as_micros() as f64 / 1000.0
 }
+
+#[cfg(test)]
+mod tests;
