--- a/crates/berylpin_core/src/direct/event.rs
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -228,8 +228,8 @@
 /// Why a part has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LackCause {
-    /// This replica has not answered.
-    UnderWay(Arc<str>),
+    /// These replicas have not answered.
+    UnderWay(Vec<Arc<str>>),
     /// All connections that this daemon may have were in use.
     NoConnection,
     /// The budget of extra attempts was used up.
@@ -246,7 +246,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { service, cause } = self;
         match cause {
-            LackCause::UnderWay(replica) => write!(f, "{service} under way at {replica}"),
+            LackCause::UnderWay(replicas) => {
+                write!(f, "{service} under way at {}", replicas.join(" and "))
+            }
             LackCause::NoConnection => write!(f, "{service} waits for a connection"),
             LackCause::NoBudget => write!(f, "{service} waits for the budget"),
             LackCause::ReplicasFailed => write!(f, "{service} waits after failures"),
--- a/crates/berylpin_core/src/direct/flight.rs
+++ b/crates/berylpin_core/src/direct/flight.rs
@@ -136,14 +136,14 @@
     {
         let missing = self.parts.iter().filter(|part| !part.is_answered());
         let lacking = missing.take(LACKING_TOLD).map(|part| {
-            let open = part.open.first().and_then(|open| name(*open));
-            let cause = match (open, part.waits) {
-                (Some(replica), _) => LackCause::UnderWay(replica),
-                (None, Some(Wait::Connection)) => LackCause::NoConnection,
-                (None, Some(Wait::Budget)) => LackCause::NoBudget,
-                (None, Some(Wait::Refusal)) => LackCause::ReplicasFailed,
-                (None, None) if part.call.is_some() => LackCause::AtPeer,
-                (None, None) => LackCause::GivenUp,
+            let open: Vec<_> = part.open.iter().filter_map(|open| name(*open)).collect();
+            let cause = match part.waits {
+                _ if !open.is_empty() => LackCause::UnderWay(open),
+                Some(Wait::Connection) => LackCause::NoConnection,
+                Some(Wait::Budget) => LackCause::NoBudget,
+                Some(Wait::Refusal) => LackCause::ReplicasFailed,
+                None if part.call.is_some() => LackCause::AtPeer,
+                None => LackCause::GivenUp,
             };
             let service = self.view.services.get(part.service).map(|service| service.name.clone());
             Lacking { service: service.unwrap_or_default(), cause }
