Call a store that is away less and less often

The pause doubles up to 1 s (4 s for daemons), and up to doubled at random. Tests: the pauses; what is due is known within the settle time after an outage.

--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -36,9 +36,16 @@
 /// The pause after a change of daemons; at a start all of them enter within a second.
 const DAEMONS_PAUSE: Duration = Duration::from_secs(3);
 
-/// The pause after a failed call, up to doubled at random so that daemons do not call all at once.
+/// The pause after a failed call, doubled with each further one up to the limit of the kind, and up to
+/// doubled at random so that daemons do not call all at once.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// The limit of the pause for what has to be known soon after the store is back.
+const SOON_RETRY_LIMIT: Duration = Duration::from_secs(1);
+
+/// The limit of the pause for daemons, which change rarely.
+const DAEMONS_RETRY_LIMIT: Duration = Duration::from_secs(4);
+
 /// How often the lapsed entries are looked through.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(250);
 
@@ -70,6 +77,8 @@
     list_freshness: Freshness,
     /// The pause after each change, in which more changes may gather.
     pause: Duration,
+    /// The longest pause after a failed call, without its random part.
+    retry_limit: Duration,
     /// Takes the complete list, which holds at a revision.
     list: fn(&Control, Vec<Object>, u64),
     /// Takes changes in their order, which lead to a revision.
@@ -101,6 +110,7 @@
         freshness: Freshness::Newest,
         list_freshness: Freshness::Newest,
         pause: Duration::ZERO,
+        retry_limit: SOON_RETRY_LIMIT,
         list: Control::list_configuration,
         change: Control::change_configuration,
         revision: |_| None,
@@ -111,6 +121,7 @@
         freshness: Freshness::MaybeStale,
         list_freshness: Freshness::Newest,
         pause: REPLICAS_PAUSE,
+        retry_limit: SOON_RETRY_LIMIT,
         list: Control::list_replicas,
         change: Control::change_replicas,
         revision: |catalogue| catalogue.progress().replicas,
@@ -121,6 +132,7 @@
         freshness: Freshness::MaybeStale,
         list_freshness: Freshness::MaybeStale,
         pause: DAEMONS_PAUSE,
+        retry_limit: DAEMONS_RETRY_LIMIT,
         list: Control::list_daemons,
         change: Control::change_daemons,
         revision: |catalogue| catalogue.progress().daemons,
@@ -155,20 +167,28 @@
     if reached { wait } else { Duration::ZERO }
 }
 
+/// Returns the pause after so many failed calls in a row, at least one, without its random part.
+fn retry_pause(failures: u32, limit: Duration) -> Duration {
+    let doublings = failures.saturating_sub(1).min(8);
+    (RETRY_PAUSE * 2u32.pow(doublings)).min(limit)
+}
+
 impl Control {
     /// Lists the objects of a kind and then watches them, for ever.
     async fn follow(&self, follower: Follower) {
         let mut revision = None;
-        let mut reached = true;
+        let mut failures = 0;
         loop {
             // A peer may have told more meanwhile; older changes would undo that for a moment.
             revision = revision
                 .max((follower.revision)(&self.catalogue.borrow()).filter(|_| revision.is_some()));
-            let result = self.call(&follower, revision, watch_time(follower.wait, reached)).await;
-            if reached != result.is_ok() {
-                reached = result.is_ok();
+            let wait = watch_time(follower.wait, failures == 0);
+            let result = self.call(&follower, revision, wait).await;
+            let reached = result.is_ok();
+            if reached != (failures == 0) {
                 self.note_contact(follower.kind, result.as_ref().err());
             }
+            failures = if reached { 0 } else { failures + 1 };
             if follower.kind == Kind::Configuration {
                 let lost_since = self.lost_since.get().unwrap_or_else(|| self.now());
                 self.lost_since.set((!reached).then_some(lost_since));
@@ -183,7 +203,8 @@
                 Err(StoreError::HistoryGone) => revision = None,
                 Err(_) => {
                     let spread = rand::rng().random_range(1.0..2.0);
-                    tokio::time::sleep(RETRY_PAUSE.mul_f64(spread)).await;
+                    let pause = retry_pause(failures, follower.retry_limit);
+                    tokio::time::sleep(pause.mul_f64(spread)).await;
                 }
             }
         }
--- a/crates/berylpin_daemon/src/direct/control/entries.rs
+++ b/crates/berylpin_daemon/src/direct/control/entries.rs
@@ -1,6 +1,6 @@
 //! The entries of daemons: this one's is kept, those of daemons that are gone are removed.
 
-use super::{Control, RETRY_PAUSE};
+use super::{Control, DAEMONS_RETRY_LIMIT, retry_pause};
 use berylpin_core::direct::{DaemonEntry, RENEWAL_PERIOD};
 use berylpin_platform::{Change, Kind, Object, StoreError, decode_daemon};
 use rand::Rng;
@@ -48,6 +48,7 @@
         };
         let mut renewals = 0;
         let mut renewed = None;
+        let mut failures = 0;
         loop {
             let known = self.catalogue.borrow().own_entry().map(Option::<&DaemonEntry>::cloned);
             // A daemon that starts again finds its entry as it left it.
@@ -63,14 +64,19 @@
                     Ok(()) => {
                         renewals += 1;
                         renewed = Some(self.now());
+                        failures = 0;
                     }
                     Err(e) => {
                         self.note_contact(Kind::Daemons, Some(&e));
                         renewed = None;
+                        failures += 1;
                     }
                 }
             }
-            let pause = if renewed.is_some() { CHECK_PERIOD } else { RETRY_PAUSE };
+            let pause = match renewed {
+                Some(_) => CHECK_PERIOD,
+                None => retry_pause(failures, DAEMONS_RETRY_LIMIT),
+            };
             let spread = rand::rng().random_range(1.0..2.0);
             tokio::time::sleep(pause.mul_f64(spread)).await;
         }
--- a/crates/berylpin_daemon/src/direct/control/tests.rs
+++ b/crates/berylpin_daemon/src/direct/control/tests.rs
@@ -38,3 +38,18 @@
     assert_eq!(watch_time(wait, false), Duration::ZERO);
     assert_eq!(watch_time(wait, true), wait);
 }
+
+#[test]
+fn an_outage_of_the_store_is_met_with_fewer_and_fewer_calls() {
+    let pauses: Vec<_> = (1..=5).map(|n| retry_pause(n, SOON_RETRY_LIMIT).as_millis()).collect();
+    assert_eq!(pauses, [200, 400, 800, 1000, 1000]);
+    assert_eq!(retry_pause(u32::MAX, DAEMONS_RETRY_LIMIT), DAEMONS_RETRY_LIMIT);
+}
+
+#[test]
+fn what_is_due_is_known_in_time_after_an_outage() {
+    for (settle, limit) in [(4000, 3000), (6000, 5000)] {
+        // The random part doubles the pause at most.
+        assert!(SOON_RETRY_LIMIT * 2 < settings(settle, limit).settle_time);
+    }
+}
