Follow a request through several logs, and log what went wrong with a replica's connection

berylpin trace REQUEST FILE... prints the lines of one request from the logs of several daemons in the order of time. A failed attempt names its failure (connect_timeout, connect_error, closed_before, no_answer, truncated, foreign_answer, encoded). A view that finds a traffic thread's mailbox full is handed over once there is room instead of being lost until the next one (test: fails with send in its place); two functions of the mailbox that did the same are one.

--- a/crates/berylpin/src/args.rs
+++ b/crates/berylpin/src/args.rs
@@ -2,7 +2,7 @@
 
 use crate::commands::{
     apply, check, delete, demo, diff, drain, edit, execute, experiment, get, list, log, query,
-    status,
+    status, trace,
 };
 use pico_args::Arguments;
 use std::process::ExitCode;
@@ -32,6 +32,7 @@
     drain::COMMAND,
     status::COMMAND,
     log::COMMAND,
+    trace::COMMAND,
     query::COMMAND,
     execute::COMMAND,
     experiment::COMMAND,
--- a/crates/berylpin/src/commands/mod.rs
+++ b/crates/berylpin/src/commands/mod.rs
@@ -14,3 +14,4 @@
 pub(crate) mod log;
 pub(crate) mod query;
 pub(crate) mod status;
+pub(crate) mod trace;
--- /dev/null
+++ b/crates/berylpin/src/commands/trace.rs
@@ -0,0 +1,106 @@
+//! `berylpin trace`: follows one request through the logs of several daemons.
+
+use crate::args::{Command, CommandError, finish};
+use pico_args::Arguments;
+use serde_json::{Map, Value};
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+
+pub(crate) const COMMAND: Command = Command {
+    name: "trace",
+    summary: "follow one request through the logs of several daemons",
+    help: "\
+Usage: berylpin trace REQUEST FILE...
+
+  REQUEST          the id of the request, as the caller sent it
+  FILE             logs of daemons in JSON, one line an object
+
+Lines come in the order of their time stamps; clocks of VMs may differ.
+
+Example: berylpin trace 9c41d07be2a35f68 front-*.log
+",
+    run,
+};
+
+/// Keys that every line has or that the trace prints itself.
+const SHOWN_ELSEWHERE: [&str; 4] = ["msg", "ts", "level", "request"];
+
+/// A line about the request.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Entry {
+    /// RFC 3339, so that the order of texts is the order of time.
+    time: String,
+    source: String,
+    text: String,
+}
+
+fn run(mut args: Arguments) -> Result<(), CommandError> {
+    let request: String = args.free_from_str()?;
+    let mut paths: Vec<PathBuf> = Vec::new();
+    while let Some(path) = args.opt_free_from_str()? {
+        paths.push(path);
+    }
+    finish(args)?;
+    if paths.is_empty() {
+        return Err(CommandError::Usage("give at least one file".to_owned()));
+    }
+    let mut entries = Vec::new();
+    for path in &paths {
+        let failed = |e| CommandError::Failed(format!("{}: {e}", path.display()));
+        let file = File::open(path).map_err(failed)?;
+        collect(BufReader::new(file), &source(path), &request, &mut entries).map_err(failed)?;
+    }
+    if entries.is_empty() {
+        return Err(CommandError::Failed(format!("no line is about request `{request}`")));
+    }
+    entries.sort();
+    for Entry { time, source, text } in &entries {
+        println!("{time} {source} {text}");
+    }
+    Ok(())
+}
+
+/// Returns the name of a file without folders and ending.
+fn source(path: &Path) -> String {
+    path.file_stem().unwrap_or_default().to_string_lossy().into_owned()
+}
+
+/// Appends the lines about a request; lines that are not JSON belong to something else.
+fn collect<R>(
+    lines: R,
+    source: &str,
+    request: &str,
+    entries: &mut Vec<Entry>,
+) -> Result<(), std::io::Error>
+where
+    R: BufRead,
+{
+    for line in lines.lines() {
+        let line = line?;
+        let Ok(Value::Object(fields)) = serde_json::from_str(&line) else { continue };
+        if fields.get("request").and_then(Value::as_str) != Some(request) {
+            continue;
+        }
+        let time = text_of(fields.get("ts"));
+        entries.push(Entry { time, source: source.to_owned(), text: render(&fields) });
+    }
+    Ok(())
+}
+
+fn render(fields: &Map<String, Value>) -> String {
+    let shown = fields.iter().filter(|(key, _)| !SHOWN_ELSEWHERE.contains(&key.as_str()));
+    let values = shown.map(|(key, value)| format!("{key}={}", text_of(Some(value))));
+    std::iter::once(text_of(fields.get("msg"))).chain(values).collect::<Vec<_>>().join(" ")
+}
+
+fn text_of(value: Option<&Value>) -> String {
+    match value {
+        None => String::new(),
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_core/src/direct/attempts.rs
+++ b/crates/berylpin_core/src/direct/attempts.rs
@@ -150,6 +150,10 @@
         let part = &mut flight.parts[attempt.part];
         part.open.retain(|open| *open != key);
         let (verdict, name) = verdict_of(&outcome);
+        let failure = match outcome {
+            Outcome::Unreachable(failure) | Outcome::Broken(_, failure) => Some(failure),
+            Outcome::Answered(_) | Outcome::Refused | Outcome::WrongReplica => None,
+        };
         part.verdict = part.verdict.and(verdict);
         if !part.is_open() {
             return;
@@ -171,7 +175,7 @@
         let (replica, elapsed) = (attempt.name, now.saturating_duration_since(attempt.sent));
         actions.push(Action::Log(
             flight.ticket,
-            DirectDecision::AttemptFailed { replica, outcome: name, verdict, elapsed },
+            DirectDecision::AttemptFailed { replica, outcome: name, failure, verdict, elapsed },
         ));
         let own = match outcome {
             Outcome::Answered(reply) if !reply.is_success() => Some(reply),
@@ -222,8 +226,8 @@
             }
             Outcome::Refused => self.replicas.refused(id, now),
             Outcome::WrongReplica => self.replicas.replaced(id, now),
-            Outcome::Unreachable => self.replicas.unreachable(id, now),
-            Outcome::Broken(_) => self.replicas.broke(id, now),
+            Outcome::Unreachable(_) => self.replicas.unreachable(id, now),
+            Outcome::Broken(..) => self.replicas.broke(id, now),
         }
     }
 }
@@ -279,8 +283,8 @@
         Outcome::Answered(_) => (Verdict::Ran, "error_status"),
         Outcome::Refused => (Verdict::NotRun, "refused"),
         Outcome::WrongReplica => (Verdict::NotRun, "wrong_replica"),
-        Outcome::Unreachable => (Verdict::NotRun, "unreachable"),
-        Outcome::Broken(verdict) => (*verdict, "broken"),
+        Outcome::Unreachable(_) => (Verdict::NotRun, "unreachable"),
+        Outcome::Broken(verdict, _) => (*verdict, "broken"),
     }
 }
 
--- a/crates/berylpin_core/src/direct/dispatcher/tests.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::direct::delegate::PartsReply;
-use crate::direct::event::{Outcome, Reply};
+use crate::direct::event::{Failure, Outcome, Reply};
 use crate::direct::testing::{CHARGE, QUERY, catalogue};
 use bytes::Bytes;
 use proptest::prelude::*;
@@ -148,7 +148,7 @@
     actions.clear();
     dispatcher.handle(Event::Wake, now + Duration::from_millis(900), &mut actions);
     assert_eq!(sends(&actions), []);
-    let event = Event::Ended(sent[0].0, Outcome::Broken(Verdict::MayHaveRun));
+    let event = Event::Ended(sent[0].0, Outcome::Broken(Verdict::MayHaveRun, Failure::NoAnswer));
     dispatcher.handle(event, now + Duration::from_millis(901), &mut actions);
     assert_eq!(sends(&actions), []);
     let refused = actions.iter().find_map(|action| match action {
--- a/crates/berylpin_core/src/direct/dispatcher/tests/world.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests/world.rs
@@ -367,8 +367,10 @@
         let (after, outcome, ran) = match fate {
             Fate::Answers(ms) => (ms, Some(reply(200)), true),
             Fate::Refuses => (2, Some(Outcome::Refused), false),
-            Fate::Breaks => (5, Some(Outcome::Broken(Verdict::MayHaveRun)), true),
-            Fate::Unreachable => (1, Some(Outcome::Unreachable), false),
+            Fate::Breaks => {
+                (5, Some(Outcome::Broken(Verdict::MayHaveRun, Failure::NoAnswer)), true)
+            }
+            Fate::Unreachable => (1, Some(Outcome::Unreachable(Failure::ConnectError)), false),
             Fate::Fails => (3, Some(reply(500)), true),
             Fate::Hangs => (0, None, true),
             Fate::WrongReplica => (1, Some(Outcome::WrongReplica), false),
--- a/crates/berylpin_core/src/direct/event.rs
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -62,9 +62,43 @@
     /// Another replica has the address.
     WrongReplica,
     /// The replica could not be connected to.
-    Unreachable,
+    Unreachable(Failure),
     /// There is no answer that can be used.
-    Broken(Verdict),
+    Broken(Verdict, Failure),
+}
+
+/// What went wrong between this daemon and a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The connection did not open in time.
+    ConnectTimeout,
+    /// The replica refused the connection, or there is no way to it.
+    ConnectError,
+    /// The connection ended before the request was sent.
+    ClosedBefore,
+    /// The connection ended before the answer's head, or bytes came that are none.
+    NoAnswer,
+    /// The answer's body broke off.
+    Truncated,
+    /// The answer names another request.
+    ForeignAnswer,
+    /// The answer is encoded, so that its body is not the replica's.
+    Encoded,
+}
+
+impl Failure {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ConnectTimeout => "connect_timeout",
+            Self::ConnectError => "connect_error",
+            Self::ClosedBefore => "closed_before",
+            Self::NoAnswer => "no_answer",
+            Self::Truncated => "truncated",
+            Self::ForeignAnswer => "foreign_answer",
+            Self::Encoded => "encoded",
+        }
+    }
 }
 
 /// A complete answer of a replica to the request that it was sent.
@@ -278,6 +312,8 @@
         replica: Arc<str>,
         /// What happened.
         outcome: &'static str,
+        /// What went wrong with the connection or the answer, if that is it.
+        failure: Option<Failure>,
         /// Whether it ran there.
         verdict: Verdict,
         /// How long the attempt took.
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -32,7 +32,7 @@
 pub use delegate::{CallKey, PartsReply, PartsRequest};
 pub use dispatcher::Dispatcher;
 pub use event::{
-    Action, Answer, AttemptKey, Cause, DirectDecision, Event, LackCause, Lacking, Outcome,
+    Action, Answer, AttemptKey, Cause, DirectDecision, Event, Failure, LackCause, Lacking, Outcome,
     RefusalReason, Reply, Request, Ticket,
 };
 pub use fleet::RENEWAL_PERIOD;
--- a/crates/berylpin_daemon/src/control/thread.rs
+++ b/crates/berylpin_daemon/src/control/thread.rs
@@ -157,7 +157,8 @@
     fn publish(&mut self, view: Arc<View>) {
         let links = self.links.for_view(self.cx.clock.now(), &view);
         for mailbox in self.cx.mailboxes.iter() {
-            mailbox.send(Mail::View { view: view.clone(), links: links.clone() });
+            // A thread ignores a view that is older than its own.
+            mailbox.send_late_if_full(Mail::View { view: view.clone(), links: links.clone() });
         }
         record_view(&view);
         self.cx.view.send_replace(view);
--- a/crates/berylpin_daemon/src/direct/attempt.rs
+++ b/crates/berylpin_daemon/src/direct/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::pool::Connection;
 use super::traffic::{Payload, Traffic};
-use berylpin_core::direct::{AttemptKey, Outcome, Replica, Reply};
+use berylpin_core::direct::{AttemptKey, Failure, Outcome, Replica, Reply};
 use berylpin_core::verdict::Verdict;
 use berylpin_platform::{ReplyHead, attempt_headers, read_reply_head};
 use bytes::Bytes;
@@ -71,14 +71,18 @@
         }
         let started = traffic.now();
         let open = TcpStream::connect(self.replica.address);
-        let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, open).await else {
-            return Err(Outcome::Unreachable);
+        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, open).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(_)) => return Err(Outcome::Unreachable(Failure::ConnectError)),
+            Err(_) => return Err(Outcome::Unreachable(Failure::ConnectTimeout)),
         };
         traffic.connected(self.replica.id, started);
         // Without it small requests wait for the acknowledgement of earlier ones.
         let _ = stream.set_nodelay(true);
         let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
-        let Ok((sender, driver)) = handshake else { return Err(Outcome::Unreachable) };
+        let Ok((sender, driver)) = handshake else {
+            return Err(Outcome::Unreachable(Failure::ClosedBefore));
+        };
         let driver = tokio::task::spawn_local(async move {
             // Its errors reach the request that is under way.
             let _ = driver.await;
@@ -94,12 +98,16 @@
             Ok(response) => response,
             Err(e) => {
                 let sent = e.message().is_none();
-                let verdict = if sent { Verdict::MayHaveRun } else { Verdict::NotRun };
-                return (Outcome::Broken(verdict), None);
+                let broken = if sent {
+                    Outcome::Broken(Verdict::MayHaveRun, Failure::NoAnswer)
+                } else {
+                    Outcome::Broken(Verdict::NotRun, Failure::ClosedBefore)
+                };
+                return (broken, None);
             }
         };
         let (outcome, keep_alive) = self.read(response).await;
-        let broken = matches!(outcome, Outcome::Broken(_) | Outcome::WrongReplica);
+        let broken = matches!(outcome, Outcome::Broken(..) | Outcome::WrongReplica);
         let closes = keep_alive.is_some_and(|time| time.is_zero());
         (outcome, (!broken && !closes).then_some((connection, keep_alive)))
     }
@@ -120,12 +128,14 @@
         let head = read_reply_head(parts.status, &parts.headers, id);
         let ReplyHead { matches, signature, verdict, wrong_replica, encoded, keep_alive } = head;
         let Ok(body) = Limited::new(body, ANSWER_LIMIT).collect().await else {
-            return (Outcome::Broken(Verdict::MayHaveRun), keep_alive);
+            return (Outcome::Broken(Verdict::MayHaveRun, Failure::Truncated), keep_alive);
         };
         let outcome = if wrong_replica {
             Outcome::WrongReplica
-        } else if !matches || encoded {
-            Outcome::Broken(Verdict::MayHaveRun)
+        } else if !matches {
+            Outcome::Broken(Verdict::MayHaveRun, Failure::ForeignAnswer)
+        } else if encoded {
+            Outcome::Broken(Verdict::MayHaveRun, Failure::Encoded)
         } else if verdict == Verdict::NotRun {
             Outcome::Refused
         } else {
--- a/crates/berylpin_daemon/src/direct/lines.rs
+++ b/crates/berylpin_daemon/src/direct/lines.rs
@@ -2,7 +2,7 @@
 
 use crate::logging::Log;
 use crate::metrics::REQUEST_DURATION;
-use berylpin_core::direct::DirectDecision;
+use berylpin_core::direct::{DirectDecision, Failure};
 use metrics::{counter, histogram};
 use slog::{debug, info, warn};
 use std::time::{Duration, Instant};
@@ -96,9 +96,10 @@
                     "cause" => cause.name(), "replica" => &**replica,
                     "waited_ms" => millis(*waited), "budget_left" => budget_left);
             }
-            DirectDecision::AttemptFailed { replica, outcome, verdict, elapsed } => {
+            DirectDecision::AttemptFailed { replica, outcome, failure, verdict, elapsed } => {
                 info!(self.log, "route: attempt failed"; "request" => request,
-                    "replica" => &**replica, "outcome" => outcome, "verdict" => %verdict,
+                    "replica" => &**replica, "outcome" => outcome,
+                    "failure" => failure.map(Failure::name), "verdict" => %verdict,
                     "elapsed_ms" => millis(*elapsed));
             }
             DirectDecision::Delegated { peer, parts } => {
--- a/crates/berylpin_daemon/src/traffic/execute/upstream.rs
+++ b/crates/berylpin_daemon/src/traffic/execute/upstream.rs
@@ -70,7 +70,7 @@
         let own = self.own.clone();
         tokio::spawn(async move {
             let result = run_call(request).await;
-            own.send_when_room(Mail::Execute(ExecuteMail::Called(key, result))).await;
+            own.send_surely(Mail::Execute(ExecuteMail::Called(key, result))).await;
         });
     }
 }
--- a/crates/berylpin_daemon/src/traffic/mailbox.rs
+++ b/crates/berylpin_daemon/src/traffic/mailbox.rs
@@ -9,6 +9,7 @@
 use berylpin_core::query::{Answer, Refusal, Request, Ticket};
 use berylpin_core::replica::{CallKey, CallResult, ProbeResult};
 use std::sync::Arc;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot};
 
 /// Messages that may wait for a thread; one that does not fit counts as lost.
@@ -48,10 +49,15 @@
         (Self { tx }, rx)
     }
 
-    /// Sends a message that must not be lost, once there is room for it.
-    pub(crate) async fn send_when_room(&self, mail: Mail) {
-        // An error means that the thread has ended.
-        let _ = self.tx.send(mail).await;
+    /// Sends a message that must not be lost and may arrive late; later ones may overtake it.
+    ///
+    /// Call it within a runtime, which waits for room if there is none.
+    pub(crate) fn send_late_if_full(&self, mail: Mail) {
+        if let Err(TrySendError::Full(mail)) = self.tx.try_send(mail) {
+            metrics::counter!("berylpin_mailbox_overflows_total").increment(1);
+            let mailbox = self.clone();
+            tokio::spawn(async move { mailbox.send_surely(mail).await });
+        }
     }
 
     /// Sends a message and returns whether it fitted.
@@ -166,3 +172,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
