--- a/crates/berylpin_daemon/src/lib.rs
+++ b/crates/berylpin_daemon/src/lib.rs
@@ -17,6 +17,6 @@
 pub use daemon::{Daemon, StartError};
 pub use direct::{RunError, run_on_platform};
 pub use log_levels::{LevelError, LogLevels, PARTS};
-pub use logging::{Log, LogFormat, discard_log, open_log};
+pub use logging::{BOUNDED_QUEUE, DECISIONS_QUEUE, Log, LogFormat, discard_log, open_log};
 pub use metrics::install_metrics;
 pub use settings::{DaemonSettings, DaemonSettingsBuilder, Secret, SettingsError};
--- a/crates/berylpin_daemon/src/logging.rs
+++ b/crates/berylpin_daemon/src/logging.rs
@@ -7,8 +7,13 @@
 use std::io::Write;
 use std::ops::Deref;
 
-/// Log records that wait for the writer; more are dropped and counted.
-const CHANNEL_SIZE: usize = 16 * 1024;
+/// Records that wait for the writer of a daemon that logs each decision; more are dropped and counted.
+/// The queue takes some 130 bytes a record from the start.
+pub const DECISIONS_QUEUE: usize = 16 * 1024;
+
+/// Records that wait for the writer of a daemon whose lines are bounded; all replicas of a large
+/// service may change at once.
+pub const BOUNDED_QUEUE: usize = 2 * 1024;
 
 /// How log records are written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,8 +51,8 @@
     }
 }
 
-/// Opens a log that never blocks the caller; records that do not fit are dropped and counted.
-pub fn open_log<W>(format: LogFormat, writer: W) -> Log
+/// Opens a log that never blocks the caller; records that do not fit its queue are dropped and counted.
+pub fn open_log<W>(format: LogFormat, queue: usize, writer: W) -> Log
 where
     W: Write + Send + 'static,
 {
@@ -55,9 +60,9 @@
     let drain = match format {
         LogFormat::Text => {
             let decorator = slog_term::PlainDecorator::new(writer);
-            background(slog_term::FullFormat::new(decorator).build().fuse())
+            background(slog_term::FullFormat::new(decorator).build().fuse(), queue)
         }
-        LogFormat::Json => background(slog_json::Json::default(writer).fuse()),
+        LogFormat::Json => background(slog_json::Json::default(writer).fuse(), queue),
     };
     let filter = levels.clone();
     let drain = slog::Filter::new(drain, move |record| filter.allow(record));
@@ -69,14 +74,11 @@
     Log { logger: Logger::root(slog::Discard, o!()), levels: LogLevels::default() }
 }
 
-fn background<D>(drain: D) -> Async
+fn background<D>(drain: D, queue: usize) -> Async
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    Async::new(drain)
-        .chan_size(CHANNEL_SIZE)
-        .overflow_strategy(OverflowStrategy::DropAndReport)
-        .build()
+    Async::new(drain).chan_size(queue).overflow_strategy(OverflowStrategy::DropAndReport).build()
 }
 
 /// Writes the line of a decision, if its query is among those sampled.
--- a/crates/berylpin_daemon/src/main.rs
+++ b/crates/berylpin_daemon/src/main.rs
@@ -1,7 +1,8 @@
 //! `berylpind`: the daemon of the berylpin query tier.
 
 use berylpin_daemon::{
-    Daemon, DaemonSettings, LogFormat, SystemClock, install_metrics, open_log, run_on_platform,
+    BOUNDED_QUEUE, DECISIONS_QUEUE, Daemon, DaemonSettings, LogFormat, SystemClock,
+    install_metrics, open_log, run_on_platform,
 };
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
@@ -64,7 +65,7 @@
 }
 
 fn run_platform(path: &Path) -> ExitCode {
-    let log = open_log(LogFormat::Json, std::io::stdout());
+    let log = open_log(LogFormat::Json, BOUNDED_QUEUE, std::io::stdout());
     let installed = install_metrics().map_err(Box::<dyn std::error::Error>::from);
     let ended = installed.and_then(|()| Ok(run_on_platform(path, Arc::new(SystemClock), log)?));
     match ended {
@@ -83,7 +84,7 @@
 
 fn run(settings: DaemonSettings) -> Result<(), Box<dyn std::error::Error>> {
     let format = if std::io::stderr().is_terminal() { LogFormat::Text } else { LogFormat::Json };
-    let log = open_log(format, std::io::stderr());
+    let log = open_log(format, DECISIONS_QUEUE, std::io::stderr());
     install_metrics()?;
     let daemon = Daemon::start(settings, Arc::new(SystemClock), log)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
