--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -29,7 +29,7 @@
 const STOP_NOTICE: Duration = Duration::from_millis(2300);
 
 /// What is left of the time to stop when the last requests are given up.
-const STOP_RESERVE: Duration = Duration::from_millis(300);
+const STOP_RESERVE: Duration = Duration::from_millis(600);
 
 /// How long the last lines may take to be written; a full queue of the log takes less.
 const LOG_TIME: Duration = Duration::from_millis(100);
