Count renewals anew after an outage of the store, and retry a renewal that failed

Found in the read-through: the control thread never told the catalogue that the store was back, so that after an outage of 40 min all daemons would have removed each other; and a renewal that failed was put off by 10 min. Test: a daemon whose entry was removed enters again. The command line reads its file arguments in one place.

--- a/crates/berylpin/src/args.rs
+++ b/crates/berylpin/src/args.rs
@@ -5,6 +5,7 @@
     status, trace,
 };
 use pico_args::Arguments;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use thiserror::Error;
 
@@ -114,6 +115,19 @@
     }
 }
 
+/// Returns the files that the rest of the arguments name, at least one.
+pub(crate) fn files(mut args: Arguments) -> Result<Vec<PathBuf>, CommandError> {
+    let mut paths = Vec::new();
+    while let Some(path) = args.opt_free_from_str()? {
+        paths.push(path);
+    }
+    finish(args)?;
+    if paths.is_empty() {
+        return Err(CommandError::Usage("give at least one file".to_owned()));
+    }
+    Ok(paths)
+}
+
 fn find(name: &str) -> Result<&'static Command, CommandError> {
     COMMANDS
         .iter()
--- a/crates/berylpin/src/commands/check.rs
+++ b/crates/berylpin/src/commands/check.rs
@@ -1,12 +1,12 @@
 //! `berylpin check`: checks documents and settings without a daemon.
 
-use crate::args::{Command, CommandError, finish};
+use crate::args::{Command, CommandError, files};
 use crate::base_line::split_base_line;
 use crate::document_file::read_document;
 use berylpin_core::config::ServiceSettings;
 use berylpin_daemon::DaemonSettings;
 use pico_args::Arguments;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 pub(crate) const COMMAND: Command = Command {
     name: "check",
@@ -23,14 +23,7 @@
 
 fn run(mut args: Arguments) -> Result<(), CommandError> {
     let settings = args.contains("--settings");
-    let mut paths: Vec<PathBuf> = Vec::new();
-    while let Some(path) = args.opt_free_from_str()? {
-        paths.push(path);
-    }
-    finish(args)?;
-    if paths.is_empty() {
-        return Err(CommandError::Usage("give at least one file".to_owned()));
-    }
+    let paths = files(args)?;
     let check = if settings { check_settings } else { check_document };
     let mut invalid = Vec::new();
     for path in &paths {
--- a/crates/berylpin/src/commands/trace.rs
+++ b/crates/berylpin/src/commands/trace.rs
@@ -1,11 +1,11 @@
 //! `berylpin trace`: follows one request through the logs of several daemons.
 
-use crate::args::{Command, CommandError, finish};
+use crate::args::{Command, CommandError, files};
 use pico_args::Arguments;
 use serde_json::{Map, Value};
 use std::fs::File;
 use std::io::{BufRead, BufReader};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 pub(crate) const COMMAND: Command = Command {
     name: "trace",
@@ -37,14 +37,7 @@
 
 fn run(mut args: Arguments) -> Result<(), CommandError> {
     let request: String = args.free_from_str()?;
-    let mut paths: Vec<PathBuf> = Vec::new();
-    while let Some(path) = args.opt_free_from_str()? {
-        paths.push(path);
-    }
-    finish(args)?;
-    if paths.is_empty() {
-        return Err(CommandError::Usage("give at least one file".to_owned()));
-    }
+    let paths = files(args)?;
     let mut entries = Vec::new();
     for path in &paths {
         let failed = |e| CommandError::Failed(format!("{}: {e}", path.display()));
--- a/crates/berylpin_core/src/direct/waiting.rs
+++ b/crates/berylpin_core/src/direct/waiting.rs
@@ -6,14 +6,14 @@
 use crate::ids::ServiceId;
 use std::time::{Duration, Instant};
 
-/// The pause after all replicas of a service refused a part; longer than most replicas need to get a
-/// slot free.
+/// The pause after no replica of a service would run a part; longer than most need to get a slot free.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(20);
 
-/// The pause while the budget allows no extra attempt; it earns about one within that time.
+/// The pause while the budget allows no extra attempt: some requests arrive in that time and earn a part
+/// of one, and most targets leave room for two or more such pauses.
 const BUDGET_PAUSE: Duration = Duration::from_millis(40);
 
-/// How often the replicas of a service may refuse a part before it is given up.
+/// How often a part may come back without having run before it is given up: three rounds of two replicas.
 const REFUSAL_LIMIT: u32 = 6;
 
 /// How long a request waits that was sent nowhere yet, as a share of its target: its caller can still
@@ -50,7 +50,7 @@
     Connection,
     /// The fleet's budget is used up.
     Budget,
-    /// All replicas that may be used refused.
+    /// No replica that may be used would run it a moment ago.
     Refusal,
 }
 
--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -187,6 +187,9 @@
             let reached = result.is_ok();
             if reached != (failures == 0) {
                 self.note_contact(follower.kind, result.as_ref().err());
+                if reached && follower.kind == Kind::Daemons {
+                    self.catalogue.borrow_mut().store_regained(self.now());
+                }
             }
             failures = if reached { 0 } else { failures + 1 };
             if follower.kind == Kind::Configuration {
--- a/crates/berylpin_daemon/src/direct/control/entries.rs
+++ b/crates/berylpin_daemon/src/direct/control/entries.rs
@@ -2,7 +2,7 @@
 
 use super::{Control, DAEMONS_RETRY_LIMIT, retry_pause};
 use berylpin_core::direct::{DaemonEntry, RENEWAL_PERIOD};
-use berylpin_platform::{Change, Kind, Object, StoreError, decode_daemon};
+use berylpin_platform::{Change, Kind, Object, decode_daemon};
 use rand::Rng;
 use slog::{info, warn};
 use std::time::Duration;
@@ -47,36 +47,34 @@
             }
         };
         let mut renewals = 0;
-        let mut renewed = None;
         let mut failures = 0;
+        let mut due_at = None;
         loop {
             let known = self.catalogue.borrow().own_entry().map(Option::<&DaemonEntry>::cloned);
-            // A daemon that starts again finds its entry as it left it.
-            let there = known.as_ref().is_some_and(|entry| {
-                entry.as_ref().is_some_and(|entry| entry.is_at_same_place(&own))
-            });
-            if there && renewed.is_none() {
-                renewed = Some(self.now());
+            let listed = known.is_some();
+            let there = known.flatten().is_some_and(|entry| entry.is_at_same_place(&own));
+            if there && due_at.is_none() {
+                // A daemon that starts again finds its entry as it left it.
+                due_at = Some(self.now() + RENEWAL_PERIOD);
             }
-            let due = renewed.is_none_or(|at| self.now().duration_since(at) >= RENEWAL_PERIOD);
-            if known.is_some() && (due || !there) {
+            let due = due_at.is_none_or(|at| at <= self.now());
+            if listed && (due || !there) {
                 match self.store().enter_daemon(&own, renewals).await {
                     Ok(()) => {
                         renewals += 1;
-                        renewed = Some(self.now());
                         failures = 0;
+                        due_at = Some(self.now() + RENEWAL_PERIOD);
                     }
                     Err(e) => {
                         self.note_contact(Kind::Daemons, Some(&e));
-                        renewed = None;
                         failures += 1;
+                        due_at = Some(self.now());
                     }
                 }
             }
-            let pause = match renewed {
-                Some(_) => CHECK_PERIOD,
-                None => retry_pause(failures, DAEMONS_RETRY_LIMIT),
-            };
+            let settled = listed && failures == 0;
+            let pause =
+                if settled { CHECK_PERIOD } else { retry_pause(failures, DAEMONS_RETRY_LIMIT) };
             let spread = rand::rng().random_range(1.0..2.0);
             tokio::time::sleep(pause.mul_f64(spread)).await;
         }
@@ -88,15 +86,14 @@
             // At random, so that most daemons hear of a removal before they try it themselves.
             let spread = rand::rng().random_range(1.0..6.0);
             tokio::time::sleep(CHECK_PERIOD.mul_f64(spread)).await;
-            let lapsed = self.catalogue.borrow().lapsed_daemons(self.now());
-            for entry in lapsed.iter().take(1) {
-                let removed: Result<(), StoreError> = self.store().remove_daemon(entry).await;
-                match removed {
-                    Ok(()) => info!(self.shared.log, "control: entry of a daemon removed";
-                        "daemon" => &entry.name, "revision" => entry.revision),
-                    Err(e) => warn!(self.shared.log, "control: entry of a daemon not removed";
-                        "daemon" => &entry.name, "cause" => %e),
-                }
+            // One a round: a store that hides renewals from this daemon shows before many are gone.
+            let lapsed = self.catalogue.borrow().lapsed_daemons(self.now()).into_iter().next();
+            let Some(entry) = lapsed else { continue };
+            match self.store().remove_daemon(&entry).await {
+                Ok(()) => info!(self.shared.log, "control: entry of a daemon removed";
+                    "daemon" => entry.name, "revision" => entry.revision),
+                Err(e) => warn!(self.shared.log, "control: entry of a daemon not removed";
+                    "daemon" => entry.name, "cause" => %e),
             }
         }
     }
--- a/crates/berylpin_daemon/tests/platform/news.rs
+++ b/crates/berylpin_daemon/tests/platform/news.rs
@@ -12,6 +12,9 @@
 /// How long an answer may take to come; well above what a loaded machine needs.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// How long an entry may be missing: a daemon looks after its own each 10 to 20 s.
+const ENTRY_PATIENCE: Duration = Duration::from_mins(1);
+
 const SHARDS: [&str; 2] = ["a0", "a1"];
 
 fn shards(set: [&str; 2]) -> Vec<String> {
@@ -85,3 +88,18 @@
     reached.put("config", "main", configuration(2, &shards(["b0", "b1"]), "ledger"));
     serves(&second, "b").await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_whose_entry_was_removed_enters_again() {
+    let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
+    let mut process = Process::new(Zone(0), &ports, store.address(), "removed");
+    process.start();
+    for removed in [false, true] {
+        let end = Instant::now() + ENTRY_PATIENCE;
+        while !store.has("daemons", process.name()) {
+            assert!(Instant::now() < end, "no entry (removed: {removed}):\n{}", process.log());
+            sleep(Duration::from_millis(50)).await;
+        }
+        store.remove("daemons", process.name());
+    }
+}
