--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -1,6 +1,6 @@
 //! The front end of callers.
 
-use super::process::Shared;
+use super::process::{ACCEPT_PAUSE, Shared};
 use super::traffic::{GoneGuard, Payload, Traffic};
 use berylpin_core::direct::{Answer, ClientLimits, RefusalReason};
 use berylpin_core::verdict::Verdict;
@@ -32,9 +32,6 @@
     idle_timeout: Duration::from_secs(15),
 };
 
-/// The pause after a connection could not be accepted, as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Serves callers until told to stop and all of them are answered.
 pub(super) async fn accept_callers(listener: TcpListener, traffic: Rc<Traffic>, shared: Shared) {
     let mut stop = shared.stop.clone();
--- a/crates/berylpin_daemon/src/direct/control/news.rs
+++ b/crates/berylpin_daemon/src/direct/control/news.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
-/// How long the store may be away before other daemons are asked; twice a slow call.
+/// How long the store may be away before other daemons are asked; a single lost call is made again sooner.
 const ASK_AFTER: Duration = Duration::from_secs(1);
 
 /// The pause between two questions, up to doubled at random.
--- a/crates/berylpin_daemon/src/direct/peers.rs
+++ b/crates/berylpin_daemon/src/direct/peers.rs
@@ -1,6 +1,7 @@
 //! Requests of other daemons.
 
 use super::control::NewsRequest;
+use super::process::ACCEPT_PAUSE;
 use super::streams::{NEWS_PATH, StreamError, framed, read_value};
 use super::traffic::{GoneGuard, Payload, Traffic};
 use crate::logging::Log;
@@ -25,9 +26,6 @@
 /// How long a connection is kept without a request; the VM at its other end may be gone without a word.
 const IDLE_LIMIT: Duration = Duration::from_mins(1);
 
-/// The pause after a connection could not be accepted, as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// What the requests of other daemons are served with.
 #[derive(Clone)]
 pub(super) struct PeerContext {
--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -37,6 +37,9 @@
 /// How often the settings file is read, as it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(5);
 
+/// The pause after a connection could not be accepted, as for want of descriptors.
+pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Requests for news that wait for the control thread; a daemon that finds no room asks another one.
 const NEWS_QUEUE: usize = 16;
 
