--- a/review/standin/leaving.rs
+++ b/review/standin/leaving.rs
@@ -18,7 +18,6 @@
 
 /// What happens besides the removal of the entry.
 #[derive(Clone, Copy, PartialEq, Eq)]
-#[allow(dead_code)]
 pub enum Disruption {
     /// The open connections between the daemon and the store go silent.
     SilentConnections,
--- a/review/standin/mod.rs
+++ b/review/standin/mod.rs
@@ -424,7 +424,8 @@
         self.all().into_iter().filter(|run| run.id == id).collect()
     }
 
-    fn arrive(&self, replica: &str, id: &str) -> usize {
+    /// Records an arrival; returns its index.
+    pub fn arrive(&self, replica: &str, id: &str) -> usize {
         let mut runs = self.0.lock().unwrap();
         runs.push(Run {
             replica: replica.to_owned(),
@@ -437,7 +438,7 @@
         runs.len() - 1
     }
 
-    fn update(&self, index: usize, change: impl FnOnce(&mut Run)) {
+    pub fn update(&self, index: usize, change: impl FnOnce(&mut Run)) {
         change(&mut self.0.lock().unwrap()[index]);
     }
 }
@@ -592,7 +593,8 @@
     }
 }
 
-fn answer(status: u16, headers: &str, body: &str) -> String {
+/// Returns the bytes of an answer.
+pub fn answer(status: u16, headers: &str, body: &str) -> String {
     let len = body.len();
     format!("HTTP/1.1 {status} X\r\ncontent-length: {len}\r\n{headers}\r\n{body}")
 }
@@ -632,6 +634,9 @@
     }
 }
 
+/// How long after its deadline a caller still reads.
+const GRACE_MS: u64 = 700;
+
 /// Sends one request on a connection of its own and waits for its answer.
 pub fn send(
     address: SocketAddr,
@@ -643,12 +648,58 @@
 ) -> Sent {
     let started = Instant::now();
     let outcome = |sent, outcome| Sent { id: id.to_owned(), sent, ended: Instant::now(), outcome };
-    let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
+    let Ok(mut stream) = connect(address, deadline_ms) else {
         return outcome(started, Outcome::NoConnection);
     };
-    let _ = stream.set_nodelay(true);
-    let limit = Duration::from_millis(deadline_ms + 700);
-    let _ = stream.set_read_timeout(Some(limit));
+    exchange(&mut stream, method, path, id, deadline_ms, body)
+}
+
+/// Sends a request on a kept connection: one that has carried another request before.
+pub fn send_on_kept(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    body: &[u8],
+) -> Sent {
+    let started = Instant::now();
+    let first = connect(address, deadline_ms).map(|mut stream| {
+        // A path without a route is answered at once.
+        let sent =
+            exchange(&mut stream, "GET", "/none/1", &format!("{id}-first"), deadline_ms, b"");
+        (stream, sent)
+    });
+    match first {
+        Ok((mut stream, Sent { outcome: Outcome::Answer(_), .. })) => {
+            exchange(&mut stream, method, path, id, deadline_ms, body)
+        }
+        _ => Sent {
+            id: id.to_owned(),
+            sent: started,
+            ended: Instant::now(),
+            outcome: Outcome::NoConnection,
+        },
+    }
+}
+
+fn connect(address: SocketAddr, deadline_ms: u64) -> std::io::Result<TcpStream> {
+    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(Duration::from_millis(deadline_ms + GRACE_MS)))?;
+    Ok(stream)
+}
+
+fn exchange(
+    stream: &mut TcpStream,
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    body: &[u8],
+) -> Sent {
+    let outcome = |sent, outcome| Sent { id: id.to_owned(), sent, ended: Instant::now(), outcome };
+    let limit = Duration::from_millis(deadline_ms + GRACE_MS);
     let head = format!(
         "{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-request-id: {id}\r\n\
          x-deadline-ms: {deadline_ms}\r\ncontent-length: {}\r\n\r\n",
@@ -661,13 +712,35 @@
     }
     drop(bytes);
     let sent = Instant::now();
-    match read_message(&mut stream, &mut Vec::new()) {
+    match read_message(stream, &mut Vec::new()) {
         Some(message) => outcome(sent, Outcome::Answer(message)),
         None if sent.elapsed() >= limit => outcome(sent, Outcome::Late),
         None => outcome(sent, Outcome::Cut),
     }
 }
 
+/// Counts the requests by what their callers saw; returns also how many were cut after they had
+/// reached a replica whose id begins with `sound`.
+pub fn count_ends(sent: &[Sent], log: &RunLog, sound: &str) -> (u32, BTreeMap<String, u32>) {
+    let runs = log.all();
+    let mut reached: Vec<&str> =
+        runs.iter().filter(|run| run.replica.starts_with(sound)).map(|run| &*run.id).collect();
+    reached.sort_unstable();
+    let (mut lost, mut counts) = (0, BTreeMap::<String, u32>::new());
+    for request in sent {
+        let mut seen = request.describe();
+        if let Some(end) = seen.find(" stamp") {
+            seen.truncate(end);
+        }
+        if matches!(request.outcome, Outcome::Cut) && reached.binary_search(&&*request.id).is_ok() {
+            lost += 1;
+            seen.push_str(", after it had reached a sound replica");
+        }
+        *counts.entry(seen).or_default() += 1;
+    }
+    (lost, counts)
+}
+
 /// A proxy whose open connections can go silent for good while new ones work.
 #[derive(Clone)]
 pub struct Proxy {
@@ -745,12 +818,13 @@
 }
 
 impl Ports {
-    /// Returns ports that are free on all loopback addresses at the moment.
+    /// Returns ports that are free at the moment and that outgoing connections do not use.
     pub fn find() -> Self {
-        let sockets: Vec<_> =
-            (0..3).map(|_| TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0)).unwrap()).collect();
-        let port = |index: usize| sockets[index].local_addr().unwrap().port();
-        Self { front: port(0), ready: port(1), peer: port(2) }
+        let first = 20_000 + (std::process::id() % 9_000) as u16;
+        let is_free = |port: &u16| TcpListener::bind((Ipv4Addr::UNSPECIFIED, *port)).is_ok();
+        let mut free = (first..32_000).filter(is_free);
+        let mut next = || free.next().expect("free port");
+        Self { front: next(), ready: next(), peer: next() }
     }
 }
 
