Log the requests that a planned stop cuts off

A daemon that reached the end of its grace time ended without a line about the requests that it had not answered, so nothing told apart the possible causes: requests in flight at replicas, requests in the queue, connections closed too early.

The limits of a stop now stand in StopSchedule, which derives each phase from the time until the platform kills the process. The dispatcher receives the stop signal as an event, and logs each open request at the end with the outcome cut_by_stop and what each part lacks.

--- a/crates/berylpin_core/src/direct/completion.rs
+++ b/crates/berylpin_core/src/direct/completion.rs
@@ -141,6 +141,13 @@
         Some(request)
     }
 
+    /// Logs the requests that have no answer when a stopping daemon ends.
+    pub(super) fn log_unanswered(&self, now: Instant, actions: &mut Vec<Action<H>>) {
+        for (_, request) in self.requests.iter() {
+            self.log_done(request, "cut_by_stop", now, actions);
+        }
+    }
+
     pub(super) fn log_done(
         &self,
         request: &InFlightRequest<H>,
--- a/crates/berylpin_core/src/direct/dispatcher.rs
+++ b/crates/berylpin_core/src/direct/dispatcher.rs
@@ -50,6 +50,8 @@
     Resume(ServiceId),
     /// A request without an attempt is refused.
     Unsent(RequestKey),
+    /// The last requests of a stopping daemon end.
+    Stop,
 }
 
 /// Routes the requests of one thread and tracks their attempts.
@@ -106,7 +108,7 @@
             | Timer::FirstReply(request)
             | Timer::Unsent(request) => requests.get(*request).is_some(),
             Timer::FirstReplyOverdue(call) | Timer::EndCall(call) => calls.get(*call).is_some(),
-            Timer::UnresponsivePeer(_) | Timer::Connect | Timer::Resume(_) => true,
+            Timer::UnresponsivePeer(_) | Timer::Connect | Timer::Resume(_) | Timer::Stop => true,
         });
         self.timers.next()
     }
@@ -152,6 +154,7 @@
             Event::PeerConnected(peer, connected) => {
                 self.peers.set_connected(peer, connected, now);
             }
+            Event::Stop(stop) => self.timers.set(stop.serve_until, Timer::Stop),
             Event::Wake => {}
         }
         while let Some(timer) = self.timers.pop_due(now) {
@@ -276,6 +279,7 @@
             Timer::Connect => self.connect_owners(now, actions),
             Timer::Resume(service) => self.resume(service, now, actions),
             Timer::Unsent(key) => self.refuse_unsent(key, now, actions),
+            Timer::Stop => self.log_unanswered(now, actions),
         }
     }
 
--- a/crates/berylpin_core/src/direct/event.rs
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -1,6 +1,7 @@
 //! Input events and output actions of a dispatcher.
 
 use super::peers::{CallKey, PartsReply, PartsRequest};
+use super::stop::Stop;
 use super::view::{Peer, Replica, View};
 use crate::arena::SlabKey;
 use crate::ids::PeerId;
@@ -48,6 +49,8 @@
     CallFailed(CallKey, Verdict),
     /// A connection to a peer opened (`true`) or closed (`false`).
     PeerConnected(PeerId, bool),
+    /// The daemon received a stop signal.
+    Stop(Stop),
     /// The time returned by `Dispatcher::next_wake` has come.
     Wake,
 }
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -30,6 +30,7 @@
 mod route_latency;
 mod split;
 mod state_delta;
+mod stop;
 #[cfg(test)]
 mod testing;
 mod view;
@@ -48,4 +49,5 @@
 pub use fleet::RENEWAL_INTERVAL;
 pub use peers::{CallKey, PartsReply, PartsRequest};
 pub use state_delta::{StateDelta, StateRevisions};
+pub use stop::{Stop, StopSchedule};
 pub use view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -9,14 +9,13 @@
 use crate::logging::Log;
 use crate::sockets::Socket;
 use berylpin_core::clock::Clock;
-use berylpin_core::direct::{ExtraLimits, Replica, View};
+use berylpin_core::direct::{ExtraLimits, Replica, Stop, StopSchedule, View};
 use berylpin_platform::{PlatformSettings, SettingsError, Store, StoreError};
 use rand::Rng;
 use slog::{info, warn};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::runtime::Builder;
@@ -24,13 +23,6 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
-/// How long a stopping daemon reports not ready before it stops accepting callers. The load
-/// balancer probes once a second and removes a daemon after two failed probes.
-const STOP_NOTICE: Duration = Duration::from_millis(2300);
-
-/// The part of the stop limit reserved for the shutdown after the last requests are aborted.
-const STOP_MARGIN: Duration = Duration::from_millis(600);
-
 /// How long the process waits for the log thread's last lines; a full queue takes less.
 const LOG_FLUSH_TIME: Duration = Duration::from_millis(100);
 
@@ -73,8 +65,8 @@
     pub(super) clock: Arc<dyn Clock>,
     pub(super) log: Log,
     pub(super) view: watch::Receiver<Option<Arc<View>>>,
-    /// Whether the daemon received a stop signal; it reports not ready from then on.
-    pub(super) stopping: Arc<AtomicBool>,
+    /// Set when the daemon receives a stop signal; it reports not ready from then on.
+    pub(super) stop: watch::Receiver<Option<Stop>>,
     /// Turns true when the daemon stops accepting callers.
     pub(super) stop_accepting: watch::Receiver<bool>,
 }
@@ -87,13 +79,12 @@
 pub fn run_on_platform(path: &Path, clock: Arc<dyn Clock>, log: Log) -> Result<(), RunError> {
     let settings = PlatformSettings::load(path)?;
     let (view_tx, view) = watch::channel(None);
+    let (stop_tx, stop) = watch::channel(None);
     let (stop_accepting_tx, stop_accepting) = watch::channel(false);
     let (settings_tx, settings_rx) = watch::channel(settings.clone());
     let (state_requests_tx, state_requests) = mpsc::channel(MAX_QUEUED_STATE_REQUESTS);
     let (leaving_tx, leaving) = mpsc::channel(MAX_QUEUED_LEAVING);
-    let stopping = Arc::new(AtomicBool::new(false));
-    let shared =
-        Shared { clock, log: log.clone(), view, stopping: stopping.clone(), stop_accepting };
+    let shared = Shared { clock: clock.clone(), log: log.clone(), view, stop, stop_accepting };
     info!(log, "daemon: started"; "name" => &settings.name,
         "version" => env!("CARGO_PKG_VERSION"), "data_centre" => &settings.data_centre);
 
@@ -138,11 +129,11 @@
     // The end of the thread is awaited through `drained`, because a join has no timeout.
     drop(traffic);
     run_until_stop_signal(path.to_owned(), settings_tx, &log)?;
-    stopping.store(true, Ordering::Relaxed);
-    std::thread::sleep(STOP_NOTICE);
+    let schedule = StopSchedule::new(settings.stop_limit);
+    stop_tx.send_replace(Some(schedule.begin(clock.now())));
+    std::thread::sleep(schedule.notice);
     stop_accepting_tx.send_replace(true);
-    let limit = settings.stop_limit.saturating_sub(STOP_NOTICE + STOP_MARGIN);
-    let all_answered = drained.recv_timeout(limit).is_ok();
+    let all_answered = drained.recv_timeout(schedule.exit - schedule.notice).is_ok();
     // The control thread ends first, so that after the line `daemon: stopped` only lines about
     // aborted requests can follow.
     let _ = end_control_tx.send(());
--- a/crates/berylpin_daemon/src/direct/status.rs
+++ b/crates/berylpin_daemon/src/direct/status.rs
@@ -11,7 +11,6 @@
 use poem::{Endpoint, IntoEndpoint, Route, Server, get};
 use slog::warn;
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// The port of the metrics endpoint; also set in `deploy/system.toml`.
@@ -46,8 +45,7 @@
 pub(super) async fn serve_status(cx: StatusContext) {
     let shared = cx.shared.clone();
     let ready = poem::endpoint::make_sync(move |_| {
-        let stopping = shared.stopping.load(Ordering::Relaxed);
-        if !stopping && shared.view.borrow().is_some() {
+        if shared.stop.borrow().is_none() && shared.view.borrow().is_some() {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
--- a/crates/berylpin_daemon/src/direct/traffic.rs
+++ b/crates/berylpin_daemon/src/direct/traffic.rs
@@ -115,6 +115,7 @@
         tokio::task::spawn_local(traffic.clone().run_timer());
         tokio::task::spawn_local(traffic.clone().apply_views());
         tokio::task::spawn_local(traffic.clone().evict_idle_connections());
+        tokio::task::spawn_local(traffic.clone().apply_stop());
         traffic
     }
 
@@ -376,6 +377,16 @@
         }
     }
 
+    /// Passes the stop signal to the dispatcher.
+    async fn apply_stop(self: Rc<Self>) {
+        let mut stop = self.shared.stop.clone();
+        // An error means that the sender was dropped, so the process is ending.
+        let stop = stop.wait_for(Option::is_some).await.ok().and_then(|stop| *stop);
+        if let Some(stop) = stop {
+            self.handle(Event::Stop(stop));
+        }
+    }
+
     /// Closes idle connections that expired, and those to removed replicas.
     async fn evict_idle_connections(self: Rc<Self>) {
         loop {
