Answer every request before a planned stop ends

Callers of a daemon that got SIGTERM lost requests that waited for another attempt: their connections closed with the process 5.4 s later, although none had run and a 503 was true. Requests whose body came late in the grace time were even sent to replicas, and then cut, and so were those in flight at the end.

Cause: only the sockets knew of the stop. The dispatcher kept waiting parts until the caller's deadline, which may lie beyond the process, and went on sending attempts.

The stop signal now limits the deadline of every request to the time in which the daemon serves, so that each is answered with 503 if it has not run, else 504. Attempts are sent only while the target latency of their route still fits before the end; from then on waiting parts fail and new requests, and those of peers, are returned at once as not run. Attempts end shortly before the requests, so that replicas still tell whether a queued request ran.

--- a/crates/berylpin_core/src/direct/attempts.rs
+++ b/crates/berylpin_core/src/direct/attempts.rs
@@ -41,7 +41,7 @@
         let pending = match self.attempt(key, index, cause, now, actions) {
             Ok(()) => true,
             Err(NotSent::Wait(reason)) => self.enqueue(key, index, (cause, reason), now),
-            Err(NotSent::NoReplica) => false,
+            Err(NotSent::NoReplica | NotSent::Stopping) => false,
         };
         if !pending {
             self.fail_part(key, index, None);
@@ -60,6 +60,9 @@
         let request = self.requests.get_mut(key).ok_or(NotSent::NoReplica)?;
         let (view, route_index) = (request.view.clone(), request.route_index);
         let route = &view.routes[route_index];
+        if self.stop.is_some_and(|stop| now >= stop.latest_start(route.target_latency)) {
+            return Err(NotSent::Stopping);
+        }
         let part = &mut request.parts[index];
         // Replicas change more often than configurations, so they are chosen from the newest view.
         let newest = self.view.as_ref().unwrap_or(&view);
@@ -106,10 +109,13 @@
             );
             self.timers.set(now + delay, Timer::Hedge(attempt));
         }
+        let deadline = self.stop.map_or(request.deadline, |stop| {
+            stop.attempt_deadline(request.deadline, route.target_latency)
+        });
         actions.push(Action::Send {
             ticket: request.ticket,
             attempt,
-            time_left: request.deadline.saturating_duration_since(now),
+            time_left: deadline.saturating_duration_since(now),
             idempotent: route.idempotent,
             replica: choice.replica,
             body_limits: body_limits(&route.target),
@@ -282,6 +288,8 @@
     NoReplica,
     /// An attempt may be possible later.
     Wait(WaitReason),
+    /// This daemon stops too soon.
+    Stopping,
 }
 
 /// Returns the rescue replica if the attempt has to use it, and `None` if the choice is free.
--- a/crates/berylpin_core/src/direct/completion.rs
+++ b/crates/berylpin_core/src/direct/completion.rs
@@ -65,7 +65,9 @@
         if request.answered_count() >= request.min_parts() {
             self.answer(key, now, actions);
         } else {
-            self.fail(key, Some(RefusalReason::Timeout), now, actions);
+            let stopped = self.stop.is_some_and(|stop| now >= stop.serve_until);
+            let reason = if stopped { RefusalReason::Stopping } else { RefusalReason::Timeout };
+            self.fail(key, Some(reason), now, actions);
         }
     }
 
@@ -92,7 +94,8 @@
 
     /// Ends a request without enough answered parts: relays a replica's error answer or refuses.
     ///
-    /// Without `reason`, the verdict decides between `Overloaded` and `Failed`.
+    /// Without `reason`, the verdict decides between `Failed` and `Overloaded`, or `Stopping` if it
+    /// is too late for attempts.
     pub(super) fn fail(
         &mut self,
         key: RequestKey,
@@ -100,11 +103,14 @@
         now: Instant,
         actions: &mut Vec<Action<H>>,
     ) {
-        let Some(verdict) = self.requests.get(key).map(InFlightRequest::verdict) else { return };
-        let reason = reason.unwrap_or(if verdict == Verdict::NotRun {
-            RefusalReason::Overloaded
-        } else {
+        let Some(request) = self.requests.get(key) else { return };
+        let verdict = request.verdict();
+        let reason = reason.unwrap_or(if verdict != Verdict::NotRun {
             RefusalReason::Failed
+        } else if self.is_too_late(request.route().target_latency, now) {
+            RefusalReason::Stopping
+        } else {
+            RefusalReason::Overloaded
         });
         let Some(mut request) = self.finish(key, reason.name(), now, actions) else { return };
         let pause_end = request.parts.iter().filter_map(|part| part.paused_until).max();
@@ -141,13 +147,6 @@
         Some(request)
     }
 
-    /// Logs the requests that have no answer when a stopping daemon ends.
-    pub(super) fn log_unanswered(&self, now: Instant, actions: &mut Vec<Action<H>>) {
-        for (_, request) in self.requests.iter() {
-            self.log_done(request, "cut_by_stop", now, actions);
-        }
-    }
-
     pub(super) fn log_done(
         &self,
         request: &InFlightRequest<H>,
@@ -200,6 +199,8 @@
     let retry_after = match reason {
         RefusalReason::NoRoute => None,
         RefusalReason::NotReady => Some(RETRY_AFTER_NOT_READY),
+        // Other daemons can serve the request at once.
+        RefusalReason::Stopping => Some(Duration::ZERO),
         _ => Some(RETRY_AFTER),
     };
     let verdict = Verdict::NotRun;
--- a/crates/berylpin_core/src/direct/delegation.rs
+++ b/crates/berylpin_core/src/direct/delegation.rs
@@ -301,6 +301,9 @@
         let has_room = self.requests.len() < MAX_IN_FLIGHT;
         let found = self.view.clone().filter(|_| has_room).and_then(|view| {
             let route_index = view.route(&request.host, &request.path)?;
+            if self.is_too_late(view.routes[route_index].target_latency, now) {
+                return None;
+            }
             let services = request.services.iter().map(|(service, rescue_replica)| {
                 let rescue_replica = Some(*rescue_replica);
                 Some(Part { rescue_replica, ..Part::new(view.service(*service)?) })
@@ -308,7 +311,8 @@
             Some((route_index, services.collect::<Option<Vec<_>>>()?, view))
         });
         let Some((route_index, parts, view)) = found else {
-            // This daemon has another configuration or no room; the entry sends the attempts itself.
+            // This daemon has another configuration, has no room or stops; the entry sends the
+            // attempts itself.
             let missing = (0..request.services.len() as u16).map(|p| (p, Verdict::NotRun));
             let reply = PartsReply {
                 parts: Vec::new(),
--- a/crates/berylpin_core/src/direct/dispatcher.rs
+++ b/crates/berylpin_core/src/direct/dispatcher.rs
@@ -8,6 +8,7 @@
 use super::replicas::Replicas;
 use super::route_latency::RouteLatencies;
 use super::split::Splits;
+use super::stop::Stop;
 use super::view::{Target, View};
 use super::wait_queue::{WaitQueue, unsent_timeout};
 use crate::arena::Slab;
@@ -50,8 +51,8 @@
     Resume(ServiceId),
     /// A request without an attempt is refused.
     Unsent(RequestKey),
-    /// The last requests of a stopping daemon end.
-    Stop,
+    /// The parts of a request that wait for an attempt fail, because the daemon stops.
+    LatestStart(RequestKey),
 }
 
 /// Routes the requests of one thread and tracks their attempts.
@@ -72,6 +73,8 @@
     pub(super) budgets: Budgets,
     pub(super) wait_queue: WaitQueue,
     splits: Splits,
+    /// Set from the stop signal on.
+    pub(super) stop: Option<Stop>,
     pub(super) timers: Timers<Timer>,
     pub(super) rng: SmallRng,
 }
@@ -91,6 +94,7 @@
             budgets: Budgets::new(limits),
             wait_queue: WaitQueue::default(),
             splits: Splits::default(),
+            stop: None,
             timers: Timers::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -106,9 +110,10 @@
             Timer::AnswerBy(request)
             | Timer::Deadline(request)
             | Timer::FirstReply(request)
-            | Timer::Unsent(request) => requests.get(*request).is_some(),
+            | Timer::Unsent(request)
+            | Timer::LatestStart(request) => requests.get(*request).is_some(),
             Timer::FirstReplyOverdue(call) | Timer::EndCall(call) => calls.get(*call).is_some(),
-            Timer::UnresponsivePeer(_) | Timer::Connect | Timer::Resume(_) | Timer::Stop => true,
+            Timer::UnresponsivePeer(_) | Timer::Connect | Timer::Resume(_) => true,
         });
         self.timers.next()
     }
@@ -154,7 +159,7 @@
             Event::PeerConnected(peer, connected) => {
                 self.peers.set_connected(peer, connected, now);
             }
-            Event::Stop(stop) => self.timers.set(stop.serve_until, Timer::Stop),
+            Event::Stop(stop) => self.begin_stop(stop),
             Event::Wake => {}
         }
         while let Some(timer) = self.timers.pop_due(now) {
@@ -192,6 +197,9 @@
             return refuse(ticket, Some(view.version), RefusalReason::Overloaded, actions);
         }
         let route = &view.routes[index];
+        if self.is_too_late(route.target_latency, now) {
+            return refuse(ticket, Some(view.version), RefusalReason::Stopping, actions);
+        }
         let services = match &route.target {
             Target::Shards { services, .. } => services.clone(),
             Target::Split(parts) => self.splits.choose(route.id, parts).into_iter().collect(),
@@ -244,6 +252,7 @@
         let key = self.requests.insert(request);
         let position = self.tickets.partition_point(|(other, _)| *other < ticket);
         self.tickets.insert(position, (ticket, key));
+        self.limit_to_stop(key);
         key
     }
 
@@ -279,7 +288,7 @@
             Timer::Connect => self.connect_owners(now, actions),
             Timer::Resume(service) => self.resume(service, now, actions),
             Timer::Unsent(key) => self.refuse_unsent(key, now, actions),
-            Timer::Stop => self.log_unanswered(now, actions),
+            Timer::LatestStart(key) => self.fail_waiting_parts(key, now, actions),
         }
     }
 
--- a/crates/berylpin_core/src/direct/dispatcher/tests.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests.rs
@@ -8,6 +8,7 @@
 
 mod delegation;
 mod simulation;
+mod stop;
 
 use simulation::{Behaviour, Simulation, Step};
 
@@ -35,6 +36,7 @@
         1 => (0usize..3).prop_map(Step::Pause),
         1 => (0usize..3).prop_map(Step::Resume),
         1 => (0usize..3).prop_map(Step::FailCalls),
+        1 => (0usize..3).prop_map(Step::Stop),
         1 => (0usize..8).prop_map(Step::CallerDisconnects),
         2 => (0usize..3, 0usize..6, 0usize..2)
             .prop_map(|(daemon, shard, centre)| Step::ReplaceReplica(daemon, shard, centre)),
--- a/crates/berylpin_core/src/direct/dispatcher/tests/simulation.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests/simulation.rs
@@ -4,6 +4,7 @@
 use crate::direct::catalogue::Catalogue;
 use crate::direct::configuration::ReplicaEntry;
 use crate::direct::peers::{CallKey, PartsReply, PartsRequest};
+use crate::direct::stop::{Stop, StopSchedule};
 use crate::direct::testing::{REPLICA_DATA_CENTRES, replica_entry, shard_name};
 use crate::direct::view::Replica;
 use crate::ids::MemberTag;
@@ -36,6 +37,8 @@
     Resume(usize),
     /// All calls to a daemon fail.
     FailCalls(usize),
+    /// A daemon receives a stop signal.
+    Stop(usize),
     /// The caller of the oldest unanswered request disconnects if the number is below 4.
     CallerDisconnects(usize),
     /// A daemon (first) receives the entry of a new replica that replaces the one of a shard
@@ -74,6 +77,8 @@
     dispatcher: Dispatcher<()>,
     view: Arc<View>,
     paused: bool,
+    /// Set once the daemon received a stop signal.
+    stop: Option<Stop>,
     /// Events that arrived while the daemon was paused.
     delayed_events: Vec<Event<()>>,
     /// The ticket, the replica and the index of the caller's request of each attempt.
@@ -103,6 +108,9 @@
 const DAEMONS: [(&str, &str); 3] =
     [("messina-1", "messina"), ("palermo-1", "palermo"), ("catania-1", "catania")];
 
+/// The time from a stop signal until the daemon is killed; shorter than most charges may take.
+const STOP_LIMIT: Duration = Duration::from_millis(1500);
+
 /// The one-way latency between daemons.
 const ONE_WAY_LATENCY: Duration = Duration::from_millis(4);
 
@@ -124,6 +132,7 @@
                 dispatcher,
                 view,
                 paused: false,
+                stop: None,
                 delayed_events: Vec::new(),
                 attempts: BTreeMap::new(),
                 tickets: BTreeMap::new(),
@@ -150,6 +159,13 @@
             Step::Pause(daemon) => self.daemons[daemon].paused = true,
             Step::Resume(daemon) => self.resume(daemon),
             Step::FailCalls(daemon) => self.fail_calls(daemon),
+            Step::Stop(daemon) => {
+                if self.daemons[daemon].stop.is_none() {
+                    let limits = StopSchedule::new(STOP_LIMIT).begin(self.now);
+                    self.daemons[daemon].stop = Some(limits);
+                    self.handle(daemon, Event::Stop(limits));
+                }
+            }
             Step::ReplaceReplica(daemon, shard, centre) => self.replace(daemon, shard, centre),
             Step::CallerDisconnects(number) => {
                 let open = self.requests.iter().position(|r| r.answers == 0 && !r.disconnected);
@@ -330,6 +346,11 @@
     fn carry_out(&mut self, daemon: usize, action: Action<()>) {
         match action {
             Action::Send { ticket, attempt, replica, .. } => {
+                let stop = self.daemons[daemon].stop;
+                assert!(
+                    stop.is_none_or(|stop| self.now < stop.serve_until),
+                    "an attempt is sent after the daemon stopped"
+                );
                 self.run_attempt(daemon, ticket, attempt, replica);
             }
             Action::Abort { attempt, .. } => {
--- a/crates/berylpin_core/src/direct/event.rs
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -231,6 +231,8 @@
     Failed,
     /// The deadline passed.
     Timeout,
+    /// This daemon stops before the request could be answered.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -243,6 +245,7 @@
             Self::Overloaded => "overloaded",
             Self::Failed => "failed",
             Self::Timeout => "timeout",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -140,7 +140,7 @@
     match (reason, verdict) {
         (RefusalReason::NoRoute, _) => StatusCode::NOT_FOUND,
         (_, Verdict::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
-        (RefusalReason::Timeout, _) => StatusCode::GATEWAY_TIMEOUT,
+        (RefusalReason::Timeout | RefusalReason::Stopping, _) => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     }
 }
--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -133,7 +133,7 @@
     stop_tx.send_replace(Some(schedule.begin(clock.now())));
     std::thread::sleep(schedule.notice);
     stop_accepting_tx.send_replace(true);
-    let all_answered = drained.recv_timeout(schedule.exit - schedule.notice).is_ok();
+    let all_answered = drained.recv_timeout(schedule.exit.saturating_sub(schedule.notice)).is_ok();
     // The control thread ends first, so that after the line `daemon: stopped` only lines about
     // aborted requests can follow.
     let _ = end_control_tx.send(());
