Drop removed replicas within the drain limit after a silent connection

A replica whose entry was removed got requests until it exited 4 s later, and requests that it was running were lost, if the connection of the daemon's watch had gone silent before.

Cause: two stages shared the bound of 7 s (settle time and drain limit) and did not know of each other. The wait of a watch used all of it; the grace time of 2.3 s for entries that expire in an outage of the store came on top, and came with every removal, outage or not.

StoreTimes now derives the waits and the grace time from the bounds so that their sum keeps them. A removed replica stays in use only after an outage of the store: after a call that failed or ended late. The watch of replicas lasts at most two heartbeats, so that each outage in which an entry can expire shows in such a call; without one, the replica is dropped at once, which also keeps the limit with stale reads.

Tests of the grace time now record the outage that they are about, and a new one checks that there is none otherwise. The test of the longest watch moved to the core and covers any bounds.

--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -4,6 +4,7 @@
 use super::fleet::Fleet;
 use super::leaving::LeavingReplicas;
 use super::peers::assign_owners;
+use super::store_times::StoreCall;
 use super::view::{Distance, Peer, Replica, Route, RouteId, Service, Standing, Target, View};
 use crate::arena::Arena;
 use crate::ids::{DataCentreId, Key, MemberTag, ReplicaId, ReplicaTag, ServiceId, ServiceTag};
@@ -12,21 +13,16 @@
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// How long a replica stays in use after its entry was removed without a drain. The entry may only
-/// have expired during an outage of the store; running replicas are listed again about 2 s after
-/// the store recovers. A replica that leaves keeps serving for longer than this, so requests that
-/// are sent to it in this time are still answered.
-const EXPIRY_GRACE: Duration = Duration::from_millis(2300);
-
 /// Connections that a replica accepts if the configuration does not set a limit.
 const DEFAULT_MAX_CONNECTIONS: u32 = 16;
 
-/// A replica with an entry, or whose entry was removed less than `EXPIRY_GRACE` ago.
+/// A replica with an entry, or one whose entry may only have expired in an outage of the store.
 #[derive(Debug)]
 struct KnownReplica {
     entry: ReplicaEntry,
     id: ReplicaId,
-    /// When the replica is removed; set once its entry was removed without a drain.
+    /// When the replica is removed; set if its entry was removed during or after an outage of the
+    /// store, and not while it drained.
     expires_at: Option<Instant>,
     /// Whether the replica announced that it leaves, whatever its entry says.
     leaving: bool,
@@ -38,6 +34,16 @@
     }
 }
 
+/// What the calls for the replicas show about the store.
+#[derive(Clone, Copy, Debug)]
+enum Outage {
+    /// All calls were answered in time.
+    Never,
+    /// The last call failed.
+    Ongoing,
+    EndedAt(Instant),
+}
+
 /// The location of this daemon.
 #[derive(Clone, Debug)]
 struct Location {
@@ -57,6 +63,9 @@
     replicas_revision: Option<u64>,
     /// Sorted by name.
     replicas: Vec<KnownReplica>,
+    outage: Outage,
+    /// How long after an outage removed replicas stay in use.
+    expiry_grace: Duration,
     leaving: LeavingReplicas,
     /// The names of services; the index is the id.
     services: Vec<Arc<str>>,
@@ -72,7 +81,8 @@
 }
 
 impl Catalogue {
-    /// Creates an empty catalogue for `daemon`; `regions` is sorted by data centre.
+    /// Creates an empty catalogue for `daemon`; `regions` is sorted by data centre. Removed replicas
+    /// are dropped at once, also after an outage of the store.
     pub fn new(daemon: String, data_centre: String, regions: Vec<(String, String)>) -> Self {
         let own_data_centre = data_centre.clone();
         Self {
@@ -80,6 +90,8 @@
             configuration: None,
             replicas_revision: None,
             replicas: Vec::new(),
+            outage: Outage::Never,
+            expiry_grace: Duration::ZERO,
             leaving: LeavingReplicas::default(),
             services: Vec::new(),
             services_by_name: Vec::new(),
@@ -91,6 +103,12 @@
         }
     }
 
+    /// Sets how long after an outage of the store removed replicas stay in use.
+    #[must_use]
+    pub fn with_expiry_grace(self, expiry_grace: Duration) -> Self {
+        Self { expiry_grace, ..self }
+    }
+
     /// Replaces all daemons with the entries at a revision; returns whether the fleet changed.
     pub fn set_daemons(&mut self, entries: Vec<DaemonEntry>, revision: u64, now: Instant) -> bool {
         for entry in &entries {
@@ -249,17 +267,33 @@
         }
     }
 
-    /// Removes a replica's entry; returns whether a new view is needed.
+    /// Records a call for the replicas; must precede the changes that the call returned.
+    pub fn record_replicas_call(&mut self, call: StoreCall, now: Instant) {
+        self.outage = match (call, self.outage) {
+            (StoreCall::Failed, _) => Outage::Ongoing,
+            (StoreCall::Late, _) | (StoreCall::InTime, Outage::Ongoing) => Outage::EndedAt(now),
+            (StoreCall::InTime, outage) => outage,
+        };
+    }
+
+    /// Removes a replica's entry; returns whether the replica was dropped, so that a new view is
+    /// needed.
     ///
-    /// A draining replica is removed at once, any other after `EXPIRY_GRACE`.
+    /// The entry of a replica that does not drain may only have expired in an outage of the store.
+    /// The replica then stays in use until running replicas are listed again.
     pub fn remove_replica(&mut self, name: &str, now: Instant) -> bool {
         let Ok(index) = self.position(name) else { return false };
+        let grace_end = match self.outage {
+            Outage::Never => now,
+            Outage::Ongoing => now + self.expiry_grace,
+            Outage::EndedAt(ended) => ended + self.expiry_grace,
+        };
         let known = &mut self.replicas[index];
-        if known.entry.draining {
+        if known.entry.draining || known.expires_at.is_none() && grace_end <= now {
             self.replicas.remove(index);
             return true;
         }
-        known.expires_at.get_or_insert(now + EXPIRY_GRACE);
+        known.expires_at.get_or_insert(grace_end);
         false
     }
 
--- a/crates/berylpin_core/src/direct/catalogue/tests.rs
+++ b/crates/berylpin_core/src/direct/catalogue/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::direct::testing::{catalogue, configuration, replica_entry};
+use crate::direct::testing::{EXPIRY_GRACE, catalogue, configuration, replica_entry};
 use proptest::prelude::*;
 
 fn small_catalogue() -> (Catalogue, Instant) {
@@ -46,6 +46,7 @@
 #[test]
 fn a_replica_whose_entry_returns_within_the_grace_period_is_kept() {
     let (mut catalogue, now) = small_catalogue();
+    catalogue.record_replicas_call(StoreCall::Failed, now);
     let before = replica_names(&catalogue);
     assert!(!catalogue.remove_replica("palermo-0", now));
     assert_eq!(replica_names(&catalogue), before);
@@ -55,11 +56,30 @@
 }
 
 #[test]
-fn a_replica_without_an_entry_is_removed_after_the_grace_period() {
+fn a_replica_without_an_entry_after_an_outage_is_removed_after_the_grace_period() {
+    for call in [StoreCall::InTime, StoreCall::Late] {
+        let (mut catalogue, now) = small_catalogue();
+        catalogue.record_replicas_call(StoreCall::Failed, now);
+        let recovered = now + Duration::from_secs(5);
+        catalogue.record_replicas_call(call, recovered);
+        assert!(!catalogue.remove_replica("palermo-0", recovered + EXPIRY_GRACE / 4));
+        assert!(catalogue.expire_replicas(recovered + EXPIRY_GRACE / 2).is_empty());
+        assert_eq!(catalogue.expire_replicas(recovered + EXPIRY_GRACE), ["palermo-0"]);
+        assert!(!replica_names(&catalogue).contains(&"palermo-0".to_owned()));
+    }
+}
+
+/// The replica stayed in use for the grace time, so that it was used too long if the removal was
+/// learned late.
+#[test]
+fn a_replica_removed_without_an_outage_is_dropped_at_once() {
     let (mut catalogue, now) = small_catalogue();
-    catalogue.remove_replica("palermo-0", now);
-    assert!(catalogue.expire_replicas(now + EXPIRY_GRACE / 2).is_empty());
-    assert_eq!(catalogue.expire_replicas(now + EXPIRY_GRACE), ["palermo-0"]);
+    catalogue.record_replicas_call(StoreCall::Failed, now);
+    let recovered = now + Duration::from_secs(5);
+    catalogue.record_replicas_call(StoreCall::InTime, recovered);
+    let later = recovered + EXPIRY_GRACE;
+    catalogue.record_replicas_call(StoreCall::InTime, later);
+    assert!(catalogue.remove_replica("palermo-0", later));
     assert!(!replica_names(&catalogue).contains(&"palermo-0".to_owned()));
 }
 
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -31,6 +31,7 @@
 mod split;
 mod state_delta;
 mod stop;
+mod store_times;
 #[cfg(test)]
 mod testing;
 mod view;
@@ -50,4 +51,8 @@
 pub use peers::{CallKey, PartsReply, PartsRequest};
 pub use state_delta::{StateDelta, StateRevisions};
 pub use stop::{Stop, StopSchedule};
+pub use store_times::{
+    CALL_TIMEOUT, EXPIRY_CHECK_INTERVAL, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER, StoreBounds,
+    StoreCall, StoreTimes,
+};
 pub use view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
--- a/crates/berylpin_core/src/direct/state_delta.rs
+++ b/crates/berylpin_core/src/direct/state_delta.rs
@@ -2,6 +2,7 @@
 
 use super::catalogue::Catalogue;
 use super::configuration::{Configuration, DaemonEntry, ReplicaEntry};
+use super::store_times::StoreCall;
 use serde::{Deserialize, Serialize};
 use std::time::Instant;
 
@@ -61,6 +62,8 @@
         if let Some((revision, entries)) = delta.replicas
             && Some(revision) > own.replicas
         {
+            // Peers are asked only while the store is unreachable.
+            self.record_replicas_call(StoreCall::Failed, now);
             changed |= self.set_replicas(entries, revision, now);
         }
         if let Some((revision, entries)) = delta.daemons
--- /dev/null
+++ b/crates/berylpin_core/src/direct/store_times.rs
@@ -0,0 +1,111 @@
+//! The time limits of the calls to the store, derived from the platform's bounds.
+
+use std::time::Duration;
+
+/// The maximum time of a call, in addition to the wait that a watch asks for; about a hundred times
+/// the store's usual response time.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// The back-off after the first failed call, before jitter.
+pub const INITIAL_RETRY_BACKOFF: Duration = Duration::from_millis(200);
+
+/// The factor by which jitter lengthens a back-off at most, so that daemons do not call at the same
+/// time.
+pub const MAX_BACKOFF_JITTER: u32 = 2;
+
+/// The interval between checks for expired replicas.
+pub const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The time for the call after a failed one, and until the traffic thread applies its result.
+const APPLY_TIME: Duration = Duration::from_millis(600);
+
+/// The minimum and the maximum wait of a watch; the store allows up to 30 s.
+const MIN_WAIT: Duration = Duration::from_secs(1);
+const MAX_WAIT: Duration = Duration::from_secs(20);
+
+/// How long a replica stays in use after an outage of the store in which its entry may have
+/// expired; running replicas are listed again about 2 s after the store recovers.
+const EXPIRY_GRACE: Duration = Duration::from_millis(2300);
+
+/// An entry does not expire in an outage shorter than this number of heartbeats: it takes three
+/// without one, and the last may have come just before the outage.
+const HEARTBEATS_UNTIL_EXPIRY: u32 = 2;
+
+/// How much later than the end of its wait an answer shows an outage of the store.
+const LATE_ANSWER: Duration = Duration::from_millis(300);
+
+/// The bounds that the platform sets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreBounds {
+    /// The time after a fault within which the daemon must meet the other bounds again.
+    pub settle: Duration,
+    /// The time within which a new configuration must be in force.
+    pub config_apply: Duration,
+    /// The time within which a draining or removed replica must receive no new requests.
+    pub drain: Duration,
+    /// The interval at which a replica renews its entry.
+    pub heartbeat: Duration,
+}
+
+/// The time limits of the calls to the store.
+///
+/// A dead connection is detected only when its call times out, and the settle time starts when the
+/// connection fails. So a change made right after the settle time is applied within its bound if
+/// the wait of a watch and all that follows it take no longer than the settle time and the bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreTimes {
+    /// How long a watch of the configuration waits.
+    pub configuration_wait: Duration,
+    /// How long a watch of the replicas waits; shorter than an outage in which entries can expire,
+    /// so that each such outage makes a watch fail or end late.
+    pub replicas_wait: Duration,
+    /// How long after an outage of the store removed replicas stay in use.
+    pub expiry_grace: Duration,
+}
+
+impl StoreTimes {
+    /// Divides the bounds among the stages.
+    pub fn new(bounds: &StoreBounds) -> Self {
+        let detection = CALL_TIMEOUT + INITIAL_RETRY_BACKOFF * MAX_BACKOFF_JITTER + APPLY_TIME;
+        let configuration_due = bounds.settle + bounds.config_apply;
+        let removal_due =
+            (bounds.settle + bounds.drain).saturating_sub(detection + EXPIRY_CHECK_INTERVAL);
+        let expiry_grace = removal_due.saturating_sub(MIN_WAIT).min(EXPIRY_GRACE);
+        let seen_outage = bounds.heartbeat * HEARTBEATS_UNTIL_EXPIRY;
+        let replicas_wait = removal_due.saturating_sub(expiry_grace).min(seen_outage);
+        Self {
+            configuration_wait: configuration_due
+                .saturating_sub(detection)
+                .clamp(MIN_WAIT, MAX_WAIT),
+            replicas_wait: replicas_wait.clamp(MIN_WAIT, MAX_WAIT),
+            expiry_grace,
+        }
+    }
+}
+
+/// What a call shows about the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreCall {
+    /// The answer came in time.
+    InTime,
+    /// The answer came so late that the store was unavailable meanwhile.
+    Late,
+    /// There was no answer, or an error.
+    Failed,
+}
+
+impl StoreCall {
+    /// Classifies a call that took `elapsed` and asked the store to wait up to `wait`.
+    pub fn classify(succeeded: bool, elapsed: Duration, wait: Duration) -> Self {
+        if !succeeded {
+            Self::Failed
+        } else if elapsed > wait + LATE_ANSWER {
+            Self::Late
+        } else {
+            Self::InTime
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/berylpin_core/src/direct/store_times/tests.rs
@@ -0,0 +1,112 @@
+use super::*;
+use crate::direct::catalogue::Catalogue;
+use crate::direct::testing::catalogue;
+use proptest::prelude::*;
+use std::time::Instant;
+
+const REPLICA: &str = "palermo-0";
+
+/// The time from the store's acknowledgement of a removal until an open watch returns it.
+const WATCH_DELAY: Duration = Duration::from_millis(60);
+
+/// The time from the answer of the store until the traffic thread has the new view.
+const VIEW_DELAY: Duration = Duration::from_millis(50);
+
+fn millis(range: std::ops::Range<u64>) -> impl Strategy<Value = Duration> {
+    range.prop_map(Duration::from_millis)
+}
+
+fn bounds() -> impl Strategy<Value = StoreBounds> {
+    let times = (millis(2000..10_000), millis(2000..10_000), millis(1500..6000), millis(300..3000));
+    times.prop_map(|(settle, config_apply, drain, heartbeat)| StoreBounds {
+        settle,
+        config_apply,
+        drain,
+        heartbeat,
+    })
+}
+
+fn is_in_use(catalogue: &Catalogue) -> bool {
+    let view = catalogue.view().unwrap();
+    let mut replicas = view.services.iter().flat_map(|(_, service)| &service.replicas);
+    replicas.any(|replica| &*replica.name == REPLICA)
+}
+
+/// Returns when a replica whose entry is removed at `removed_at` is no longer used. The daemon's
+/// watch starts at `started` and its connection is silent from then on.
+fn last_use_after_silence(
+    bounds: &StoreBounds,
+    started: Instant,
+    removed_at: Instant,
+    (jitter, check_phase): (f64, f64),
+) -> Instant {
+    let times = StoreTimes::new(bounds);
+    let mut catalogue =
+        catalogue("palermo-1", "palermo", 2, started).with_expiry_grace(times.expiry_grace);
+    let failed_at = started + times.replicas_wait + CALL_TIMEOUT;
+    catalogue.record_replicas_call(StoreCall::Failed, failed_at);
+    let mut called_at = failed_at + INITIAL_RETRY_BACKOFF.mul_f64(jitter);
+    let mut wait = Duration::ZERO;
+    let learned_at = loop {
+        let returned_at = called_at + wait;
+        let answered_at = returned_at.min(called_at.max(removed_at)) + WATCH_DELAY;
+        let elapsed = answered_at.saturating_duration_since(called_at);
+        let call = StoreCall::classify(true, elapsed, wait);
+        catalogue.record_replicas_call(call, answered_at);
+        if removed_at <= returned_at {
+            break answered_at;
+        }
+        called_at = answered_at;
+        wait = times.replicas_wait;
+    };
+    let mut now = learned_at;
+    catalogue.remove_replica(REPLICA, now);
+    let mut next_check = now + EXPIRY_CHECK_INTERVAL.mul_f64(check_phase);
+    while is_in_use(&catalogue) {
+        now = next_check;
+        catalogue.expire_replicas(now);
+        next_check += EXPIRY_CHECK_INTERVAL;
+    }
+    now + VIEW_DELAY
+}
+
+proptest! {
+    /// A replica was used too long after its removal, because the time until a dead connection is
+    /// noticed and the grace time were each within the bound, but their sum was not.
+    #[test]
+    fn a_replica_removed_after_a_silent_connection_is_dropped_within_the_drain_bound(
+        bounds in bounds(),
+        silent_after in 0.0..1.0f64,
+        removed_after in millis(0..8000),
+        jitter in 1.0..2.0f64,
+        check_phase in 0.0..1.0f64,
+    ) {
+        let started = Instant::now();
+        let silent_at = started + StoreTimes::new(&bounds).replicas_wait.mul_f64(silent_after);
+        let removed_at = silent_at + bounds.settle + removed_after;
+        let last_use =
+            last_use_after_silence(&bounds, started, removed_at, (jitter, check_phase));
+        let used_for = last_use.saturating_duration_since(removed_at);
+        prop_assert!(used_for <= bounds.drain, "used for {used_for:?}");
+    }
+
+    #[test]
+    fn a_configuration_written_after_a_silent_connection_is_applied_in_time(bounds in bounds()) {
+        let StoreTimes { configuration_wait, .. } = StoreTimes::new(&bounds);
+        let detected = configuration_wait + CALL_TIMEOUT + INITIAL_RETRY_BACKOFF * MAX_BACKOFF_JITTER;
+        prop_assert!(detected + APPLY_TIME <= bounds.settle + bounds.config_apply);
+    }
+
+    /// An outage that no call shows would drop running replicas whose entries expired in it.
+    #[test]
+    fn each_outage_in_which_entries_can_expire_is_noticed(
+        bounds in bounds(),
+        begins in 0.0..1.0f64,
+    ) {
+        let wait = StoreTimes::new(&bounds).replicas_wait;
+        let outage = (bounds.heartbeat * HEARTBEATS_UNTIL_EXPIRY).max(MIN_WAIT) + LATE_ANSWER;
+        // The store answers the open watch when it recovers.
+        let answered_after = (wait.mul_f64(begins) + outage).max(wait);
+        prop_assert_ne!(StoreCall::classify(true, answered_after, wait), StoreCall::InTime);
+    }
+}
--- a/crates/berylpin_core/src/direct/testing.rs
+++ b/crates/berylpin_core/src/direct/testing.rs
@@ -18,6 +18,9 @@
 /// The path prefix of the route to one service; its requests are not idempotent.
 pub(super) const CHARGE_PREFIX: &str = "/charge/";
 
+/// How long after an outage of the store the catalogue keeps removed replicas.
+pub(super) const EXPIRY_GRACE: Duration = Duration::from_millis(2300);
+
 pub(super) fn shard_name(index: usize) -> String {
     format!("shard-{index}")
 }
@@ -84,7 +87,8 @@
 pub(super) fn catalogue(own: &str, data_centre: &str, shards: usize, now: Instant) -> Catalogue {
     let regions = [REPLICA_DATA_CENTRES[0], REMOTE_DATA_CENTRE, REPLICA_DATA_CENTRES[1]]
         .map(|name| (name.to_owned(), name.to_owned()));
-    let mut catalogue = Catalogue::new(own.to_owned(), data_centre.to_owned(), regions.into());
+    let mut catalogue = Catalogue::new(own.to_owned(), data_centre.to_owned(), regions.into())
+        .with_expiry_grace(EXPIRY_GRACE);
     catalogue.apply_configuration(configuration(1, shards));
     let mut entries = Vec::new();
     for data_centre in REPLICA_DATA_CENTRES {
--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -5,7 +5,10 @@
 mod state_delta;
 
 use super::process::Shared;
-use berylpin_core::direct::{Catalogue, Replica, ReplicaEntry, View};
+use berylpin_core::direct::{
+    Catalogue, EXPIRY_CHECK_INTERVAL, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER, Replica,
+    ReplicaEntry, StoreCall, StoreTimes, View,
+};
 use berylpin_platform::{
     Change, Freshness, Object, ObjectKind, PlatformSettings, Store, StoreError,
     decode_configuration, decode_replica_entry,
@@ -20,13 +23,6 @@
 
 pub(super) use state_delta::StateDeltaRequest;
 
-/// The time between the end of a watch's wait and the time at which a change must be in force. An
-/// unanswered call times out 1.2 s after its wait; the next call needs the rest.
-const WATCH_MARGIN: Duration = Duration::from_millis(2200);
-
-/// The minimum and the maximum wait of a watch; the store allows up to 30 s.
-const WATCH_WAIT_RANGE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(20));
-
 /// How long a watch of the daemons waits; there is no time limit for applying their changes.
 const DAEMONS_WATCH_WAIT: Duration = Duration::from_secs(20);
 
@@ -38,11 +34,6 @@
 /// daemons write their entries within 1 s.
 const DAEMONS_BATCH_DELAY: Duration = Duration::from_secs(3);
 
-/// The back-off after the first failed call. Doubles with each further failure up to the maximum
-/// for the kind of objects; jitter lengthens it up to twofold, so that daemons do not call at the
-/// same time.
-const INITIAL_RETRY_BACKOFF: Duration = Duration::from_millis(200);
-
 /// The maximum back-off for the configuration and the replicas, which must be current soon after
 /// the store recovers.
 const MAX_RETRY_BACKOFF: Duration = Duration::from_secs(1);
@@ -50,9 +41,6 @@
 /// The maximum back-off for the daemons, which change rarely.
 const MAX_DAEMONS_RETRY_BACKOFF: Duration = Duration::from_secs(4);
 
-/// The interval between checks for expired replicas.
-const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
 /// The client, settings and channels of the control thread.
 pub(super) struct ControlContext {
     pub(super) settings: watch::Receiver<PlatformSettings>,
@@ -97,10 +85,12 @@
 /// Runs the tasks of the control thread; does not return.
 pub(super) async fn run_control(cx: ControlContext, shared: Shared) {
     let ControlContext { settings, view, store, state_requests, leaving } = cx;
-    let (catalogue, wait) = {
+    let (catalogue, times) = {
         let settings = settings.borrow();
         let (data_centre, regions) = (settings.data_centre.clone(), settings.regions.clone());
-        (Catalogue::new(settings.name.clone(), data_centre, regions), max_watch_wait(&settings))
+        let times = StoreTimes::new(&settings.store_bounds);
+        let catalogue = Catalogue::new(settings.name.clone(), data_centre, regions);
+        (catalogue.with_expiry_grace(times.expiry_grace), times)
     };
     let started = shared.clock.now();
     let control = Rc::new(Control {
@@ -113,7 +103,7 @@
     });
     let configuration = WatchConfig {
         kind: ObjectKind::Configuration,
-        wait,
+        wait: times.configuration_wait,
         watch_freshness: Freshness::Newest,
         list_freshness: Freshness::Newest,
         batch_delay: Duration::ZERO,
@@ -124,7 +114,7 @@
     };
     let replicas = WatchConfig {
         kind: ObjectKind::Replicas,
-        wait,
+        wait: times.replicas_wait,
         watch_freshness: Freshness::MaybeStale,
         list_freshness: Freshness::Newest,
         batch_delay: REPLICAS_BATCH_DELAY,
@@ -157,17 +147,6 @@
     );
 }
 
-/// Returns how long a watch of the configuration or the replicas waits.
-///
-/// A dead connection is detected only when the wait ends. The settle time starts when the
-/// connection fails. A change made after the settle time must be in force within the limit for
-/// configurations or for draining replicas, so the wait ends before the shorter limit has passed.
-fn max_watch_wait(settings: &PlatformSettings) -> Duration {
-    let change_due = settings.settle_time + settings.config_apply_limit.min(settings.drain_limit);
-    let (min_wait, max_wait) = WATCH_WAIT_RANGE;
-    change_due.saturating_sub(WATCH_MARGIN).clamp(min_wait, max_wait)
-}
-
 /// Returns how long the next watch waits.
 ///
 /// A watch does not wait after a failed call: a store that accepts calls without answering would
@@ -219,7 +198,7 @@
                 }
                 Err(StoreError::RevisionCompacted) => revision = None,
                 Err(_) => {
-                    let jitter = rand::rng().random_range(1.0..2.0);
+                    let jitter = rand::rng().random_range(1.0..f64::from(MAX_BACKOFF_JITTER));
                     let backoff = retry_backoff(failures, config.max_backoff);
                     tokio::time::sleep(backoff.mul_f64(jitter)).await;
                 }
@@ -236,17 +215,36 @@
         let WatchConfig {
             kind, watch_freshness, list_freshness, apply_list, apply_changes, ..
         } = config;
-        let store = self.store();
+        let (store, called_at) = (self.store(), self.now());
         let Some(since) = since else {
-            let listing = store.list(*kind, *list_freshness).await?;
+            let listing = store.list(*kind, *list_freshness).await;
+            self.record_call(*kind, listing.is_ok(), called_at, Duration::ZERO);
+            let listing = listing?;
             apply_list(self, listing.objects, listing.revision);
             return Ok(listing.revision);
         };
-        let (changes, revision) = store.watch(*kind, since, wait, *watch_freshness).await?;
+        let changes = store.watch(*kind, since, wait, *watch_freshness).await;
+        self.record_call(*kind, changes.is_ok(), called_at, wait);
+        let (changes, revision) = changes?;
         apply_changes(self, changes, revision);
         Ok(revision)
     }
 
+    /// Records what a call for replicas shows about the store.
+    fn record_call(&self, kind: ObjectKind, succeeded: bool, called_at: Instant, wait: Duration) {
+        if kind != ObjectKind::Replicas {
+            return;
+        }
+        let now = self.now();
+        let elapsed = now.saturating_duration_since(called_at);
+        let call = StoreCall::classify(succeeded, elapsed, wait);
+        if call == StoreCall::Late {
+            info!(self.shared.log, "control: store answered late"; "kind" => kind.name(),
+                "elapsed_ms" => elapsed.as_millis() as u64, "wait_ms" => wait.as_millis() as u64);
+        }
+        self.catalogue.borrow_mut().record_replicas_call(call, now);
+    }
+
     fn apply_configuration_list(&self, objects: Vec<Object>, _: u64) {
         for object in &objects {
             self.apply_configuration(object);
@@ -296,11 +294,11 @@
                 // replica that it named before, as a list without it does.
                 Change::Put(object) => match self.decode_replica(&object) {
                     Some(entry) => self.put_replica(entry),
-                    None => self.catalogue.borrow_mut().remove_replica(&object.name, self.now()),
+                    None => self.remove_replica(&object.name),
                 },
                 Change::Removed(name) => {
                     info!(self.shared.log, "control: replica entry removed"; "replica" => &name);
-                    self.catalogue.borrow_mut().remove_replica(&name, self.now())
+                    self.remove_replica(&name)
                 }
             };
         }
@@ -310,6 +308,15 @@
         }
     }
 
+    /// Removes a replica's entry; returns whether the replica was dropped.
+    fn remove_replica(&self, name: &str) -> bool {
+        let dropped = self.catalogue.borrow_mut().remove_replica(name, self.now());
+        if dropped {
+            info!(self.shared.log, "control: replica expired"; "replica" => name);
+        }
+        dropped
+    }
+
     fn put_replica(&self, entry: ReplicaEntry) -> bool {
         let (name, service) = (entry.id.clone(), entry.service.clone());
         let draining = entry.draining;
--- a/crates/berylpin_daemon/src/direct/control/tests.rs
+++ b/crates/berylpin_daemon/src/direct/control/tests.rs
@@ -1,37 +1,4 @@
 use super::*;
-use std::net::{IpAddr, Ipv4Addr};
-
-fn settings(settle_ms: u64, limit_ms: u64) -> PlatformSettings {
-    let address = (IpAddr::from(Ipv4Addr::LOCALHOST), 1).into();
-    PlatformSettings {
-        name: "front-1".to_owned(),
-        ip: Ipv4Addr::LOCALHOST.into(),
-        data_centre: "palermo".to_owned(),
-        regions: Vec::new(),
-        caller_address: address,
-        ready_address: address,
-        peer_ports: (1, 2),
-        seeds: Vec::new(),
-        store: address,
-        settle_time: Duration::from_millis(settle_ms),
-        config_apply_limit: Duration::from_millis(limit_ms),
-        drain_limit: Duration::from_millis(limit_ms),
-        stop_limit: Duration::from_secs(6),
-        extra_attempt_ratio: 0.2,
-        extra_attempt_slack: 56.0,
-        extra_attempt_window: Duration::from_secs(10),
-        memory_limit: 160 << 20,
-    }
-}
-
-#[test]
-fn a_watch_on_a_dead_connection_ends_before_a_change_is_due() {
-    for (settle_ms, limit_ms) in [(4000, 3000), (6000, 5000)] {
-        let change_due = Duration::from_millis(settle_ms + limit_ms);
-        assert!(max_watch_wait(&settings(settle_ms, limit_ms)) + WATCH_MARGIN <= change_due);
-    }
-    assert_eq!(max_watch_wait(&settings(0, 0)), WATCH_WAIT_RANGE.0);
-}
 
 #[test]
 fn the_first_watch_after_a_failed_call_does_not_wait() {
@@ -50,8 +17,7 @@
 
 #[test]
 fn the_longest_retry_delay_is_shorter_than_the_settle_time() {
-    for (settle_ms, limit_ms) in [(4000, 3000), (6000, 5000)] {
-        // Jitter at most doubles the back-off.
-        assert!(MAX_RETRY_BACKOFF * 2 < settings(settle_ms, limit_ms).settle_time);
+    for settle_time in [4, 6].map(Duration::from_secs) {
+        assert!(MAX_RETRY_BACKOFF * MAX_BACKOFF_JITTER < settle_time);
     }
 }
--- a/crates/berylpin_daemon/tests/platform/main.rs
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -4,5 +4,6 @@
 mod planned_stop;
 mod process;
 mod replicas_in_trouble;
+mod silent_store;
 mod soak;
 mod store_outage;
