Copy the pieces of answers, so that they do not keep read buffers

Replicas that send endless bodies in small pieces took the daemon beyond its memory limit within 3 s; it ended with all requests in flight.

Cause: each chunk is a slice of hyper's read buffer and keeps all 8 KB of it, but counted with its own 16 bytes. The limits of one body and of all answers were ruled out: they held by their counts, as no attempt failed as too_long while the resident memory grew.

read_body copies the chunks into one buffer.

--- a/crates/berylpin_daemon/src/direct/attempt.rs
+++ b/crates/berylpin_daemon/src/direct/attempt.rs
@@ -1,5 +1,6 @@
 //! Attempts: a request is sent to one replica and its answer is read.
 
+use super::body::{BodyError, ReservedMemory, read_body};
 use super::bounded_stream::{Allowance, BoundedStream, MAX_HEAD_BYTES};
 use super::pool::Connection;
 use super::traffic::{Payload, Traffic};
@@ -8,11 +9,10 @@
 use berylpin_platform::{ReplyDefect, attempt_headers, read_reply_head};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,44 +36,6 @@
     pub(super) payload: Rc<Payload>,
 }
 
-/// The memory of all answers that are being read, in bytes.
-#[derive(Clone)]
-pub(super) struct AnswerMemory {
-    available: Rc<Cell<usize>>,
-}
-
-/// The memory of one answer; it is available again when dropped.
-struct ReservedMemory {
-    available: Rc<Cell<usize>>,
-    bytes: usize,
-}
-
-impl AnswerMemory {
-    pub(super) fn new(bytes: usize) -> Self {
-        Self { available: Rc::new(Cell::new(bytes)) }
-    }
-
-    fn reserve(&self) -> ReservedMemory {
-        ReservedMemory { available: self.available.clone(), bytes: 0 }
-    }
-}
-
-impl ReservedMemory {
-    /// Reserves more memory; returns false if there is not enough.
-    fn try_extend(&mut self, bytes: usize) -> bool {
-        let Some(rest) = self.available.get().checked_sub(bytes) else { return false };
-        self.available.set(rest);
-        self.bytes += bytes;
-        true
-    }
-}
-
-impl Drop for ReservedMemory {
-    fn drop(&mut self) {
-        self.available.set(self.available.get() + self.bytes);
-    }
-}
-
 impl AttemptTask {
     /// Carries out the attempt, reports its outcome, and pools the connection if it can be reused.
     pub(super) async fn run(self, traffic: Rc<Traffic>) {
@@ -227,21 +189,10 @@
             return Err(Failure::TooLong);
         }
         allowance.start_body(limit);
-        let mut chunks = Vec::new();
-        let mut len = 0;
-        while let Some(frame) = body.frame().await {
-            let failure =
-                || if allowance.is_exceeded() { Failure::TooLong } else { Failure::Truncated };
-            let Ok(chunk) = frame.map_err(|_| failure())?.into_data() else { continue };
-            len += chunk.len();
-            if len > limit || !memory.try_extend(chunk.len()) {
-                return Err(Failure::TooLong);
-            }
-            chunks.push(chunk);
-        }
-        if chunks.len() <= 1 {
-            return Ok(chunks.pop().unwrap_or_default());
-        }
-        Ok(chunks.concat().into())
+        read_body(&mut body, limit, &mut memory).await.map_err(|e| match e {
+            BodyError::TooLong | BodyError::NoMemory => Failure::TooLong,
+            BodyError::Broken if allowance.is_exceeded() => Failure::TooLong,
+            BodyError::Broken => Failure::Truncated,
+        })
     }
 }
--- a/crates/berylpin_daemon/src/direct/mod.rs
+++ b/crates/berylpin_daemon/src/direct/mod.rs
@@ -2,6 +2,7 @@
 //! store, and a traffic thread, which serves callers and sends requests to replicas.
 
 mod attempt;
+mod body;
 mod bounded_stream;
 mod caller;
 mod control;
--- a/crates/berylpin_daemon/src/direct/traffic.rs
+++ b/crates/berylpin_daemon/src/direct/traffic.rs
@@ -1,6 +1,7 @@
 //! The traffic thread: passes events to the dispatcher and carries out its actions.
 
-use super::attempt::{AnswerMemory, AttemptTask};
+use super::attempt::AttemptTask;
+use super::body::MemoryBudget;
 use super::decision_log::DecisionLog;
 use super::links::{DelegatedCall, PeerLinks, PeerSender, connect_peer};
 use super::pool::{Connection, ConnectionPools};
@@ -81,7 +82,7 @@
 pub(super) struct Traffic {
     shared: Shared,
     state: RefCell<State>,
-    answer_memory: AnswerMemory,
+    answer_memory: MemoryBudget,
     leaving: mpsc::Sender<Arc<Replica>>,
     next_ticket: Cell<u64>,
     /// When the timer task wakes the dispatcher; `None` if no timer is set.
@@ -106,7 +107,7 @@
         let traffic = Rc::new(Self {
             shared,
             state: RefCell::new(state),
-            answer_memory: AnswerMemory::new(memory_limit / ANSWER_MEMORY_DIVISOR),
+            answer_memory: MemoryBudget::new(memory_limit / ANSWER_MEMORY_DIVISOR),
             leaving,
             next_ticket: Cell::new(0),
             timer_due_at: Cell::new(None),
@@ -223,7 +224,7 @@
     }
 
     /// Returns the memory for the answers of replicas.
-    pub(super) fn answer_memory(&self) -> &AnswerMemory {
+    pub(super) fn answer_memory(&self) -> &MemoryBudget {
         &self.answer_memory
     }
 
--- a/crates/berylpin_daemon/tests/platform/replicas_in_trouble.rs
+++ b/crates/berylpin_daemon/tests/platform/replicas_in_trouble.rs
@@ -166,6 +166,25 @@
     check_endless_answers(Fault::EndlessBody).await;
 }
 
+/// Each piece kept the whole read buffer that it came in, so that a few answers took all memory.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_bodies_in_small_pieces_take_little_memory() {
+    let harness = Harness::start("pieces").await;
+    set_faults(&harness.replicas, Fault::EndlessPieces, 1.0);
+    // A charge reads its answer until its deadline.
+    let mut charges = JoinSet::new();
+    for _ in 0..CONCURRENT_QUERIES {
+        let (caller, id) = (harness.caller.clone(), harness.next_id());
+        charges.spawn(async move { caller.send(RequestKind::Charge, &id, ANSWER_TIMEOUT).await });
+    }
+    for outcome in charges.join_all().await {
+        let failed = matches!(outcome, Outcome::ErrorStatus(504) | Outcome::RefusedNotRun);
+        assert!(failed, "{outcome:?}:\n{}", harness.process.log());
+    }
+    let memory = harness.process.peak_memory_kb();
+    assert!(memory < MAX_MEMORY_KB, "{memory} KB");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn endless_heads_are_cut_off_and_queries_are_answered() {
     check_endless_answers(Fault::EndlessHead).await;
