Test answers that end within their head

Other operators report a 200 with an empty or short body, framed as whole, after a replica stopped in the middle of its answer's head. It can't happen here: hyper reports such an end as an error, which becomes Failure::NoAnswer. The test cuts the answers to 160 charges and 160 queries after each length of the head: none was answered with success, and none ran twice or was refused as not run after it ran.

--- a/crates/berylpin_daemon/tests/platform/main.rs
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -7,3 +7,4 @@
 mod silent_store;
 mod soak;
 mod store_outage;
+mod truncated_heads;
