Bound the memory for the bodies of requests

In a burst of requests with long bodies a daemon exceeded its memory limit and was killed with some 870 requests that had reached sound replicas.

Cause: a request keeps its body for another attempt until it is answered, and only the number of requests in flight was limited, which allows 512 MB; bodies that were being received counted nowhere. Answers were ruled out, as they are a few bytes and have a limit of their own, and so were connections, as the daemon stays at 16 MB without the burst.

The bodies of requests, those of peers included, now share a quarter of the memory that the settings allow. What does not fit is read without being kept and refused at once as not run, with a log line that says no_memory. Callers' bodies are read by the same function as answers, so pieces of them no longer keep read buffers either.

--- a/crates/berylpin_core/src/direct/completion.rs
+++ b/crates/berylpin_core/src/direct/completion.rs
@@ -196,13 +196,19 @@
     actions: &mut Vec<Action<H>>,
 ) {
     actions.push(Action::Log(ticket, DirectDecision::Refused { reason, version }));
-    let retry_after = match reason {
-        RefusalReason::NoRoute => None,
-        RefusalReason::NotReady => Some(RETRY_AFTER_NOT_READY),
-        // Other daemons can serve the request at once.
-        RefusalReason::Stopping => Some(Duration::ZERO),
-        _ => Some(RETRY_AFTER),
-    };
-    let verdict = Verdict::NotRun;
-    actions.push(Action::Answer(ticket, Answer::Refused { reason, verdict, retry_after }));
+    actions.push(Action::Answer(ticket, Answer::refused_unsent(reason)));
+}
+
+impl<H> Answer<H> {
+    /// Returns the refusal of a request for which no attempt was sent.
+    pub fn refused_unsent(reason: RefusalReason) -> Self {
+        let retry_after = match reason {
+            RefusalReason::NoRoute => None,
+            RefusalReason::NotReady => Some(RETRY_AFTER_NOT_READY),
+            // Other daemons can serve the request at once.
+            RefusalReason::Stopping => Some(Duration::ZERO),
+            _ => Some(RETRY_AFTER),
+        };
+        Self::Refused { reason, verdict: Verdict::NotRun, retry_after }
+    }
 }
--- a/crates/berylpin_core/src/direct/delegation.rs
+++ b/crates/berylpin_core/src/direct/delegation.rs
@@ -313,12 +313,7 @@
         let Some((route_index, parts, view)) = found else {
             // This daemon has another configuration, has no room or stops; the entry sends the
             // attempts itself.
-            let missing = (0..request.services.len() as u16).map(|p| (p, Verdict::NotRun));
-            let reply = PartsReply {
-                parts: Vec::new(),
-                missing: missing.collect(),
-                records: [][..].into(),
-            };
+            let reply = PartsReply::not_run(request.services.len());
             return actions.push(Action::SendParts(ticket, reply, true));
         };
         let count = parts.len();
--- a/crates/berylpin_core/src/direct/event.rs
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -233,6 +233,8 @@
     Timeout,
     /// This daemon stops before the request could be answered.
     Stopping,
+    /// The memory for the bodies of requests is used up.
+    NoMemory,
 }
 
 impl RefusalReason {
@@ -246,6 +248,7 @@
             Self::Failed => "failed",
             Self::Timeout => "timeout",
             Self::Stopping => "stopping",
+            Self::NoMemory => "no_memory",
         }
     }
 }
--- a/crates/berylpin_core/src/direct/peers.rs
+++ b/crates/berylpin_core/src/direct/peers.rs
@@ -71,6 +71,14 @@
     pub records: Bytes,
 }
 
+impl PartsReply {
+    /// Returns the last reply to a request for `count` parts of which none was sent.
+    pub fn not_run(count: usize) -> Self {
+        let missing = (0..count as u16).map(|part| (part, Verdict::NotRun));
+        Self { parts: Vec::new(), missing: missing.collect(), records: Bytes::new() }
+    }
+}
+
 /// A call to a peer that has not ended.
 #[derive(Debug)]
 pub(super) struct Call {
--- a/crates/berylpin_daemon/src/direct/body.rs
+++ b/crates/berylpin_daemon/src/direct/body.rs
@@ -56,6 +56,15 @@
     }
 }
 
+/// Reads the rest of a body without keeping it, so that the answer is not lost in a reset of the
+/// connection.
+pub(super) async fn discard_body(body: &mut Incoming) -> Result<(), BodyError> {
+    while let Some(frame) = body.frame().await {
+        frame.map_err(|_| BodyError::Broken)?;
+    }
+    Ok(())
+}
+
 /// Reads a body of at most `limit` bytes.
 ///
 /// A chunk is a slice of the connection's read buffer and keeps all of it in memory, so the chunks
--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -1,5 +1,6 @@
 //! The HTTP server for callers.
 
+use super::body::{BodyError, ReservedMemory, discard_body, read_body};
 use super::process::{ACCEPT_BACKOFF, Shared};
 use super::traffic::{DisconnectGuard, Payload, Traffic};
 use berylpin_core::direct::{Answer, ClientLimits, RefusalReason};
@@ -7,7 +8,7 @@
 use berylpin_platform::{merged_headers, read_request_head, refusal_headers, relayed_headers};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -94,16 +95,22 @@
     if head.request_id.is_empty() {
         return empty_response(StatusCode::BAD_REQUEST, HeaderMap::new());
     }
-    let body = Limited::new(body, limits.body_bytes).collect();
+    let mut memory = traffic.request_memory().reserve();
+    let body = read_request_body(body, limits.body_bytes, &mut memory);
     let body = match tokio::time::timeout(limits.header_timeout, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLong)) => {
             return empty_response(StatusCode::PAYLOAD_TOO_LARGE, HeaderMap::new());
         }
-        Ok(Err(_)) => return empty_response(StatusCode::BAD_REQUEST, HeaderMap::new()),
+        Ok(Err(BodyError::NoMemory)) => {
+            return encode_answer(traffic.refuse(&head.request_id, RefusalReason::NoMemory));
+        }
+        Ok(Err(BodyError::Broken)) => {
+            return empty_response(StatusCode::BAD_REQUEST, HeaderMap::new());
+        }
         Err(_) => return empty_response(StatusCode::REQUEST_TIMEOUT, HeaderMap::new()),
     };
-    let payload = Payload { method: parts.method, uri: parts.uri, head, body };
+    let payload = Payload { method: parts.method, uri: parts.uri, head, body, _memory: memory };
     let (ticket, reply) = traffic.start_request(payload);
     let mut guard = DisconnectGuard::new(traffic, ticket);
     let answer = reply.await;
@@ -115,6 +122,19 @@
     }
 }
 
+/// Reads the body of a request; a body for which there is no memory is read to its end and dropped.
+async fn read_request_body(
+    mut body: Incoming,
+    limit: usize,
+    memory: &mut ReservedMemory,
+) -> Result<Bytes, BodyError> {
+    let read = read_body(&mut body, limit, memory).await;
+    if read == Err(BodyError::NoMemory) {
+        discard_body(&mut body).await?;
+    }
+    read
+}
+
 fn encode_answer(answer: Answer<HeaderMap>) -> Response<Full<Bytes>> {
     match answer {
         Answer::Relayed(reply) => {
--- a/crates/berylpin_daemon/src/direct/links.rs
+++ b/crates/berylpin_daemon/src/direct/links.rs
@@ -192,7 +192,7 @@
     }
 
     fn encode(self) -> Bytes {
-        let Payload { method, uri, head, body } = &*self.payload;
+        let Payload { method, uri, head, body, .. } = &*self.payload;
         let headers = head.forwarded.iter();
         let headers = headers.map(|(name, value)| {
             (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes()))
--- a/crates/berylpin_daemon/src/direct/peers.rs
+++ b/crates/berylpin_daemon/src/direct/peers.rs
@@ -1,11 +1,12 @@
 //! The HTTP/2 server for peers.
 
+use super::body::ReservedMemory;
 use super::control::StateDeltaRequest;
 use super::process::ACCEPT_BACKOFF;
 use super::streams::{STATE_DELTA_URI, StreamError, encode_frame, read_value};
 use super::traffic::{DisconnectGuard, Payload, Traffic};
 use crate::logging::Log;
-use berylpin_core::direct::PartsRequest;
+use berylpin_core::direct::{PartsReply, PartsRequest};
 use berylpin_platform::RequestHead;
 use berylpin_wire::parts::{DelegatedReply, DelegatedRequest};
 use bytes::Bytes;
@@ -99,11 +100,18 @@
     mut respond: SendResponse<Bytes>,
     traffic: Rc<Traffic>,
 ) -> Result<(), StreamError> {
-    let request = read_value(body, MAX_REQUEST_BYTES).await?;
-    let (payload, parts) = decode(request).ok_or(StreamError::Incomplete)?;
+    let request: DelegatedRequest = read_value(body, MAX_REQUEST_BYTES).await?;
+    let mut memory = traffic.request_memory().reserve();
+    let has_memory = memory.try_extend(request.body.len());
+    let (payload, parts) = decode(request, memory).ok_or(StreamError::Incomplete)?;
+    let mut stream = respond.send_response(Response::new(()), false)?;
+    if !has_memory {
+        // The entry sends the attempts itself.
+        let reply = PartsReply::not_run(parts.services.len());
+        return send(&mut stream, &DelegatedReply { reply, last: true });
+    }
     let (ticket, mut replies) = traffic.start_parts_request(payload, parts);
     let mut guard = DisconnectGuard::new(traffic, ticket);
-    let mut stream = respond.send_response(Response::new(()), false)?;
     loop {
         let reply = tokio::select! {
             reply = replies.recv() => reply,
@@ -124,7 +132,7 @@
     Ok(())
 }
 
-fn decode(request: DelegatedRequest) -> Option<(Payload, PartsRequest)> {
+fn decode(request: DelegatedRequest, memory: ReservedMemory) -> Option<(Payload, PartsRequest)> {
     let DelegatedRequest { request_id, method, uri, headers, body, parts } = request;
     let mut forwarded = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
@@ -138,5 +146,6 @@
         forwarded,
     };
     let method = method.parse().ok()?;
-    Some((Payload { method, uri: uri.parse().ok()?, head, body }, parts))
+    let payload = Payload { method, uri: uri.parse().ok()?, head, body, _memory: memory };
+    Some((payload, parts))
 }
--- a/crates/berylpin_daemon/src/direct/traffic.rs
+++ b/crates/berylpin_daemon/src/direct/traffic.rs
@@ -1,14 +1,14 @@
 //! The traffic thread: passes events to the dispatcher and carries out its actions.
 
 use super::attempt::AttemptTask;
-use super::body::MemoryBudget;
+use super::body::{MemoryBudget, ReservedMemory};
 use super::decision_log::DecisionLog;
 use super::links::{DelegatedCall, PeerLinks, PeerSender, connect_peer};
 use super::pool::{Connection, ConnectionPools};
 use super::process::Shared;
 use berylpin_core::direct::{
-    Action, Answer, AttemptKey, CallKey, Dispatcher, Event, ExtraLimits, Outcome, PartsRequest,
-    Replica, Request, Ticket, View,
+    Action, Answer, AttemptKey, CallKey, DirectDecision, Dispatcher, Event, ExtraLimits, Outcome,
+    PartsRequest, RefusalReason, Replica, Request, Ticket, View,
 };
 use berylpin_core::ids::{PeerId, ReplicaId};
 use berylpin_core::verdict::Verdict;
@@ -30,6 +30,9 @@
 /// The share of the process's memory, as a divisor, for answers that are being read.
 const ANSWER_MEMORY_DIVISOR: usize = 8;
 
+/// The share of the process's memory, as a divisor, for the bodies of requests.
+const REQUEST_MEMORY_DIVISOR: usize = 4;
+
 /// The context and parameters of a traffic thread.
 pub(super) struct TrafficContext {
     pub(super) shared: Shared,
@@ -47,6 +50,8 @@
     pub(super) uri: Uri,
     pub(super) head: RequestHead,
     pub(super) body: Bytes,
+    /// The memory of `body`, for as long as the request may be sent.
+    pub(super) _memory: ReservedMemory,
 }
 
 /// A request that has not received its last answer.
@@ -83,6 +88,8 @@
     shared: Shared,
     state: RefCell<State>,
     answer_memory: MemoryBudget,
+    /// The memory for the bodies of requests that are being received or have no answer.
+    request_memory: MemoryBudget,
     leaving: mpsc::Sender<Arc<Replica>>,
     next_ticket: Cell<u64>,
     /// When the timer task wakes the dispatcher; `None` if no timer is set.
@@ -108,6 +115,7 @@
             shared,
             state: RefCell::new(state),
             answer_memory: MemoryBudget::new(memory_limit / ANSWER_MEMORY_DIVISOR),
+            request_memory: MemoryBudget::new(memory_limit / REQUEST_MEMORY_DIVISOR),
             leaving,
             next_ticket: Cell::new(0),
             timer_due_at: Cell::new(None),
@@ -228,6 +236,19 @@
         &self.answer_memory
     }
 
+    /// Returns the memory for the bodies of requests.
+    pub(super) fn request_memory(&self) -> &MemoryBudget {
+        &self.request_memory
+    }
+
+    /// Refuses a request before it is started, and logs that.
+    pub(super) fn refuse(&self, request_id: &str, reason: RefusalReason) -> Answer<HeaderMap> {
+        let version = self.view().map(|view| view.version);
+        let decision = DirectDecision::Refused { reason, version };
+        self.state.borrow_mut().decision_log.record(request_id, &decision, self.now());
+        Answer::refused_unsent(reason)
+    }
+
     /// Handles an answer that announces that its replica leaves: the replica gets nothing more from
     /// this thread, and the control thread excludes it from later views.
     pub(super) fn handle_leaving_replica(&self, replica: &Arc<Replica>) {
--- a/crates/berylpin_daemon/tests/platform/main.rs
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! Daemons on the users' platform, run as processes against stand-ins for store and replicas.
 
 mod connections;
+mod long_bodies;
 mod planned_stop;
 mod process;
 mod replicas_in_trouble;
