--- a/crates/berylpin_core/src/direct/attempts.rs
+++ b/crates/berylpin_core/src/direct/attempts.rs
@@ -60,7 +60,7 @@
         let request = self.requests.get_mut(key).ok_or(NotSent::NoReplica)?;
         let (view, route_index) = (request.view.clone(), request.route_index);
         let route = &view.routes[route_index];
-        if self.stop.is_some_and(|stop| now >= stop.latest_start(route.target_latency)) {
+        if self.stop.is_some_and(|stop| stop.is_too_late(route.target_latency, now)) {
             return Err(NotSent::Stopping);
         }
         let part = &mut request.parts[index];
--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -41,6 +41,7 @@
     Never,
     /// The last call failed.
     Ongoing,
+    /// The first call since the last outage was answered at this time.
     EndedAt(Instant),
 }
 
@@ -63,6 +64,7 @@
     replicas_revision: Option<u64>,
     /// Sorted by name.
     replicas: Vec<KnownReplica>,
+    /// The last outage of the store.
     outage: Outage,
     /// How long after an outage removed replicas stay in use.
     expiry_grace: Duration,
@@ -81,8 +83,9 @@
 }
 
 impl Catalogue {
-    /// Creates an empty catalogue for `daemon`; `regions` is sorted by data centre. Removed replicas
-    /// are dropped at once, also after an outage of the store.
+    /// Creates an empty catalogue for `daemon`; `regions` is sorted by data centre.
+    ///
+    /// Removed replicas are dropped at once, unless [`Self::with_expiry_grace`] sets a grace time.
     pub fn new(daemon: String, data_centre: String, regions: Vec<(String, String)>) -> Self {
         let own_data_centre = data_centre.clone();
         Self {
--- a/crates/berylpin_core/src/direct/stop.rs
+++ b/crates/berylpin_core/src/direct/stop.rs
@@ -54,6 +54,11 @@
 }
 
 impl Stop {
+    /// Returns whether it is too late for attempts of a route.
+    pub(super) fn is_too_late(&self, target_latency: Duration, now: Instant) -> bool {
+        now >= self.latest_start(target_latency)
+    }
+
     /// Returns until when attempts are sent; later ones could hardly be answered in time, and a
     /// caller that is refused instead can use another daemon at once.
     pub(super) fn latest_start(&self, target_latency: Duration) -> Instant {
@@ -91,9 +96,9 @@
         self.timers.set(latest_start, Timer::LatestStart(key));
     }
 
-    /// Returns whether it is too late in a stop for attempts of a route.
+    /// Returns whether this daemon stops too soon for attempts of a route.
     pub(super) fn is_too_late(&self, target_latency: Duration, now: Instant) -> bool {
-        self.stop.is_some_and(|stop| now >= stop.latest_start(target_latency))
+        self.stop.is_some_and(|stop| stop.is_too_late(target_latency, now))
     }
 
     /// Fails the parts of a request that wait for an attempt, because none is sent any more.
--- a/crates/berylpin_daemon/src/direct/body.rs
+++ b/crates/berylpin_daemon/src/direct/body.rs
@@ -56,11 +56,16 @@
     }
 }
 
-/// Reads the rest of a body without keeping it, so that the answer is not lost in a reset of the
-/// connection.
-pub(super) async fn discard_body(body: &mut Incoming) -> Result<(), BodyError> {
+/// Reads the rest of a body, of at most `limit` bytes, without keeping it, so that the answer is not
+/// lost in a reset of the connection.
+pub(super) async fn discard_body(body: &mut Incoming, limit: usize) -> Result<(), BodyError> {
+    let mut read = 0;
     while let Some(frame) = body.frame().await {
-        frame.map_err(|_| BodyError::Broken)?;
+        let Ok(chunk) = frame.map_err(|_| BodyError::Broken)?.into_data() else { continue };
+        read += chunk.len();
+        if read > limit {
+            return Err(BodyError::TooLong);
+        }
     }
     Ok(())
 }
--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -130,7 +130,7 @@
 ) -> Result<Bytes, BodyError> {
     let read = read_body(&mut body, limit, memory).await;
     if read == Err(BodyError::NoMemory) {
-        discard_body(&mut body).await?;
+        discard_body(&mut body, limit).await?;
     }
     read
 }
