Count the arrivals of a failed query before the pause is checked

The log of that run names the cause: the query before the count sent 12 attempts and failed after 8 had ended, as too few shards were left; the charge and the query after the count have attempts 0. So the late arrival was an attempt that was already in flight, and no pause was broken.

The test counted too early. It now waits until no attempt of that query can arrive any more, as the daemon aborts them after 300 ms, and then requires the same: not one more arrival.

--- a/crates/berylpin_daemon/tests/platform/replicas_in_trouble.rs
+++ b/crates/berylpin_daemon/tests/platform/replicas_in_trouble.rs
@@ -35,6 +35,10 @@
 /// included.
 const MAX_BYTES_PER_REQUEST: u64 = 16 << 20;
 
+/// The time within which all attempts of a request that ended have arrived; the daemon aborts them
+/// sooner. Shorter than `REQUESTED_PAUSE`.
+const IN_FLIGHT_TIME: Duration = Duration::from_millis(500);
+
 /// One daemon with two replicas of each shard.
 struct Harness {
     store: Store,
@@ -271,6 +275,8 @@
     let harness = Harness::start("all-pause").await;
     set_faults(&harness.replicas, Fault::RefuseWithPause, 1.0);
     harness.query().await;
+    // The query fails once too few shards are left, while attempts at the others are in flight.
+    sleep(IN_FLIGHT_TIME).await;
     let arrivals = harness.arrivals();
     let outcome = harness.caller.send(RequestKind::Charge, "charge", ANSWER_TIMEOUT).await;
     assert_eq!(outcome, Outcome::RefusedNotRun);
