Log how long calls to the store took, and when a configuration is in use

- store call failed has elapsed_ms, store recovered the number of failures; answers that are late are logged for each kind, not for replicas only
- route: configuration in use, from the traffic thread
- berylpin_configuration_unconfirmed_seconds, the time between two answers for the configuration

--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -17,6 +17,7 @@
 mod catalogue;
 mod completion;
 mod configuration;
+mod confirmation;
 mod delegation;
 mod dispatcher;
 mod event;
@@ -42,6 +43,7 @@
 pub use configuration::{
     ClientLimits, Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget,
 };
+pub use confirmation::Confirmation;
 pub use dispatcher::Dispatcher;
 pub use event::{
     Action, Answer, AttemptKey, BodyLimits, Cause, DirectDecision, Event, Failure, MissingCause,
--- a/crates/berylpin_daemon/src/direct/control/daemon_entries.rs
+++ b/crates/berylpin_daemon/src/direct/control/daemon_entries.rs
@@ -1,6 +1,7 @@
 //! The entries of daemons in the store: this daemon renews its own and removes expired ones.
 
-use super::{Control, MAX_DAEMONS_RETRY_BACKOFF, retry_backoff};
+use super::Control;
+use super::watches::{MAX_DAEMONS_RETRY_BACKOFF, retry_backoff};
 use berylpin_core::direct::{DaemonEntry, RENEWAL_INTERVAL};
 use berylpin_platform::{Change, Object, ObjectKind, decode_daemon_entry};
 use rand::Rng;
@@ -61,6 +62,7 @@
             }
             let renewal_due = renew_at.is_none_or(|at| at <= self.now());
             if listed && (renewal_due || !is_current) {
+                let called_at = self.now();
                 match self.store().put_daemon_entry(&own, renewals).await {
                     Ok(()) => {
                         renewals += 1;
@@ -68,7 +70,7 @@
                         renew_at = Some(self.now() + RENEWAL_INTERVAL);
                     }
                     Err(e) => {
-                        self.log_store_state(ObjectKind::Daemons, Some(&e));
+                        self.log_store_failure(ObjectKind::Daemons, &e, called_at);
                         failures += 1;
                         renew_at = Some(self.now());
                     }
--- a/crates/berylpin_daemon/src/direct/control/state_delta.rs
+++ b/crates/berylpin_daemon/src/direct/control/state_delta.rs
@@ -48,11 +48,7 @@
         loop {
             let delay = FETCH_INTERVAL.mul_f64(rand::rng().random_range(1.0..2.0));
             tokio::time::sleep(delay).await;
-            let unreachable = self
-                .unreachable_since
-                .get()
-                .is_some_and(|at| self.now().saturating_duration_since(at) >= FETCH_DELAY);
-            if !unreachable {
+            if self.confirmation.get().unreachable_for(self.now()) < FETCH_DELAY {
                 continue;
             }
             let Some(peer) = self.choose_peer() else { continue };
--- /dev/null
+++ b/crates/berylpin_daemon/src/direct/control/watches.rs
@@ -0,0 +1,195 @@
+//! Lists and watches of the objects of one kind in the store.
+
+use super::Control;
+use berylpin_core::direct::{
+    Catalogue, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER, StoreCall, StoreTimes,
+};
+use berylpin_platform::{Change, Freshness, Object, ObjectKind, StoreError};
+use rand::Rng;
+use slog::info;
+use std::time::{Duration, Instant};
+
+/// How long a watch of the daemons waits; there is no time limit for applying their changes.
+const DAEMONS_WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// The delay after a change of replicas, which batches further changes: a release changes many
+/// within seconds. The drain limit is longer than this delay.
+const REPLICAS_BATCH_DELAY: Duration = Duration::from_millis(300);
+
+/// The delay after a change of daemons, which batches further changes: when a fleet starts, all
+/// daemons write their entries within 1 s.
+const DAEMONS_BATCH_DELAY: Duration = Duration::from_secs(3);
+
+/// The maximum back-off for the configuration and the replicas, which must be current soon after
+/// the store recovers.
+const MAX_RETRY_BACKOFF: Duration = Duration::from_secs(1);
+
+/// The maximum back-off for the daemons, which change rarely.
+pub(super) const MAX_DAEMONS_RETRY_BACKOFF: Duration = Duration::from_secs(4);
+
+/// How the objects of one kind are listed and watched.
+pub(super) struct WatchConfig {
+    kind: ObjectKind,
+    /// How long the store holds a watch if nothing changes.
+    wait: Duration,
+    watch_freshness: Freshness,
+    list_freshness: Freshness,
+    /// The delay after each change, which batches further changes.
+    batch_delay: Duration,
+    /// The maximum back-off after failed calls, before jitter.
+    max_backoff: Duration,
+    /// Applies the complete list at a revision.
+    apply_list: fn(&Control, Vec<Object>, u64),
+    /// Applies changes in their order, up to a revision.
+    apply_changes: fn(&Control, Vec<Change>, u64),
+    /// Returns the catalogue's revision of the kind, which state from a peer may have advanced.
+    catalogue_revision: fn(&Catalogue) -> Option<u64>,
+}
+
+impl WatchConfig {
+    pub(super) fn configuration(times: &StoreTimes) -> Self {
+        Self {
+            kind: ObjectKind::Configuration,
+            wait: times.configuration_wait,
+            watch_freshness: Freshness::Newest,
+            list_freshness: Freshness::Newest,
+            batch_delay: Duration::ZERO,
+            max_backoff: MAX_RETRY_BACKOFF,
+            apply_list: Control::apply_configuration_list,
+            apply_changes: Control::apply_configuration_changes,
+            catalogue_revision: |_| None,
+        }
+    }
+
+    pub(super) fn replicas(times: &StoreTimes) -> Self {
+        Self {
+            kind: ObjectKind::Replicas,
+            wait: times.replicas_wait,
+            watch_freshness: Freshness::MaybeStale,
+            list_freshness: Freshness::Newest,
+            batch_delay: REPLICAS_BATCH_DELAY,
+            max_backoff: MAX_RETRY_BACKOFF,
+            apply_list: Control::apply_replica_list,
+            apply_changes: Control::apply_replica_changes,
+            catalogue_revision: |catalogue| catalogue.revisions().replicas,
+        }
+    }
+
+    pub(super) fn daemons() -> Self {
+        Self {
+            kind: ObjectKind::Daemons,
+            wait: DAEMONS_WATCH_WAIT,
+            watch_freshness: Freshness::MaybeStale,
+            list_freshness: Freshness::MaybeStale,
+            batch_delay: DAEMONS_BATCH_DELAY,
+            max_backoff: MAX_DAEMONS_RETRY_BACKOFF,
+            apply_list: Control::apply_daemon_list,
+            apply_changes: Control::apply_daemon_changes,
+            catalogue_revision: |catalogue| catalogue.revisions().daemons,
+        }
+    }
+}
+
+/// Returns how long the next watch waits.
+///
+/// A watch does not wait after a failed call: a store that accepts calls without answering would
+/// hold it for the whole wait, even if the store recovers right after the call.
+fn next_watch_wait(wait: Duration, last_succeeded: bool) -> Duration {
+    if last_succeeded { wait } else { Duration::ZERO }
+}
+
+/// Returns the back-off after `failures` consecutive failed calls, before jitter.
+pub(super) fn retry_backoff(failures: u32, max_backoff: Duration) -> Duration {
+    let doublings = failures.saturating_sub(1).min(8);
+    (INITIAL_RETRY_BACKOFF * 2u32.pow(doublings)).min(max_backoff)
+}
+
+impl Control {
+    /// Lists the objects of a kind and watches them from then on; does not return.
+    ///
+    /// Lists them again if the store no longer holds the changes since the last revision.
+    pub(super) async fn watch_kind(&self, config: WatchConfig) {
+        let mut revision = None;
+        let mut failures = 0;
+        loop {
+            // State from a peer may be newer than the last watch; a watch from an older revision
+            // would revert it.
+            revision = revision.max(
+                (config.catalogue_revision)(&self.catalogue.borrow())
+                    .filter(|_| revision.is_some()),
+            );
+            let wait = next_watch_wait(config.wait, failures == 0);
+            let called_at = self.now();
+            let result = self.list_or_watch(&config, revision, wait).await;
+            match &result {
+                Ok(_) if failures > 0 => {
+                    info!(self.shared.log, "control: store recovered";
+                        "kind" => config.kind.name(), "failures" => failures);
+                    if config.kind == ObjectKind::Daemons {
+                        self.catalogue.borrow_mut().store_recovered(self.now());
+                    }
+                }
+                Err(e) if failures == 0 => self.log_store_failure(config.kind, e, called_at),
+                _ => {}
+            }
+            failures = if result.is_ok() { 0 } else { failures + 1 };
+            match result {
+                Ok(newest) => {
+                    let changed = revision.replace(newest) != Some(newest);
+                    if changed {
+                        tokio::time::sleep(config.batch_delay).await;
+                    }
+                }
+                Err(StoreError::RevisionCompacted) => revision = None,
+                Err(_) => {
+                    let jitter = rand::rng().random_range(1.0..f64::from(MAX_BACKOFF_JITTER));
+                    let backoff = retry_backoff(failures, config.max_backoff);
+                    tokio::time::sleep(backoff.mul_f64(jitter)).await;
+                }
+            }
+        }
+    }
+
+    async fn list_or_watch(
+        &self,
+        config: &WatchConfig,
+        since: Option<u64>,
+        wait: Duration,
+    ) -> Result<u64, StoreError> {
+        let WatchConfig {
+            kind, watch_freshness, list_freshness, apply_list, apply_changes, ..
+        } = config;
+        let (store, called_at) = (self.store(), self.now());
+        let Some(since) = since else {
+            let listing = store.list(*kind, *list_freshness).await;
+            self.record_call(*kind, listing.is_ok(), called_at, Duration::ZERO);
+            let listing = listing?;
+            apply_list(self, listing.objects, listing.revision);
+            return Ok(listing.revision);
+        };
+        let changes = store.watch(*kind, since, wait, *watch_freshness).await;
+        self.record_call(*kind, changes.is_ok(), called_at, wait);
+        let (changes, revision) = changes?;
+        apply_changes(self, changes, revision);
+        Ok(revision)
+    }
+
+    /// Records what a call shows about the store; must precede the changes that it returned.
+    fn record_call(&self, kind: ObjectKind, succeeded: bool, called_at: Instant, wait: Duration) {
+        let now = self.now();
+        let elapsed = now.saturating_duration_since(called_at);
+        let call = StoreCall::classify(succeeded, elapsed, wait);
+        if call == StoreCall::Late {
+            info!(self.shared.log, "control: store answered late"; "kind" => kind.name(),
+                "elapsed_ms" => elapsed.as_millis() as u64, "wait_ms" => wait.as_millis() as u64);
+        }
+        match kind {
+            ObjectKind::Configuration => self.record_configuration_call(succeeded),
+            ObjectKind::Replicas => self.catalogue.borrow_mut().record_replicas_call(call, now),
+            ObjectKind::Daemons => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_daemon/src/direct/traffic.rs
+++ b/crates/berylpin_daemon/src/direct/traffic.rs
@@ -387,9 +387,13 @@
 
     async fn apply_views(self: Rc<Self>) {
         let mut views = self.shared.view.clone();
+        let mut version = None;
         loop {
             let view = views.borrow_and_update().clone();
             if let Some(view) = view {
+                if version.replace(view.version) != Some(view.version) {
+                    info!(self.shared.log, "route: configuration in use"; "version" => view.version);
+                }
                 self.state.borrow_mut().links.retain(|id| view.has_peer(id));
                 self.handle(Event::View(view));
             }
--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -35,6 +35,9 @@
 /// they are recorded.
 pub(crate) const REQUEST_DURATION: &str = "berylpin_request_duration_seconds";
 
+/// The time between two answers of the store to calls for the configuration.
+pub(crate) const CONFIGURATION_UNCONFIRMED: &str = "berylpin_configuration_unconfirmed_seconds";
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] =
     [0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
@@ -55,6 +58,7 @@
         .set_buckets_for_metric(full_name(QUERY_DURATION), &LATENCY_BUCKETS)?
         .set_buckets_for_metric(full_name(REQUEST_DURATION), &LATENCY_BUCKETS)?
         .set_buckets_for_metric(full_name(QUEUE_DELAY), &LATENCY_BUCKETS)?
+        .set_buckets_for_metric(full_name(CONFIGURATION_UNCONFIRMED), &LATENCY_BUCKETS)?
         .set_buckets_for_metric(full_name(QUERY_COVERAGE), &COVERAGE_BUCKETS)?
         .build_recorder();
     let handle = recorder.handle();
