Reproduce a configuration that is in force too late after a silent connection

A version is written 1 s after the open connections to the store went silent; its 3 s and the settle time of 4 s both end 4 s after the silence began. The test fails on this code:

assertion left == right failed: requests by the older version: left: 131, right: 0 control: configuration in force version=2 .46 control: store call failed kind=configuration elapsed_ms=6001 6.0 s after the watch began

The watch asks for 4.8 s and is given up 1.2 s later, 5.4 s after the silence.

--- a/crates/berylpin_daemon/tests/platform/silent_store.rs
+++ b/crates/berylpin_daemon/tests/platform/silent_store.rs
@@ -15,58 +15,115 @@
 /// The bounds in the settings of the daemon.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+const APPLY_LIMIT: Duration = Duration::from_secs(3);
 
 /// How long after a change of an entry the next watch has begun.
 const WATCH_DELAY: Duration = Duration::from_millis(600);
 
-/// How long charges are sent after `DRAIN_LIMIT`.
+/// How long charges are sent after a limit.
 const OBSERVED_TIME: Duration = Duration::from_millis(1500);
 
+/// A store behind a proxy, replicas of the services `a0`, `ledger` and `archive`, and a daemon that
+/// serves charges with the `ledger`.
+struct Setup {
+    store: Store,
+    net: Arc<Net>,
+    replicas: Vec<Replica>,
+    process: Process,
+    caller: Caller,
+    _proxy: Proxy,
+}
+
+impl Setup {
+    async fn start(name: &str) -> Self {
+        let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
+        let run_log = Arc::<RunLog>::default();
+        let mut replicas = Vec::new();
+        for service in ["a0", "ledger", "ledger", "archive"] {
+            let id = format!("{service}-{}", replicas.len());
+            let replica = Replica::start(&id, service, run_log.clone(), 1).await.unwrap();
+            store.put("servers", &id, entry(&replica));
+            replicas.push(replica);
+        }
+        put_configuration(&store, 1, "ledger");
+        let net = Net::new(Duration::ZERO);
+        let target = ProxyTarget {
+            zone: Zone::PLATFORM,
+            address: store.address(),
+            max_connections: usize::MAX,
+            count_bytes: false,
+        };
+        let proxy = Proxy::start(net.clone(), 1, target).await.unwrap();
+        let mut process = Process::new(Zone(0), &ports, proxy.address(), name);
+        process.start();
+        let caller = Caller::new(process.caller_address()).unwrap();
+        let deadline = Instant::now() + SERVE_TIMEOUT;
+        while !charge(&caller).await {
+            assert!(Instant::now() < deadline, "not served:\n{}", process.log());
+            sleep(Duration::from_millis(50)).await;
+        }
+        Self { store, net, replicas, process, caller, _proxy: proxy }
+    }
+
+    /// Returns the replicas of a service.
+    fn replicas_of(&self, service: &str) -> Vec<&Replica> {
+        self.replicas.iter().filter(|replica| replica.service() == service).collect()
+    }
+
+    /// Sends charges until `end`.
+    async fn charge_until(&self, end: std::time::Instant) {
+        while std::time::Instant::now() < end {
+            charge(&self.caller).await;
+        }
+    }
+}
+
+/// Returns the number of requests that reached the replicas after a time.
+fn arrivals_after(replicas: &[&Replica], time: std::time::Instant) -> usize {
+    let arrivals = replicas.iter().flat_map(|replica| replica.arrivals());
+    arrivals.filter(|at| *at > time).count()
+}
+
 /// The watch that went silent was given up within its bound, but the removed replica then stayed
 /// in use for a grace time that the bound did not include.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_replica_removed_after_a_silent_connection_gets_nothing_beyond_the_drain_limit() {
-    let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
-    let run_log = Arc::<RunLog>::default();
-    let mut replicas = Vec::new();
-    for (id, service) in [("a0-0", "a0"), ("ledger-0", "ledger"), ("ledger-1", "ledger")] {
-        let replica = Replica::start(id, service, run_log.clone(), 1).await.unwrap();
-        store.put("servers", id, entry(&replica));
-        replicas.push(replica);
-    }
-    store.put("config", "main", configuration(1, &["a0".to_owned()], "ledger"));
-    let net = Net::new(Duration::ZERO);
-    let target = ProxyTarget {
-        zone: Zone::PLATFORM,
-        address: store.address(),
-        max_connections: usize::MAX,
-        count_bytes: false,
-    };
-    let proxy = Proxy::start(net.clone(), 1, target).await.unwrap();
-    let mut process = Process::new(Zone(0), &ports, proxy.address(), "silent-store");
-    process.start();
-    let caller = Caller::new(process.caller_address()).unwrap();
-    let deadline = Instant::now() + SERVE_TIMEOUT;
-    while !charge(&caller).await {
-        assert!(Instant::now() < deadline, "not served:\n{}", process.log());
-        sleep(Duration::from_millis(50)).await;
-    }
-    let mut changed = entry(&replicas[0]);
+    let setup = Setup::start("silent-replicas").await;
+    let mut changed = entry(&setup.replicas[0]);
     changed["slots"] = 5.into();
-    store.put("servers", replicas[0].id(), changed);
+    setup.store.put("servers", setup.replicas[0].id(), changed);
     sleep(WATCH_DELAY).await;
-    net.silence_connections();
+    setup.net.silence_connections();
     sleep(SETTLE_TIME).await;
-    let leaving = &replicas[1];
-    store.remove("servers", leaving.id());
+    let [leaving, staying] = setup.replicas_of("ledger")[..] else { panic!("two replicas") };
+    setup.store.remove("servers", leaving.id());
     let drained = std::time::Instant::now() + DRAIN_LIMIT;
-    while std::time::Instant::now() < drained + OBSERVED_TIME {
-        charge(&caller).await;
-    }
-    let late = leaving.arrivals().into_iter().filter(|at| *at > drained).count();
-    assert_eq!(late, 0, "late requests:\n{}", process.log());
-    let others = replicas[2].arrivals().into_iter().filter(|at| *at > drained).count();
-    assert!(others > 0, "no request after the drain limit");
+    setup.charge_until(drained + OBSERVED_TIME).await;
+    let log = setup.process.log();
+    assert_eq!(arrivals_after(&[leaving], drained), 0, "late requests:\n{log}");
+    assert!(arrivals_after(&[staying], drained) > 0, "no request after the drain limit");
+}
+
+/// The time until a silent watch is given up was derived from the settle time plus the limit for a
+/// change, although both run at the same time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_configuration_written_right_after_a_silence_is_in_force_after_the_settle_time() {
+    let setup = Setup::start("silent-configuration").await;
+    put_configuration(&setup.store, 2, "ledger");
+    sleep(WATCH_DELAY).await;
+    setup.net.silence_connections();
+    let settled = std::time::Instant::now() + SETTLE_TIME;
+    sleep(SETTLE_TIME.saturating_sub(APPLY_LIMIT)).await;
+    put_configuration(&setup.store, 3, "archive");
+    setup.charge_until(settled + OBSERVED_TIME).await;
+    let log = setup.process.log();
+    let late = arrivals_after(&setup.replicas_of("ledger"), settled);
+    assert_eq!(late, 0, "requests by the older version:\n{log}");
+    assert!(arrivals_after(&setup.replicas_of("archive"), settled) > 0, "no request served");
+}
+
+fn put_configuration(store: &Store, version: u64, charge_service: &str) {
+    store.put("config", "main", configuration(version, &["a0".to_owned()], charge_service));
 }
 
 fn entry(replica: &Replica) -> serde_json::Value {
