Learn of a newer configuration from any message of a peer

Requests for parts and their replies now carry the sender's version and address as headers, so frames stay as they are and an older daemon ignores them. A daemon that reads a newer version gives its own watch 0.5 s, then fetches the configuration, without entries, from that peer. This needs no call to the store, and holds where two calls fail in a row.

New line: control: peer has a newer configuration, with the version in force and unconfirmed_ms.

--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -171,6 +171,11 @@
         self.configuration.as_ref().map(|configuration| configuration.version)
     }
 
+    /// Returns whether the configuration in force is older than `version`.
+    pub fn is_older_than(&self, version: u64) -> bool {
+        self.version() < Some(version)
+    }
+
     pub(super) fn configuration(&self) -> Option<&Configuration> {
         self.configuration.as_ref()
     }
--- a/crates/berylpin_core/src/direct/state_delta.rs
+++ b/crates/berylpin_core/src/direct/state_delta.rs
@@ -17,6 +17,14 @@
     pub daemons: Option<u64>,
 }
 
+impl StateRevisions {
+    /// Returns the revisions with which a daemon asks for the configuration alone.
+    #[must_use]
+    pub fn with_newest_entries(self) -> Self {
+        Self { replicas: Some(u64::MAX), daemons: Some(u64::MAX), ..self }
+    }
+}
+
 /// The control state that is newer on one daemon than on another.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct StateDelta {
--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -1,8 +1,9 @@
 //! The HTTP server for callers.
 
 use super::body::{BodyError, ReservedMemory, discard_body, read_body};
+use super::disconnect::DisconnectGuard;
 use super::process::{ACCEPT_BACKOFF, Shared};
-use super::traffic::{DisconnectGuard, Payload, Traffic};
+use super::traffic::{Payload, Traffic};
 use berylpin_core::direct::{Answer, ClientLimits, RefusalReason};
 use berylpin_core::verdict::Verdict;
 use berylpin_platform::{merged_headers, read_request_head, refusal_headers, relayed_headers};
--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -7,6 +7,7 @@
 mod state_delta;
 mod watches;
 
+use super::peer_versions::PeerVersion;
 use super::process::Shared;
 use berylpin_core::direct::{Catalogue, Confirmation, Replica, StoreTimes, View};
 use berylpin_platform::{Object, ObjectKind, PlatformSettings, Store, StoreError};
@@ -29,6 +30,8 @@
     pub(super) state_requests: mpsc::Receiver<StateDeltaRequest>,
     /// Replicas that announced in an answer that they leave.
     pub(super) leaving: mpsc::Receiver<Arc<Replica>>,
+    /// Newer versions of the configuration that peers have in force.
+    pub(super) peer_versions: mpsc::Receiver<PeerVersion>,
 }
 
 /// The state of the control thread.
@@ -44,7 +47,7 @@
 
 /// Runs the tasks of the control thread; does not return.
 pub(super) async fn run_control(cx: ControlContext, shared: Shared) {
-    let ControlContext { settings, view, store, state_requests, leaving } = cx;
+    let ControlContext { settings, view, store, state_requests, leaving, peer_versions } = cx;
     let (catalogue, times) = {
         let settings = settings.borrow();
         let (data_centre, regions) = (settings.data_centre.clone(), settings.regions.clone());
@@ -71,6 +74,7 @@
         control.exclude_leaving_replicas(leaving),
         control.serve_state_deltas(state_requests),
         control.fetch_from_peers(),
+        control.follow_peer_versions(peer_versions),
     );
 }
 
--- a/crates/berylpin_daemon/src/direct/control/state_delta.rs
+++ b/crates/berylpin_daemon/src/direct/control/state_delta.rs
@@ -1,6 +1,7 @@
 //! Exchange of the configuration and of the entries of replicas and daemons between daemons while
 //! some of them cannot reach the store.
 
+use super::super::peer_versions::PeerVersion;
 use super::super::streams::{
     CONNECT_TIMEOUT, STATE_DELTA_URI, StreamError, connect, encode_frame, post_request, read_value,
 };
@@ -22,6 +23,10 @@
 /// The minimum interval between two requests to peers; jitter lengthens it up to twofold.
 const FETCH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How long after a peer reports a newer version it is fetched; this daemon's own watch usually
+/// returns it sooner.
+const OWN_WATCH_TIME: Duration = Duration::from_millis(500);
+
 /// The timeout for the head and for the body of an answer; the entries of all replicas of a large
 /// fleet take less than 1 MB.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -55,15 +60,41 @@
             let known = self.catalogue.borrow().revisions();
             match fetch_state_delta(peer, known).await {
                 Ok(delta) => self.apply_state_delta(peer, delta),
-                Err(e) => {
-                    debug!(self.shared.log,
-                        "control: configuration and entries not fetched from peer";
-                        "peer" => %peer, "cause" => %e);
-                }
+                Err(e) => self.log_failed_fetch(peer, &e),
             }
         }
     }
 
+    /// Fetches newer versions of the configuration that peers report, because this daemon's watch
+    /// may be on a connection that went silent; does not return.
+    pub(super) async fn follow_peer_versions(&self, mut reports: mpsc::Receiver<PeerVersion>) {
+        while let Some(PeerVersion { version, peer }) = reports.recv().await {
+            if !self.catalogue.borrow().is_older_than(version) {
+                continue;
+            }
+            tokio::time::sleep(OWN_WATCH_TIME).await;
+            let known = self.catalogue.borrow().revisions();
+            if !self.catalogue.borrow().is_older_than(version) {
+                continue;
+            }
+            let unconfirmed = self.confirmation.get().age(self.now());
+            info!(self.shared.log, "control: peer has a newer configuration"; "peer" => %peer,
+                "version" => version, "in_force" => known.version,
+                "unconfirmed_ms" => unconfirmed.as_millis() as u64);
+            match fetch_state_delta(peer, known.with_newest_entries()).await {
+                Ok(delta) => self.apply_state_delta(peer, delta),
+                Err(e) => self.log_failed_fetch(peer, &e),
+            }
+        }
+        // The traffic thread has ended, and the process with it.
+        std::future::pending::<()>().await;
+    }
+
+    fn log_failed_fetch(&self, peer: SocketAddr, cause: &StreamError) {
+        debug!(self.shared.log, "control: configuration and entries not fetched from peer";
+            "peer" => %peer, "cause" => %cause);
+    }
+
     /// Returns a random peer, or a random seed of the settings if no peer has an entry.
     fn choose_peer(&self) -> Option<SocketAddr> {
         let mut peers = self.catalogue.borrow().peer_addresses();
--- a/crates/berylpin_daemon/src/direct/peers.rs
+++ b/crates/berylpin_daemon/src/direct/peers.rs
@@ -2,9 +2,10 @@
 
 use super::body::ReservedMemory;
 use super::control::StateDeltaRequest;
+use super::disconnect::DisconnectGuard;
 use super::process::ACCEPT_BACKOFF;
 use super::streams::{STATE_DELTA_URI, StreamError, encode_frame, read_value};
-use super::traffic::{DisconnectGuard, Payload, Traffic};
+use super::traffic::{Payload, Traffic};
 use crate::logging::Log;
 use berylpin_core::direct::{PartsReply, PartsRequest};
 use berylpin_platform::RequestHead;
@@ -65,10 +66,12 @@
         let (request, respond) = accepted?;
         let cx = cx.clone();
         tokio::task::spawn_local(async move {
-            let served = if request.uri() == STATE_DELTA_URI {
-                serve_state_delta(request.into_body(), respond, &cx.state_requests).await
+            let (head, body) = request.into_parts();
+            cx.traffic.read_version(&head.headers);
+            let served = if head.uri == STATE_DELTA_URI {
+                serve_state_delta(body, respond, &cx.state_requests).await
             } else {
-                serve_parts(request.into_body(), respond, cx.traffic).await
+                serve_parts(body, respond, cx.traffic).await
             };
             if let Err(e) = served {
                 debug!(cx.log, "link: request of peer failed"; "cause" => %e);
@@ -104,7 +107,9 @@
     let mut memory = traffic.request_memory().reserve();
     let has_memory = memory.try_extend(request.body.len());
     let (payload, parts) = decode(request, memory).ok_or(StreamError::Incomplete)?;
-    let mut stream = respond.send_response(Response::new(()), false)?;
+    let mut response = Response::new(());
+    traffic.write_version(response.headers_mut());
+    let mut stream = respond.send_response(response, false)?;
     if !has_memory {
         // The entry sends the attempts itself.
         let reply = PartsReply::not_run(parts.services.len());
--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -2,6 +2,7 @@
 
 use super::caller::accept_callers;
 use super::control::{ControlContext, StateDeltaRequest, run_control};
+use super::peer_versions::PeerVersion;
 use super::peers::{PeerContext, accept_peers};
 use super::status::{StatusContext, serve_status};
 use super::traffic::{Traffic, TrafficContext};
@@ -39,6 +40,9 @@
 /// The maximum number of leaving replicas that wait for the control thread.
 const MAX_QUEUED_LEAVING: usize = 1024;
 
+/// The maximum number of peers' versions that wait for the control thread; peers repeat them.
+const MAX_QUEUED_PEER_VERSIONS: usize = 4;
+
 /// The stack size of each thread; the HTTP libraries have the deepest calls.
 const THREAD_STACK_BYTES: usize = 512 * 1024;
 
@@ -84,6 +88,7 @@
     let (settings_tx, settings_rx) = watch::channel(settings.clone());
     let (state_requests_tx, state_requests) = mpsc::channel(MAX_QUEUED_STATE_REQUESTS);
     let (leaving_tx, leaving) = mpsc::channel(MAX_QUEUED_LEAVING);
+    let (peer_versions_tx, peer_versions) = mpsc::channel(MAX_QUEUED_PEER_VERSIONS);
     let shared = Shared { clock: clock.clone(), log: log.clone(), view, stop, stop_accepting };
     info!(log, "daemon: started"; "name" => &settings.name,
         "version" => env!("CARGO_PKG_VERSION"), "data_centre" => &settings.data_centre);
@@ -96,8 +101,14 @@
     let control = {
         let shared = shared.clone();
         let store = Store::new(settings.store, settings.ip)?;
-        let cx =
-            ControlContext { settings: settings_rx, view: view_tx, store, state_requests, leaving };
+        let cx = ControlContext {
+            settings: settings_rx,
+            view: view_tx,
+            store,
+            state_requests,
+            leaving,
+            peer_versions,
+        };
         spawn_thread("control", move |local, runtime| {
             local.block_on(runtime, async move {
                 tokio::task::spawn_local(serve_status(status));
@@ -114,7 +125,11 @@
         let (shared, settings, log) = (shared.clone(), settings.clone(), log.clone());
         spawn_thread("traffic", move |local, runtime| {
             let sockets = (callers, peers);
-            let to_control = (state_requests_tx, leaving_tx);
+            let to_control = ToControl {
+                state_requests: state_requests_tx,
+                leaving: leaving_tx,
+                peer_versions: peer_versions_tx,
+            };
             let result =
                 local.block_on(runtime, run_traffic(&settings, shared, sockets, to_control));
             if let Err(e) = result {
@@ -144,13 +159,21 @@
     Ok(())
 }
 
+/// The traffic thread's queues to the control thread.
+struct ToControl {
+    state_requests: mpsc::Sender<StateDeltaRequest>,
+    leaving: mpsc::Sender<Arc<Replica>>,
+    peer_versions: mpsc::Sender<PeerVersion>,
+}
+
 /// Serves callers and peers until `stop_accepting` is set and all callers are answered.
 async fn run_traffic(
     settings: &PlatformSettings,
     shared: Shared,
     (callers, peers): (Socket, Socket),
-    (state_requests, leaving): (mpsc::Sender<StateDeltaRequest>, mpsc::Sender<Arc<Replica>>),
+    to_control: ToControl,
 ) -> Result<(), StartError> {
+    let ToControl { state_requests, leaving, peer_versions } = to_control;
     let (callers, peers) = (callers.listen()?, peers.listen()?);
     let limits = ExtraLimits {
         ratio: settings.extra_attempt_ratio,
@@ -163,6 +186,8 @@
         seed: rand::rng().random(),
         memory_limit: settings.memory_limit,
         leaving,
+        peer_address: (settings.ip, settings.peer_ports.0).into(),
+        peer_versions,
     };
     let traffic = Traffic::start(cx);
     let cx = PeerContext { traffic: traffic.clone(), state_requests, log: shared.log.clone() };
--- a/crates/berylpin_daemon/src/direct/traffic.rs
+++ b/crates/berylpin_daemon/src/direct/traffic.rs
@@ -4,6 +4,7 @@
 use super::body::{MemoryBudget, ReservedMemory};
 use super::decision_log::DecisionLog;
 use super::links::{DelegatedCall, PeerLinks, PeerSender, connect_peer};
+use super::peer_versions::PeerVersion;
 use super::pool::{Connection, ConnectionPools};
 use super::process::Shared;
 use berylpin_core::direct::{
@@ -18,6 +19,7 @@
 use http::{HeaderMap, Method, Uri};
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -42,6 +44,10 @@
     pub(super) memory_limit: usize,
     /// Replicas that announced that they leave, for the control thread.
     pub(super) leaving: mpsc::Sender<Arc<Replica>>,
+    /// The address on which this daemon accepts requests of peers.
+    pub(super) peer_address: SocketAddr,
+    /// Newer versions of the configuration that peers have, for the control thread.
+    pub(super) peer_versions: mpsc::Sender<PeerVersion>,
 }
 
 /// A caller's request as it is forwarded to replicas and peers.
@@ -91,6 +97,8 @@
     /// The memory for the bodies of requests that are being received or have no answer.
     request_memory: MemoryBudget,
     leaving: mpsc::Sender<Arc<Replica>>,
+    pub(super) peer_address: SocketAddr,
+    pub(super) peer_versions: mpsc::Sender<PeerVersion>,
     next_ticket: Cell<u64>,
     /// When the timer task wakes the dispatcher; `None` if no timer is set.
     timer_due_at: Cell<Option<Instant>>,
@@ -101,7 +109,15 @@
 impl Traffic {
     /// Starts the tasks of a traffic thread; must be called within its `LocalSet`.
     pub(super) fn start(cx: TrafficContext) -> Rc<Self> {
-        let TrafficContext { shared, limits, seed, memory_limit, leaving } = cx;
+        let TrafficContext {
+            shared,
+            limits,
+            seed,
+            memory_limit,
+            leaving,
+            peer_address,
+            peer_versions,
+        } = cx;
         let state = State {
             dispatcher: Dispatcher::new(limits, seed),
             requests: Vec::new(),
@@ -117,6 +133,8 @@
             answer_memory: MemoryBudget::new(memory_limit / ANSWER_MEMORY_DIVISOR),
             request_memory: MemoryBudget::new(memory_limit / REQUEST_MEMORY_DIVISOR),
             leaving,
+            peer_address,
+            peer_versions,
             next_ticket: Cell::new(0),
             timer_due_at: Cell::new(None),
             timer_moved: Notify::new(),
@@ -424,33 +442,6 @@
     }
 }
 
-/// Reports on drop that the caller, or the peer that requested parts, disconnected, unless its last
-/// answer is ready.
-pub(super) struct DisconnectGuard {
-    traffic: Rc<Traffic>,
-    ticket: Ticket,
-    answered: bool,
-}
-
-impl DisconnectGuard {
-    pub(super) fn new(traffic: Rc<Traffic>, ticket: Ticket) -> Self {
-        Self { traffic, ticket, answered: false }
-    }
-
-    /// Disarms the guard of a request whose last answer is ready.
-    pub(super) fn mark_answered(&mut self) {
-        self.answered = true;
-    }
-}
-
-impl Drop for DisconnectGuard {
-    fn drop(&mut self) {
-        if !self.answered {
-            self.traffic.handle_caller_disconnect(self.ticket);
-        }
-    }
-}
-
 impl State {
     fn request(&self, ticket: Ticket) -> Option<&PendingRequest> {
         let index = self.requests.binary_search_by_key(&ticket, |request| request.ticket).ok()?;
--- a/crates/berylpin_daemon/tests/platform/store_outage.rs
+++ b/crates/berylpin_daemon/tests/platform/store_outage.rs
@@ -4,7 +4,7 @@
 use berylpin_platform_standin::{
     Caller, Outcome, Replica, RequestKind, RunLog, Store, StoreFault, configuration, replica_entry,
 };
-use berylpin_standin::net::Zone;
+use berylpin_standin::net::{Net, Proxy, ProxyTarget, Zone};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -93,6 +93,54 @@
     wait_until_serves(&second, "b").await;
 }
 
+/// A silent connection to the store looks like one without changes, so a daemon went on with its
+/// older configuration until the watch timed out, while its peers sent it parts for a newer one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_with_a_silent_watch_applies_a_newer_configuration_that_a_peer_reports() {
+    let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
+    let _replicas = start_replicas(&store).await;
+    store.put("config", "main", configuration(1, &shards(SHARDS), "ledger"));
+    let net = Net::new(Duration::ZERO);
+    let target = ProxyTarget {
+        zone: Zone::PLATFORM,
+        address: store.address(),
+        max_connections: usize::MAX,
+        count_bytes: false,
+    };
+    let proxy = Proxy::start(net.clone(), 1, target).await.unwrap();
+    let mut reaching = Process::new(Zone(0), &ports, store.address(), "reaching-store");
+    let mut silent = Process::new(Zone(1), &ports, proxy.address(), "silent-watch");
+    for process in [&mut reaching, &mut silent] {
+        process.start();
+        wait_until_serves(process, "a").await;
+    }
+    wait_for_line(&silent, "link: connected").await;
+    // Both watches begin anew with the change, and the one through the proxy goes silent.
+    store.put("config", "main", configuration(2, &shards(SHARDS), "ledger"));
+    wait_for_line(&silent, "\"version\":2").await;
+    net.set_cut(Zone(1), Zone::PLATFORM, true);
+    store.put("config", "main", configuration(3, &shards(["b0", "b1"]), "ledger"));
+    wait_until_serves(&silent, "b").await;
+    let log = silent.log();
+    let reported = log.find("control: peer has a newer configuration");
+    let timed_out = log.lines().find(|line| is_failed_watch(line)).and_then(|line| log.find(line));
+    assert!(reported.is_some(), "no report of a peer:\n{log}");
+    assert!(timed_out.is_none_or(|at| reported < Some(at)), "the watch timed out first:\n{log}");
+}
+
+fn is_failed_watch(line: &str) -> bool {
+    line.contains("control: store call failed") && line.contains("\"configuration\"")
+}
+
+/// Waits until the log of a daemon contains `text`.
+async fn wait_for_line(process: &Process, text: &str) {
+    let deadline = Instant::now() + SERVE_TIMEOUT;
+    while !process.log().contains(text) {
+        assert!(Instant::now() < deadline, "no {text}:\n{}", process.log());
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_daemon_whose_entry_was_removed_writes_it_again() {
     let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
