Give up a silent watch of the replicas within the settle time

A replica that became draining or was removed while the settle time ran could get requests after both were over (rule DRAIN).

--- a/crates/berylpin_core/src/direct/store_times.rs
+++ b/crates/berylpin_core/src/direct/store_times.rs
@@ -20,12 +20,9 @@
 const APPLY_TIME: Duration = Duration::from_millis(600);
 
 /// The minimum and the maximum wait of a watch; the store allows up to 30 s.
-const MIN_WAIT: Duration = Duration::from_secs(1);
+const MIN_WAIT: Duration = Duration::from_millis(500);
 const MAX_WAIT: Duration = Duration::from_secs(20);
 
-/// The minimum wait of a watch of the configuration.
-const MIN_CONFIGURATION_WAIT: Duration = Duration::from_millis(500);
-
 /// How long a replica stays in use after an outage of the store in which its entry may have
 /// expired; running replicas are listed again about 2 s after the store recovers.
 const EXPIRY_GRACE: Duration = Duration::from_millis(2300);
@@ -54,7 +51,9 @@
 ///
 /// A dead connection is detected only when its call times out. The settle time starts when the
 /// connection fails, and the bound of a change when the change is made, so both may run at the same
-/// time: the wait of a watch and all that follows it must fit into each of them alone.
+/// time: the wait of a watch and all that follows it must fit into each of them alone. Only the
+/// grace time of removed replicas is as long as the sum allows if the settle time is too short for
+/// it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreTimes {
     /// How long a watch of the configuration waits.
@@ -71,17 +70,18 @@
     pub fn new(bounds: &StoreBounds) -> Self {
         let detection = CALL_TIMEOUT + INITIAL_RETRY_BACKOFF * MAX_BACKOFF_JITTER + APPLY_TIME;
         let configuration_due = bounds.settle.min(bounds.config_apply);
-        let removal_due =
-            (bounds.settle + bounds.drain).saturating_sub(detection + EXPIRY_CHECK_INTERVAL);
-        let expiry_grace = removal_due.saturating_sub(MIN_WAIT).min(EXPIRY_GRACE);
+        let drain_due = bounds.settle.min(bounds.drain);
+        let removal_due = bounds.settle.saturating_sub(EXPIRY_CHECK_INTERVAL + EXPIRY_GRACE);
         let seen_outage = bounds.heartbeat * HEARTBEATS_UNTIL_EXPIRY;
-        let replicas_wait = removal_due.saturating_sub(expiry_grace).min(seen_outage);
+        let replicas_wait = drain_due.min(removal_due).saturating_sub(detection).min(seen_outage);
+        let replicas_wait = replicas_wait.clamp(MIN_WAIT, MAX_WAIT);
+        let learned = replicas_wait + detection + EXPIRY_CHECK_INTERVAL;
         Self {
             configuration_wait: configuration_due
                 .saturating_sub(detection)
-                .clamp(MIN_CONFIGURATION_WAIT, MAX_WAIT),
-            replicas_wait: replicas_wait.clamp(MIN_WAIT, MAX_WAIT),
-            expiry_grace,
+                .clamp(MIN_WAIT, MAX_WAIT),
+            replicas_wait,
+            expiry_grace: (bounds.settle + bounds.drain).saturating_sub(learned).min(EXPIRY_GRACE),
         }
     }
 }
--- a/crates/berylpin_core/src/direct/store_times/tests.rs
+++ b/crates/berylpin_core/src/direct/store_times/tests.rs
@@ -16,8 +16,18 @@
     range.prop_map(Duration::from_millis)
 }
 
+/// The time until a call after a silent one is answered and applied, without the silent wait.
+const DETECTION: Duration = Duration::from_millis(2200);
+
+/// The shortest settle time, in ms, into which the grace time of removed replicas fits.
+const SHORTEST_SETTLE_TIME: u64 = 5250;
+
 fn bounds() -> impl Strategy<Value = StoreBounds> {
-    let times = (millis(2000..10_000), millis(2000..10_000), millis(1500..6000), millis(300..3000));
+    bounds_with_settle_time(2000..10_000)
+}
+
+fn bounds_with_settle_time(settle_ms: std::ops::Range<u64>) -> impl Strategy<Value = StoreBounds> {
+    let times = (millis(settle_ms), millis(2000..10_000), millis(1500..6000), millis(300..3000));
     times.prop_map(|(settle, config_apply, drain, heartbeat)| StoreBounds {
         settle,
         config_apply,
@@ -95,10 +105,36 @@
     #[test]
     fn a_silent_watch_of_the_configuration_is_replaced_within_each_bound(bounds in bounds()) {
         let StoreTimes { configuration_wait, .. } = StoreTimes::new(&bounds);
-        let detection = CALL_TIMEOUT + INITIAL_RETRY_BACKOFF * MAX_BACKOFF_JITTER + APPLY_TIME;
-        let shortest = MIN_CONFIGURATION_WAIT + detection;
         let due = bounds.settle.min(bounds.config_apply);
-        prop_assert!(configuration_wait + detection <= due.max(shortest));
+        prop_assert!(configuration_wait + DETECTION <= due.max(MIN_WAIT + DETECTION));
+    }
+
+    /// The watch of the replicas had the same fault: an entry that became draining while the settle
+    /// time ran was learned too late.
+    #[test]
+    fn a_silent_watch_of_the_replicas_is_replaced_within_each_bound(bounds in bounds()) {
+        let StoreTimes { replicas_wait, .. } = StoreTimes::new(&bounds);
+        let due = bounds.settle.min(bounds.drain);
+        prop_assert!(replicas_wait + DETECTION <= due.max(MIN_WAIT + DETECTION));
+    }
+
+    /// The watch of the replicas was as long as if the settle time and the drain limit added up, so
+    /// the grace time of a replica that was removed meanwhile ended late.
+    #[test]
+    fn a_replica_removed_during_a_silence_is_dropped_by_the_end_of_the_settle_time(
+        bounds in bounds_with_settle_time(SHORTEST_SETTLE_TIME..10_000),
+        silent_after in 0.0..1.0f64,
+        removed_after in 0.0..1.0f64,
+        jitter in 1.0..2.0f64,
+        check_phase in 0.0..1.0f64,
+    ) {
+        let started = Instant::now();
+        let silent_at = started + StoreTimes::new(&bounds).replicas_wait.mul_f64(silent_after);
+        let removed_at = silent_at + bounds.settle.mul_f64(removed_after);
+        let last_use =
+            last_use_after_silence(&bounds, started, removed_at, (jitter, check_phase));
+        let due = (silent_at + bounds.settle).max(removed_at + bounds.drain);
+        prop_assert!(last_use <= due, "used for {:?} more", last_use - due);
     }
 
     /// An outage that no call shows would drop running replicas whose entries expired in it.
