Hold the memory of an answer until it has been passed on

A body now owns its memory and gives it back when the last reference is dropped, for answers and for the bodies of requests alike. What is counted is the capacity of the buffer while it grows.

--- a/crates/berylpin_daemon/src/direct/attempt.rs
+++ b/crates/berylpin_daemon/src/direct/attempt.rs
@@ -178,7 +178,7 @@
         &self,
         mut body: Incoming,
         allowance: &Allowance,
-        mut memory: ReservedMemory,
+        memory: ReservedMemory,
     ) -> Result<Bytes, Failure> {
         let declared = body.size_hint().exact();
         let limit = match declared {
@@ -189,7 +189,7 @@
             return Err(Failure::TooLong);
         }
         allowance.start_body(limit);
-        read_body(&mut body, limit, &mut memory).await.map_err(|e| match e {
+        read_body(&mut body, limit, memory).await.map_err(|e| match e {
             BodyError::TooLong | BodyError::NoMemory => Failure::TooLong,
             BodyError::Broken if allowance.is_exceeded() => Failure::TooLong,
             BodyError::Broken => Failure::Truncated,
--- a/crates/berylpin_daemon/src/direct/body.rs
+++ b/crates/berylpin_daemon/src/direct/body.rs
@@ -3,21 +3,33 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use std::cell::Cell;
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// The memory that several bodies share.
 pub(super) struct MemoryBudget {
     /// In bytes.
-    available: Rc<Cell<usize>>,
+    available: Arc<AtomicUsize>,
 }
 
 /// The memory of one body; it is available again when dropped.
 pub(super) struct ReservedMemory {
-    available: Rc<Cell<usize>>,
+    available: Arc<AtomicUsize>,
     bytes: usize,
 }
 
+/// A body together with its memory.
+struct HeldBody {
+    body: Bytes,
+    _memory: ReservedMemory,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum BodyError {
@@ -31,7 +43,7 @@
 
 impl MemoryBudget {
     pub(super) fn new(bytes: usize) -> Self {
-        Self { available: Rc::new(Cell::new(bytes)) }
+        Self { available: Arc::new(AtomicUsize::new(bytes)) }
     }
 
     /// Returns a reservation without memory.
@@ -43,16 +55,31 @@
 impl ReservedMemory {
     /// Reserves more memory; returns false if there is not enough.
     pub(super) fn try_extend(&mut self, bytes: usize) -> bool {
-        let Some(rest) = self.available.get().checked_sub(bytes) else { return false };
-        self.available.set(rest);
-        self.bytes += bytes;
-        true
+        let subtract = |available: usize| available.checked_sub(bytes);
+        let reserved =
+            self.available.fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract).is_ok();
+        if reserved {
+            self.bytes += bytes;
+        }
+        reserved
+    }
+
+    /// Makes all but `bytes` available again.
+    fn shrink_to(&mut self, bytes: usize) {
+        let rest = self.bytes.saturating_sub(bytes);
+        self.bytes -= rest;
+        self.available.fetch_add(rest, Ordering::Relaxed);
+    }
+
+    /// Returns a body that keeps its memory until the last reference to it is dropped.
+    pub(super) fn hold(self, body: Bytes) -> Bytes {
+        if body.is_empty() { body } else { Bytes::from_owner(HeldBody { body, _memory: self }) }
     }
 }
 
 impl Drop for ReservedMemory {
     fn drop(&mut self) {
-        self.available.set(self.available.get() + self.bytes);
+        self.available.fetch_add(self.bytes, Ordering::Relaxed);
     }
 }
 
@@ -70,14 +97,14 @@
     Ok(())
 }
 
-/// Reads a body of at most `limit` bytes.
+/// Reads a body of at most `limit` bytes, which holds its memory.
 ///
 /// A chunk is a slice of the connection's read buffer and keeps all of it in memory, so the chunks
 /// are copied: a body in small pieces would otherwise take hundreds of times its length.
 pub(super) async fn read_body(
     body: &mut Incoming,
     limit: usize,
-    memory: &mut ReservedMemory,
+    mut memory: ReservedMemory,
 ) -> Result<Bytes, BodyError> {
     let mut buf = Vec::new();
     while let Some(frame) = body.frame().await {
@@ -85,10 +112,20 @@
         if buf.len() + chunk.len() > limit {
             return Err(BodyError::TooLong);
         }
-        if !memory.try_extend(chunk.len()) {
-            return Err(BodyError::NoMemory);
+        let needed = buf.len() + chunk.len();
+        if needed > buf.capacity() {
+            let capacity = needed.max(2 * buf.capacity()).min(limit);
+            if !memory.try_extend(capacity - buf.capacity()) {
+                return Err(BodyError::NoMemory);
+            }
+            buf.reserve_exact(capacity - buf.len());
         }
         buf.extend_from_slice(&chunk);
     }
-    Ok(buf.into())
+    buf.shrink_to_fit();
+    memory.shrink_to(buf.len());
+    Ok(memory.hold(buf.into()))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -96,8 +96,8 @@
     if head.request_id.is_empty() {
         return empty_response(StatusCode::BAD_REQUEST, HeaderMap::new());
     }
-    let mut memory = traffic.request_memory().reserve();
-    let body = read_request_body(body, limits.body_bytes, &mut memory);
+    let memory = traffic.request_memory().reserve();
+    let body = read_request_body(body, limits.body_bytes, memory);
     let body = match tokio::time::timeout(limits.header_timeout, body).await {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::TooLong)) => {
@@ -111,7 +111,7 @@
         }
         Err(_) => return empty_response(StatusCode::REQUEST_TIMEOUT, HeaderMap::new()),
     };
-    let payload = Payload { method: parts.method, uri: parts.uri, head, body, _memory: memory };
+    let payload = Payload { method: parts.method, uri: parts.uri, head, body };
     let (ticket, reply) = traffic.start_request(payload);
     let mut guard = DisconnectGuard::new(traffic, ticket);
     let answer = reply.await;
@@ -127,7 +127,7 @@
 async fn read_request_body(
     mut body: Incoming,
     limit: usize,
-    memory: &mut ReservedMemory,
+    memory: ReservedMemory,
 ) -> Result<Bytes, BodyError> {
     let read = read_body(&mut body, limit, memory).await;
     if read == Err(BodyError::NoMemory) {
--- a/crates/berylpin_daemon/src/direct/peers.rs
+++ b/crates/berylpin_daemon/src/direct/peers.rs
@@ -151,6 +151,6 @@
         forwarded,
     };
     let method = method.parse().ok()?;
-    let payload = Payload { method, uri: uri.parse().ok()?, head, body, _memory: memory };
+    let payload = Payload { method, uri: uri.parse().ok()?, head, body: memory.hold(body) };
     Some((payload, parts))
 }
--- a/crates/berylpin_daemon/src/direct/traffic.rs
+++ b/crates/berylpin_daemon/src/direct/traffic.rs
@@ -1,7 +1,7 @@
 //! The traffic thread: passes events to the dispatcher and carries out its actions.
 
 use super::attempt::AttemptTask;
-use super::body::{MemoryBudget, ReservedMemory};
+use super::body::MemoryBudget;
 use super::decision_log::DecisionLog;
 use super::links::{DelegatedCall, PeerLinks, PeerSender, connect_peer};
 use super::peer_versions::PeerVersion;
@@ -56,8 +56,6 @@
     pub(super) uri: Uri,
     pub(super) head: RequestHead,
     pub(super) body: Bytes,
-    /// The memory of `body`, for as long as the request may be sent.
-    pub(super) _memory: ReservedMemory,
 }
 
 /// A request that has not received its last answer.
--- a/crates/berylpin_daemon/tests/platform/process.rs
+++ b/crates/berylpin_daemon/tests/platform/process.rs
@@ -12,6 +12,9 @@
 /// The timeout for a daemon to exit after SIGTERM.
 const STOP_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// The memory of a VM in MB, unless a test sets it.
+const DEFAULT_MEMORY_MB: u32 = 128;
+
 /// Returns the address of the daemon in a data centre.
 pub(super) fn daemon_address(zone: Zone) -> Ipv4Addr {
     zone.address(1)
@@ -55,10 +58,16 @@
             ports: ports.ports,
             store,
             seeds: vec![daemon_address(Zone(0)).into()],
+            memory_mb: DEFAULT_MEMORY_MB,
         };
         Self { child: None, vm, log }
     }
 
+    /// Sets the memory that the settings state, which a test has to check.
+    pub(super) fn set_memory_mb(&mut self, memory_mb: u32) {
+        self.vm.memory_mb = memory_mb;
+    }
+
     pub(super) fn name(&self) -> &str {
         &self.vm.name
     }
--- a/crates/berylpin_daemon/tests/platform/replicas_in_trouble.rs
+++ b/crates/berylpin_daemon/tests/platform/replicas_in_trouble.rs
@@ -31,6 +31,9 @@
 /// The peak memory of a daemon in all these tests, in KB; the smallest VMs have four times as much.
 const MAX_MEMORY_KB: u64 = 40 << 10;
 
+/// The memory of a daemon that replicas send long bodies, in MB.
+const SMALL_MEMORY_MB: u32 = 48;
+
 /// The bytes of one endless answer that may leave a replica, those in the buffers of the kernel
 /// included.
 const MAX_BYTES_PER_REQUEST: u64 = 16 << 20;
@@ -57,6 +60,11 @@
 
 impl Harness {
     async fn start(name: &str) -> Self {
+        Self::start_with_memory(name, None).await
+    }
+
+    /// Starts a daemon whose settings state an amount of memory, in MB.
+    async fn start_with_memory(name: &str, memory_mb: Option<u32>) -> Self {
         let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
         let run_log = Arc::<RunLog>::default();
         let mut replicas = Vec::new();
@@ -70,6 +78,9 @@
         }
         store.put("config", "main", configuration(1, &shards(), "a0"));
         let mut process = Process::new(Zone(0), &ports, store.address(), name);
+        if let Some(memory_mb) = memory_mb {
+            process.set_memory_mb(memory_mb);
+        }
         process.start();
         let caller = Caller::new(process.caller_address()).unwrap();
         let harness =
@@ -204,6 +215,46 @@
     check_endless_answers(Fault::EndlessSurplus).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_blank_lines_are_cut_off_and_queries_are_answered() {
+    check_endless_answers(Fault::EndlessBlankLines).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_header_lines_are_cut_off_and_queries_are_answered() {
+    check_endless_answers(Fault::EndlessHeaders).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_chunk_extensions_are_cut_off_and_queries_are_answered() {
+    check_endless_answers(Fault::EndlessChunkExtension).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_trailers_are_cut_off_and_queries_are_answered() {
+    check_endless_answers(Fault::EndlessTrailers).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_bodies_of_stated_length_are_cut_off_and_queries_are_answered() {
+    check_endless_answers(Fault::EndlessDeclaredBody).await;
+}
+
+/// The memory of an answer was only counted while it was read, so the parts of concurrent queries,
+/// each as long as a part may be, took all memory until the queries were answered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn long_parts_that_wait_for_the_others_are_held_in_limited_memory() {
+    let harness = Harness::start_with_memory("long-parts", Some(SMALL_MEMORY_MB)).await;
+    let (long, hanging) = harness.replicas.split_at(2 * SHARDS - 2);
+    set_faults(long, Fault::LongBody, 1.0);
+    set_faults(hanging, Fault::Hang, 1.0);
+    for _ in 0..ROUNDS {
+        harness.query_concurrently(CONCURRENT_QUERIES).await;
+    }
+    let memory = harness.process.peak_memory_kb();
+    assert!(memory < u64::from(SMALL_MEMORY_MB) << 10, "{memory} KB");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_replica_that_announces_to_leave_gets_nothing_more_whatever_its_entry_says() {
     let harness = Harness::start("leaving").await;
