Notice each outage of the store in which entries can expire

Cause: the wait of a watch was as long as the shortest such outage, so a watch that began up to 0.3 s into it ended in time. The wait now leaves room for the batch delay and for the limit of a late answer.

The property test covered outages that begin during a watch, 0.3 s longer than the shortest.

--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -54,7 +54,7 @@
 pub use state_delta::{StateDelta, StateRevisions};
 pub use stop::{Stop, StopSchedule};
 pub use store_times::{
-    CALL_TIMEOUT, EXPIRY_CHECK_INTERVAL, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER, StoreBounds,
-    StoreCall, StoreTimes,
+    CALL_TIMEOUT, EXPIRY_CHECK_INTERVAL, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER,
+    REPLICAS_BATCH_DELAY, StoreBounds, StoreCall, StoreTimes,
 };
 pub use view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
--- a/crates/berylpin_core/src/direct/store_times.rs
+++ b/crates/berylpin_core/src/direct/store_times.rs
@@ -13,6 +13,10 @@
 /// time.
 pub const MAX_BACKOFF_JITTER: u32 = 2;
 
+/// The delay after a change of replicas, which batches further changes: a release changes many
+/// within seconds.
+pub const REPLICAS_BATCH_DELAY: Duration = Duration::from_millis(300);
+
 /// The interval between checks for expired replicas.
 pub const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -58,8 +62,9 @@
 pub struct StoreTimes {
     /// How long a watch of the configuration waits.
     pub configuration_wait: Duration,
-    /// How long a watch of the replicas waits; shorter than an outage in which entries can expire,
-    /// so that each such outage makes a watch fail or end late.
+    /// How long a watch of the replicas waits; so much shorter than an outage in which entries can
+    /// expire that each such outage makes a watch fail or end late, also one that begins between
+    /// two watches.
     pub replicas_wait: Duration,
     /// How long after an outage of the store removed replicas stay in use.
     pub expiry_grace: Duration,
@@ -72,7 +77,9 @@
         let configuration_due = bounds.settle.min(bounds.config_apply);
         let drain_due = bounds.settle.min(bounds.drain);
         let removal_due = bounds.settle.saturating_sub(EXPIRY_CHECK_INTERVAL + EXPIRY_GRACE);
-        let seen_outage = bounds.heartbeat * HEARTBEATS_UNTIL_EXPIRY;
+        // A watch that begins only after the batch delay must still end late.
+        let seen_outage = (bounds.heartbeat * HEARTBEATS_UNTIL_EXPIRY)
+            .saturating_sub(LATE_ANSWER + REPLICAS_BATCH_DELAY);
         let replicas_wait = drain_due.min(removal_due).saturating_sub(detection).min(seen_outage);
         let replicas_wait = replicas_wait.clamp(MIN_WAIT, MAX_WAIT);
         let learned = replicas_wait + detection + EXPIRY_CHECK_INTERVAL;
--- a/crates/berylpin_core/src/direct/store_times/tests.rs
+++ b/crates/berylpin_core/src/direct/store_times/tests.rs
@@ -9,6 +9,9 @@
 /// The time from the store's acknowledgement of a removal until an open watch returns it.
 const WATCH_DELAY: Duration = Duration::from_millis(60);
 
+/// The shortest time from the end of an outage until an answer arrives.
+const ANSWER_TIME: Duration = Duration::from_millis(1);
+
 /// The time from the answer of the store until the traffic thread has the new view.
 const VIEW_DELAY: Duration = Duration::from_millis(50);
 
@@ -144,9 +147,13 @@
         begins in 0.0..1.0f64,
     ) {
         let wait = StoreTimes::new(&bounds).replicas_wait;
-        let outage = (bounds.heartbeat * HEARTBEATS_UNTIL_EXPIRY).max(MIN_WAIT) + LATE_ANSWER;
+        let outage = bounds.heartbeat * HEARTBEATS_UNTIL_EXPIRY;
+        let outage = outage.max(MIN_WAIT + LATE_ANSWER + REPLICAS_BATCH_DELAY);
         // The store answers the open watch when it recovers.
-        let answered_after = (wait.mul_f64(begins) + outage).max(wait);
+        let answered_after = (wait.mul_f64(begins) + outage).max(wait) + ANSWER_TIME;
         prop_assert_ne!(StoreCall::classify(true, answered_after, wait), StoreCall::InTime);
+        // The outage begins between two watches, and the store holds the next one.
+        let held = outage.saturating_sub(REPLICAS_BATCH_DELAY.mul_f64(begins)) + ANSWER_TIME;
+        prop_assert_ne!(StoreCall::classify(true, held.max(wait), wait), StoreCall::InTime);
     }
 }
--- a/crates/berylpin_daemon/src/direct/control/watches.rs
+++ b/crates/berylpin_daemon/src/direct/control/watches.rs
@@ -2,7 +2,8 @@
 
 use super::Control;
 use berylpin_core::direct::{
-    Catalogue, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER, StoreCall, StoreTimes,
+    Catalogue, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER, REPLICAS_BATCH_DELAY, StoreCall,
+    StoreTimes,
 };
 use berylpin_platform::{Change, Freshness, Object, ObjectKind, StoreError};
 use rand::Rng;
@@ -12,10 +13,6 @@
 /// How long a watch of the daemons waits; there is no time limit for applying their changes.
 const DAEMONS_WATCH_WAIT: Duration = Duration::from_secs(20);
 
-/// The delay after a change of replicas, which batches further changes: a release changes many
-/// within seconds. The drain limit is longer than this delay.
-const REPLICAS_BATCH_DELAY: Duration = Duration::from_millis(300);
-
 /// The delay after a change of daemons, which batches further changes: when a fleet starts, all
 /// daemons write their entries within 1 s.
 const DAEMONS_BATCH_DELAY: Duration = Duration::from_secs(3);
