Confirm the configuration apart from its watch

Change: a daemon keeps the time as of which its version was the newest in the store. If neither an answer nor a peer has moved it on for an interval, derived from the settle time and the limit for a change, a call without a wait does. Replies of peers carry the age of their confirmation, which counts from the request that they reply to, because a message may be delayed by any time. The watch waits 30 s.

--- a/crates/berylpin_core/src/direct/confirmation.rs
+++ b/crates/berylpin_core/src/direct/confirmation.rs
@@ -1,14 +1,15 @@
-//! When the store last confirmed the configuration in force.
+//! When the configuration in force was last known to be the newest in the store.
 
 use std::time::{Duration, Instant};
 
-/// Tracks the answers and failures of the calls for the configuration.
+/// Tracks the calls for the configuration, and what peers report of theirs.
 ///
 /// A watch that is open confirms nothing: if its connection went silent, it looks like one without
 /// changes.
 #[derive(Clone, Copy, Debug)]
 pub struct Confirmation {
-    /// When the last answer arrived; the start of the daemon before the first one.
+    /// The configuration in force was the newest at this time; the start of the daemon before the
+    /// first answer. Never decreases.
     confirmed_at: Instant,
     /// The start of the daemon, or when the first failed call since the last answer ended; `None`
     /// after an answer.
@@ -21,11 +22,18 @@
         Self { confirmed_at: now, unreachable_since: Some(now) }
     }
 
-    /// Records an answer; returns the time since the one before.
-    pub fn record_answer(&mut self, now: Instant) -> Duration {
-        let age = self.age(now);
-        *self = Self { confirmed_at: now, unreachable_since: None };
-        age
+    /// Records an answer of the store that confirms the configuration as of `at`; returns by how
+    /// much it is newer than the last confirmation.
+    pub fn record_answer(&mut self, at: Instant) -> Duration {
+        let gain = at.saturating_duration_since(self.confirmed_at);
+        self.unreachable_since = None;
+        self.confirmed_at += gain;
+        gain
+    }
+
+    /// Records that a peer with the same version has it confirmed as of `at`.
+    pub fn record_peer(&mut self, at: Instant) {
+        self.confirmed_at = self.confirmed_at.max(at);
     }
 
     /// Records a call that failed.
@@ -33,7 +41,12 @@
         self.unreachable_since.get_or_insert(now);
     }
 
-    /// Returns the time since the last answer.
+    /// Returns when the configuration was last confirmed.
+    pub fn confirmed_at(&self) -> Instant {
+        self.confirmed_at
+    }
+
+    /// Returns the time since the last confirmation.
     pub fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.confirmed_at)
     }
@@ -44,5 +57,18 @@
     }
 }
 
+/// Returns the time as of which an answer to a call confirms the configuration.
+///
+/// The store answers a watch without changes when its wait is over. Changes are confirmed as of
+/// their arrival, because the watch that follows returns any later one at once.
+pub fn confirmed_by(
+    called_at: Instant,
+    wait: Duration,
+    has_changes: bool,
+    answered_at: Instant,
+) -> Instant {
+    if has_changes { answered_at } else { answered_at.min(called_at + wait) }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/berylpin_core/src/direct/confirmation/tests.rs
+++ b/crates/berylpin_core/src/direct/confirmation/tests.rs
@@ -3,7 +3,7 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 #[test]
-fn an_answer_ends_the_period_of_all_failures_before_it() {
+fn an_answer_ends_the_failures_before_it() {
     let start = Instant::now();
     let mut confirmation = Confirmation::new(start);
     confirmation.record_answer(start + SECOND);
@@ -22,3 +22,35 @@
     confirmation.record_failure(start + SECOND);
     assert_eq!(confirmation.unreachable_for(start + 2 * SECOND), 2 * SECOND);
 }
+
+#[test]
+fn an_older_confirmation_is_ignored() {
+    let start = Instant::now();
+    let mut confirmation = Confirmation::new(start);
+    confirmation.record_answer(start + 5 * SECOND);
+    assert_eq!(confirmation.record_answer(start + 3 * SECOND), Duration::ZERO);
+    confirmation.record_peer(start + 4 * SECOND);
+    assert_eq!(confirmation.age(start + 6 * SECOND), SECOND);
+    confirmation.record_peer(start + 6 * SECOND);
+    assert_eq!(confirmation.age(start + 6 * SECOND), Duration::ZERO);
+}
+
+/// A report of a peer shows nothing about this daemon's own way to the store.
+#[test]
+fn a_peer_does_not_end_the_failures_of_the_store() {
+    let start = Instant::now();
+    let mut confirmation = Confirmation::new(start);
+    confirmation.record_failure(start + SECOND);
+    confirmation.record_peer(start + 2 * SECOND);
+    assert_eq!(confirmation.unreachable_for(start + 3 * SECOND), 3 * SECOND);
+}
+
+#[test]
+fn a_late_answer_without_changes_confirms_the_end_of_its_wait_only() {
+    let called_at = Instant::now();
+    let answered_at = called_at + 9 * SECOND;
+    assert_eq!(confirmed_by(called_at, 4 * SECOND, false, answered_at), called_at + 4 * SECOND);
+    assert_eq!(confirmed_by(called_at, Duration::ZERO, false, answered_at), called_at);
+    assert_eq!(confirmed_by(called_at, 20 * SECOND, false, answered_at), answered_at);
+    assert_eq!(confirmed_by(called_at, 4 * SECOND, true, answered_at), answered_at);
+}
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -43,7 +43,7 @@
 pub use configuration::{
     ClientLimits, Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget,
 };
-pub use confirmation::Confirmation;
+pub use confirmation::{Confirmation, confirmed_by};
 pub use dispatcher::Dispatcher;
 pub use event::{
     Action, Answer, AttemptKey, BodyLimits, Cause, DirectDecision, Event, Failure, MissingCause,
@@ -55,6 +55,6 @@
 pub use stop::{Stop, StopSchedule};
 pub use store_times::{
     CALL_TIMEOUT, EXPIRY_CHECK_INTERVAL, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER,
-    REPLICAS_BATCH_DELAY, StoreBounds, StoreCall, StoreTimes,
+    REPLICAS_BATCH_DELAY, StoreBounds, StoreCall, StoreTimes, confirmation_delay,
 };
 pub use view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
--- a/crates/berylpin_core/src/direct/store_times.rs
+++ b/crates/berylpin_core/src/direct/store_times.rs
@@ -17,6 +17,9 @@
 /// within seconds.
 pub const REPLICAS_BATCH_DELAY: Duration = Duration::from_millis(300);
 
+/// The share of the confirmation interval over which the calls of the daemons spread.
+const CONFIRMATION_SPREAD: f64 = 0.2;
+
 /// The interval between checks for expired replicas.
 pub const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -55,13 +58,14 @@
 ///
 /// A dead connection is detected only when its call times out. The settle time starts when the
 /// connection fails, and the bound of a change when the change is made, so both may run at the same
-/// time: the wait of a watch and all that follows it must fit into each of them alone. Only the
-/// grace time of removed replicas is as long as the sum allows if the settle time is too short for
+/// time: the wait of a watch, or the time until the configuration is confirmed without it, and all
+/// that follows must fit into each of them alone. Only the grace time of removed replicas is as long as the sum allows if the settle time is too short for
 /// it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreTimes {
-    /// How long a watch of the configuration waits.
-    pub configuration_wait: Duration,
+    /// How long after its last confirmation the configuration is confirmed by a call of its own, so
+    /// that a watch may wait longer.
+    pub confirmation_interval: Duration,
     /// How long a watch of the replicas waits; so much shorter than an outage in which entries can
     /// expire that each such outage makes a watch fail or end late, also one that begins between
     /// two watches.
@@ -84,8 +88,8 @@
         let replicas_wait = replicas_wait.clamp(MIN_WAIT, MAX_WAIT);
         let learned = replicas_wait + detection + EXPIRY_CHECK_INTERVAL;
         Self {
-            configuration_wait: configuration_due
-                .saturating_sub(detection)
+            confirmation_interval: configuration_due
+                .saturating_sub(APPLY_TIME)
                 .clamp(MIN_WAIT, MAX_WAIT),
             replicas_wait,
             expiry_grace: (bounds.settle + bounds.drain).saturating_sub(learned).min(EXPIRY_GRACE),
@@ -93,6 +97,14 @@
     }
 }
 
+/// Returns how long after its last confirmation a daemon confirms the configuration.
+///
+/// `draw`, from 0 to 1, differs between daemons: most of them learn the result of the few that
+/// call first.
+pub fn confirmation_delay(interval: Duration, draw: f64) -> Duration {
+    interval.mul_f64(1.0 - CONFIRMATION_SPREAD * draw)
+}
+
 /// What a call shows about the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreCall {
--- a/crates/berylpin_core/src/direct/store_times/tests.rs
+++ b/crates/berylpin_core/src/direct/store_times/tests.rs
@@ -106,10 +106,34 @@
     /// A silent watch was given up too late: its wait was derived from the sum of the settle time
     /// and the limit for a change, which run at the same time.
     #[test]
-    fn a_silent_watch_of_the_configuration_is_replaced_within_each_bound(bounds in bounds()) {
-        let StoreTimes { configuration_wait, .. } = StoreTimes::new(&bounds);
-        let due = bounds.settle.min(bounds.config_apply);
-        prop_assert!(configuration_wait + DETECTION <= due.max(MIN_WAIT + DETECTION));
+    fn a_change_behind_a_silent_watch_is_in_force_within_each_bound(
+        bounds in bounds(),
+        confirmed_before in 0.0..1.0f64,
+        changed_after in millis(0..8000),
+        draws in proptest::collection::vec((0.0..1.0f64, 1.0..2.0f64), 32),
+    ) {
+        let interval = StoreTimes::new(&bounds).confirmation_interval;
+        let silent_at = Instant::now() + interval;
+        let changed_at = silent_at + changed_after;
+        let mut confirmed_at =
+            silent_at.checked_sub(interval.mul_f64(confirmed_before)).unwrap();
+        let mut draws = draws.into_iter().cycle();
+        let learned_at = loop {
+            let (draw, jitter) = draws.next().unwrap();
+            let mut called_at = confirmed_at + confirmation_delay(interval, draw);
+            if called_at < silent_at {
+                called_at += CALL_TIMEOUT + INITIAL_RETRY_BACKOFF.mul_f64(jitter);
+            }
+            let called_at = called_at.max(silent_at);
+            if called_at >= changed_at {
+                break called_at + WATCH_DELAY + VIEW_DELAY;
+            }
+            confirmed_at = called_at;
+        };
+        let shortest = DETECTION;
+        let due = (silent_at + bounds.settle.max(shortest))
+            .max(changed_at + bounds.config_apply.max(shortest));
+        prop_assert!(learned_at <= due, "{:?} too late", learned_at - due);
     }
 
     /// The watch of the replicas had the same fault: an entry that became draining while the settle
--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -30,7 +30,9 @@
     pub(super) state_requests: mpsc::Receiver<StateDeltaRequest>,
     /// Replicas that announced in an answer that they leave.
     pub(super) leaving: mpsc::Receiver<Arc<Replica>>,
-    /// Newer versions of the configuration that peers have in force.
+    /// When the configuration in force was last confirmed.
+    pub(super) confirmed_at: watch::Sender<Option<Instant>>,
+    /// Versions of the configuration that peers have in force.
     pub(super) peer_versions: mpsc::Receiver<PeerVersion>,
 }
 
@@ -41,13 +43,26 @@
     settings: watch::Receiver<PlatformSettings>,
     store: RefCell<Store>,
     catalogue: RefCell<Catalogue>,
-    /// The answers and failures of the calls for the configuration.
+    /// When the configuration was last confirmed, and since when calls for it have failed.
     confirmation: Cell<Confirmation>,
+    /// The time in `confirmation`, for the traffic thread.
+    confirmed_at: watch::Sender<Option<Instant>>,
+    /// The store's revision of the last answer to a call for the configuration; `None` if it must be
+    /// listed.
+    configuration_revision: Cell<Option<u64>>,
 }
 
 /// Runs the tasks of the control thread; does not return.
 pub(super) async fn run_control(cx: ControlContext, shared: Shared) {
-    let ControlContext { settings, view, store, state_requests, leaving, peer_versions } = cx;
+    let ControlContext {
+        settings,
+        view,
+        store,
+        state_requests,
+        leaving,
+        confirmed_at,
+        peer_versions,
+    } = cx;
     let (catalogue, times) = {
         let settings = settings.borrow();
         let (data_centre, regions) = (settings.data_centre.clone(), settings.regions.clone());
@@ -63,9 +78,12 @@
         store: RefCell::new(store),
         catalogue: RefCell::new(catalogue),
         confirmation: Cell::new(Confirmation::new(started)),
+        confirmed_at,
+        configuration_revision: Cell::new(None),
     });
     tokio::join!(
-        control.watch_kind(WatchConfig::configuration(&times)),
+        control.watch_kind(WatchConfig::configuration()),
+        control.confirm_configuration(times.confirmation_interval),
         control.watch_kind(WatchConfig::replicas(&times)),
         control.watch_kind(WatchConfig::daemons()),
         control.maintain_own_entry(),
--- a/crates/berylpin_daemon/src/direct/control/state_delta.rs
+++ b/crates/berylpin_daemon/src/direct/control/state_delta.rs
@@ -65,10 +65,15 @@
         }
     }
 
-    /// Fetches newer versions of the configuration that peers report, because this daemon's watch
-    /// may be on a connection that went silent; does not return.
+    /// Takes the confirmations that peers report, and fetches newer versions of the configuration,
+    /// because this daemon's watch may be on a connection that went silent; does not return.
     pub(super) async fn follow_peer_versions(&self, mut reports: mpsc::Receiver<PeerVersion>) {
-        while let Some(PeerVersion { version, peer }) = reports.recv().await {
+        while let Some(PeerVersion { version, peer, confirmed_at }) = reports.recv().await {
+            if self.catalogue.borrow().version() == Some(version)
+                && let Some(at) = confirmed_at
+            {
+                self.record_peer_confirmation(at);
+            }
             if !self.catalogue.borrow().is_older_than(version) {
                 continue;
             }
--- a/crates/berylpin_daemon/src/direct/control/watches.rs
+++ b/crates/berylpin_daemon/src/direct/control/watches.rs
@@ -3,13 +3,17 @@
 use super::Control;
 use berylpin_core::direct::{
     Catalogue, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER, REPLICAS_BATCH_DELAY, StoreCall,
-    StoreTimes,
+    StoreTimes, confirmed_by,
 };
 use berylpin_platform::{Change, Freshness, Object, ObjectKind, StoreError};
 use rand::Rng;
 use slog::info;
 use std::time::{Duration, Instant};
 
+/// How long a watch of the configuration waits, the store's maximum; it is confirmed by other calls
+/// more often.
+const CONFIGURATION_WATCH_WAIT: Duration = Duration::from_secs(30);
+
 /// How long a watch of the daemons waits; there is no time limit for applying their changes.
 const DAEMONS_WATCH_WAIT: Duration = Duration::from_secs(20);
 
@@ -44,10 +48,10 @@
 }
 
 impl WatchConfig {
-    pub(super) fn configuration(times: &StoreTimes) -> Self {
+    pub(super) fn configuration() -> Self {
         Self {
             kind: ObjectKind::Configuration,
-            wait: times.configuration_wait,
+            wait: CONFIGURATION_WATCH_WAIT,
             watch_freshness: Freshness::Newest,
             list_freshness: Freshness::Newest,
             batch_delay: Duration::ZERO,
@@ -58,6 +62,12 @@
         }
     }
 
+    /// Returns the delay after `failures` consecutive failed calls.
+    pub(super) fn backoff_with_jitter(&self, failures: u32) -> Duration {
+        let jitter = rand::rng().random_range(1.0..f64::from(MAX_BACKOFF_JITTER));
+        retry_backoff(failures, self.max_backoff).mul_f64(jitter)
+    }
+
     pub(super) fn replicas(times: &StoreTimes) -> Self {
         Self {
             kind: ObjectKind::Replicas,
@@ -139,15 +149,15 @@
                 }
                 Err(StoreError::RevisionCompacted) => revision = None,
                 Err(_) => {
-                    let jitter = rand::rng().random_range(1.0..f64::from(MAX_BACKOFF_JITTER));
-                    let backoff = retry_backoff(failures, config.max_backoff);
-                    tokio::time::sleep(backoff.mul_f64(jitter)).await;
+                    tokio::time::sleep(config.backoff_with_jitter(failures)).await;
                 }
             }
         }
     }
 
-    async fn list_or_watch(
+    /// Lists the objects of a kind, or watches them from the revision `since`; returns the revision
+    /// to watch from next.
+    pub(super) async fn list_or_watch(
         &self,
         config: &WatchConfig,
         since: Option<u64>,
@@ -162,15 +172,26 @@
             self.record_call(*kind, listing.is_ok(), called_at, Duration::ZERO);
             let listing = listing?;
             apply_list(self, listing.objects, listing.revision);
+            self.record_answer(*kind, called_at, listing.revision);
             return Ok(listing.revision);
         };
         let changes = store.watch(*kind, since, wait, *watch_freshness).await;
         self.record_call(*kind, changes.is_ok(), called_at, wait);
         let (changes, revision) = changes?;
+        let at = confirmed_by(called_at, wait, !changes.is_empty(), self.now());
         apply_changes(self, changes, revision);
+        self.record_answer(*kind, at, revision);
         Ok(revision)
     }
 
+    /// Records an answer that shows the objects of a kind as of `at`; must follow its changes, or an
+    /// older version would be reported as confirmed.
+    fn record_answer(&self, kind: ObjectKind, at: Instant, revision: u64) {
+        if kind == ObjectKind::Configuration {
+            self.record_configuration_answer(at, revision);
+        }
+    }
+
     /// Records what a call shows about the store; must precede the changes that it returned.
     fn record_call(&self, kind: ObjectKind, succeeded: bool, called_at: Instant, wait: Duration) {
         let now = self.now();
@@ -181,9 +202,9 @@
                 "elapsed_ms" => elapsed.as_millis() as u64, "wait_ms" => wait.as_millis() as u64);
         }
         match kind {
-            ObjectKind::Configuration => self.record_configuration_call(succeeded),
+            ObjectKind::Configuration if !succeeded => self.record_configuration_failure(),
             ObjectKind::Replicas => self.catalogue.borrow_mut().record_replicas_call(call, now),
-            ObjectKind::Daemons => {}
+            ObjectKind::Configuration | ObjectKind::Daemons => {}
         }
     }
 }
--- a/crates/berylpin_daemon/src/direct/links.rs
+++ b/crates/berylpin_daemon/src/direct/links.rs
@@ -165,13 +165,13 @@
         let key = self.key;
         let body = self.encode();
         let mut send_request = sender.send_request.ready().await.map_err(|_| not_run())?;
-        let mut request = post_request(PARTS_URI);
+        let (mut request, asked_at) = (post_request(PARTS_URI), traffic.now());
         traffic.write_version(request.headers_mut());
         let (response, mut stream) =
             send_request.send_request(request, false).map_err(|_| not_run())?;
         stream.send_data(body, true).map_err(may_have_run)?;
         let response = response.await.map_err(may_have_run)?;
-        traffic.read_version(response.headers());
+        traffic.read_version(response.headers(), Some(asked_at));
         let mut body = response.into_body();
         let mut decoder = Decoder::default();
         while let Some(bytes) = body.data().await {
--- a/crates/berylpin_daemon/src/direct/peer_versions.rs
+++ b/crates/berylpin_daemon/src/direct/peer_versions.rs
@@ -1,57 +1,80 @@
-//! Headers by which daemons tell each other which version of the configuration they have in force.
+//! Headers by which daemons tell each other which version of the configuration they have in force,
+//! and how long ago it was confirmed as the newest.
 //!
-//! They come with each request for parts and its reply, so a daemon whose watch went silent learns
-//! of a newer version from any peer that it exchanges parts with.
+//! They come with each request for parts and its reply. So a daemon whose watch went silent learns
+//! of a newer version from any peer that it exchanges parts with, and a fleet confirms a version
+//! with few calls to the store.
 
 use super::traffic::Traffic;
 use http::{HeaderMap, HeaderValue};
 use std::net::SocketAddr;
 use std::str::FromStr;
+use std::time::{Duration, Instant};
 
 /// The header with the version of the configuration that the sender has in force.
 const VERSION_HEADER: &str = "configuration-version";
 
+/// The header with the time since the sender's version was confirmed, in ms.
+const AGE_HEADER: &str = "configuration-age";
+
 /// The header with the address on which the sender accepts requests of peers.
 const SENDER_HEADER: &str = "peer-address";
 
-/// The version of the configuration that a daemon has in force.
+/// Confirmations that are newer by less than this are not reported to the control thread.
+const MIN_CONFIRMATION_GAIN: Duration = Duration::from_millis(200);
+
+/// The version of the configuration that a peer has in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct PeerVersion {
     pub(super) version: u64,
-    /// The address on which the daemon accepts requests of peers.
+    /// The address on which the peer accepts requests.
     pub(super) peer: SocketAddr,
+    /// The version was the newest at this time, if the peer's message shows it.
+    pub(super) confirmed_at: Option<Instant>,
 }
 
 impl PeerVersion {
-    fn write(&self, headers: &mut HeaderMap) {
-        headers.insert(VERSION_HEADER, HeaderValue::from(self.version));
-        if let Ok(peer) = HeaderValue::try_from(self.peer.to_string()) {
-            headers.insert(SENDER_HEADER, peer);
-        }
-    }
-
-    /// Returns `None` if a header is missing or malformed.
-    fn read(headers: &HeaderMap) -> Option<Self> {
-        Some(Self {
-            version: parse(headers, VERSION_HEADER)?,
-            peer: parse(headers, SENDER_HEADER)?,
-        })
+    /// Decodes the head of a peer's message; `None` if the version or the address is missing or
+    /// malformed.
+    ///
+    /// A message may be delayed by any time, so its age counts from `asked_at`, when the request was
+    /// sent to which the message replies.
+    fn read(headers: &HeaderMap, asked_at: Option<Instant>) -> Option<Self> {
+        let age = parse(headers, AGE_HEADER).map(Duration::from_millis);
+        let confirmed_at = asked_at.zip(age).and_then(|(at, age)| at.checked_sub(age));
+        let (version, peer) = (parse(headers, VERSION_HEADER)?, parse(headers, SENDER_HEADER)?);
+        Some(Self { version, peer, confirmed_at })
     }
 }
 
 impl Traffic {
     /// Adds the version in force to the head of a request or a reply to a peer.
     pub(super) fn write_version(&self, headers: &mut HeaderMap) {
-        if let Some(view) = self.view() {
-            PeerVersion { version: view.version, peer: self.peer_address }.write(headers);
+        // Read before the view: the other way round, a version that is replaced in between would be
+        // reported as confirmed with the answer that replaced it.
+        let confirmed_at = *self.confirmed_at.borrow();
+        let Some(view) = self.view() else { return };
+        headers.insert(VERSION_HEADER, HeaderValue::from(view.version));
+        if let Ok(address) = HeaderValue::try_from(self.peer_address.to_string()) {
+            headers.insert(SENDER_HEADER, address);
+        }
+        if let Some(confirmed_at) = confirmed_at {
+            let age = self.now().saturating_duration_since(confirmed_at);
+            headers.insert(AGE_HEADER, HeaderValue::from(age.as_millis() as u64));
         }
     }
 
-    /// Reads the head of a peer's request or reply; reports a newer version to the control thread.
-    pub(super) fn read_version(&self, headers: &HeaderMap) {
-        let Some(reported) = PeerVersion::read(headers) else { return };
-        if self.view().is_none_or(|view| view.version < reported.version) {
-            // If the queue is full, the next message of a peer reports the version again.
+    /// Reads the head of a peer's message; reports a newer version, or a newer confirmation of the
+    /// version in force, to the control thread.
+    ///
+    /// `asked_at` is the time of the request if the message is its reply.
+    pub(super) fn read_version(&self, headers: &HeaderMap, asked_at: Option<Instant>) {
+        let Some(reported) = PeerVersion::read(headers, asked_at) else { return };
+        let in_force = self.view().map(|view| view.version);
+        let is_newer = in_force < Some(reported.version);
+        let known = self.confirmed_at.borrow().map(|at| at + MIN_CONFIRMATION_GAIN);
+        if is_newer || in_force == Some(reported.version) && reported.confirmed_at > known {
+            // If the queue is full, the next message of a peer reports it again.
             let _ = self.peer_versions.try_send(reported);
         }
     }
--- a/crates/berylpin_daemon/src/direct/peer_versions/tests.rs
+++ b/crates/berylpin_daemon/src/direct/peer_versions/tests.rs
@@ -1,20 +1,35 @@
 use super::*;
 
-#[test]
-fn a_version_is_read_as_it_was_written() {
-    let written = PeerVersion { version: u64::MAX, peer: ([10, 0, 0, 1], 7380).into() };
+fn headers(version: &'static str, age: &'static str, sender: &'static str) -> HeaderMap {
     let mut headers = HeaderMap::new();
-    written.write(&mut headers);
-    assert_eq!(PeerVersion::read(&headers), Some(written));
+    for (name, value) in [(VERSION_HEADER, version), (AGE_HEADER, age), (SENDER_HEADER, sender)] {
+        headers.insert(name, HeaderValue::from_static(value));
+    }
+    headers
+}
+
+/// A delayed message would make a version look newly confirmed if its age counted from its arrival.
+#[test]
+fn a_confirmation_counts_from_the_request_that_a_message_replies_to() {
+    let asked_at = Instant::now();
+    let headers = headers("7", "1500", "10.0.0.1:7380");
+    let confirmed_at = asked_at.checked_sub(Duration::from_millis(1500));
+    let peer = ([10, 0, 0, 1], 7380).into();
+    let expected = PeerVersion { version: 7, peer, confirmed_at };
+    assert_eq!(PeerVersion::read(&headers, Some(asked_at)), Some(expected));
+    let unconfirmed = PeerVersion { confirmed_at: None, ..expected };
+    assert_eq!(PeerVersion::read(&headers, None), Some(unconfirmed));
 }
 
 #[test]
 fn headers_that_are_missing_or_malformed_are_ignored() {
-    assert_eq!(PeerVersion::read(&HeaderMap::new()), None);
+    let now = Some(Instant::now());
+    assert_eq!(PeerVersion::read(&HeaderMap::new(), now), None);
     for (version, sender) in [("x", "10.0.0.1:7380"), ("9", "here"), ("-9", "10.0.0.1:7380")] {
-        let mut headers = HeaderMap::new();
-        headers.insert(VERSION_HEADER, HeaderValue::from_static(version));
-        headers.insert(SENDER_HEADER, HeaderValue::from_static(sender));
-        assert_eq!(PeerVersion::read(&headers), None);
+        assert_eq!(PeerVersion::read(&headers(version, "1", sender), now), None);
+    }
+    for age in ["x", "-1", "18446744073709551616", ""] {
+        let read = PeerVersion::read(&headers("9", age, "10.0.0.1:7380"), now);
+        assert_eq!(read.map(|read| (read.version, read.confirmed_at)), Some((9, None)), "{age}");
     }
 }
--- a/crates/berylpin_daemon/src/direct/peers.rs
+++ b/crates/berylpin_daemon/src/direct/peers.rs
@@ -67,7 +67,7 @@
         let cx = cx.clone();
         tokio::task::spawn_local(async move {
             let (head, body) = request.into_parts();
-            cx.traffic.read_version(&head.headers);
+            cx.traffic.read_version(&head.headers, None);
             let served = if head.uri == STATE_DELTA_URI {
                 serve_state_delta(body, respond, &cx.state_requests).await
             } else {
--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -17,7 +17,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
@@ -89,6 +89,7 @@
     let (state_requests_tx, state_requests) = mpsc::channel(MAX_QUEUED_STATE_REQUESTS);
     let (leaving_tx, leaving) = mpsc::channel(MAX_QUEUED_LEAVING);
     let (peer_versions_tx, peer_versions) = mpsc::channel(MAX_QUEUED_PEER_VERSIONS);
+    let (confirmed_at_tx, confirmed_at) = watch::channel(None);
     let shared = Shared { clock: clock.clone(), log: log.clone(), view, stop, stop_accepting };
     info!(log, "daemon: started"; "name" => &settings.name,
         "version" => env!("CARGO_PKG_VERSION"), "data_centre" => &settings.data_centre);
@@ -107,6 +108,7 @@
             store,
             state_requests,
             leaving,
+            confirmed_at: confirmed_at_tx,
             peer_versions,
         };
         spawn_thread("control", move |local, runtime| {
@@ -129,6 +131,7 @@
                 state_requests: state_requests_tx,
                 leaving: leaving_tx,
                 peer_versions: peer_versions_tx,
+                confirmed_at,
             };
             let result =
                 local.block_on(runtime, run_traffic(&settings, shared, sockets, to_control));
@@ -159,11 +162,12 @@
     Ok(())
 }
 
-/// The traffic thread's queues to the control thread.
+/// The traffic thread's queues to the control thread, and what that publishes besides views.
 struct ToControl {
     state_requests: mpsc::Sender<StateDeltaRequest>,
     leaving: mpsc::Sender<Arc<Replica>>,
     peer_versions: mpsc::Sender<PeerVersion>,
+    confirmed_at: watch::Receiver<Option<Instant>>,
 }
 
 /// Serves callers and peers until `stop_accepting` is set and all callers are answered.
@@ -173,7 +177,7 @@
     (callers, peers): (Socket, Socket),
     to_control: ToControl,
 ) -> Result<(), StartError> {
-    let ToControl { state_requests, leaving, peer_versions } = to_control;
+    let ToControl { state_requests, leaving, peer_versions, confirmed_at } = to_control;
     let (callers, peers) = (callers.listen()?, peers.listen()?);
     let limits = ExtraLimits {
         ratio: settings.extra_attempt_ratio,
@@ -188,6 +192,7 @@
         leaving,
         peer_address: (settings.ip, settings.peer_ports.0).into(),
         peer_versions,
+        confirmed_at,
     };
     let traffic = Traffic::start(cx);
     let cx = PeerContext { traffic: traffic.clone(), state_requests, log: shared.log.clone() };
--- a/crates/berylpin_daemon/src/direct/traffic.rs
+++ b/crates/berylpin_daemon/src/direct/traffic.rs
@@ -23,9 +23,13 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
 
+/// A timer that is handled later than this after it is due is logged: callers may have waited for
+/// their answers as long.
+const LOGGED_TIMER_DELAY: Duration = Duration::from_millis(250);
+
 /// The interval between evictions of idle connections.
 const EVICTION_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -46,8 +50,10 @@
     pub(super) leaving: mpsc::Sender<Arc<Replica>>,
     /// The address on which this daemon accepts requests of peers.
     pub(super) peer_address: SocketAddr,
-    /// Newer versions of the configuration that peers have, for the control thread.
+    /// Versions of the configuration that peers have, for the control thread.
     pub(super) peer_versions: mpsc::Sender<PeerVersion>,
+    /// When the configuration in force was last confirmed.
+    pub(super) confirmed_at: watch::Receiver<Option<Instant>>,
 }
 
 /// A caller's request as it is forwarded to replicas and peers.
@@ -97,6 +103,7 @@
     leaving: mpsc::Sender<Arc<Replica>>,
     pub(super) peer_address: SocketAddr,
     pub(super) peer_versions: mpsc::Sender<PeerVersion>,
+    pub(super) confirmed_at: watch::Receiver<Option<Instant>>,
     next_ticket: Cell<u64>,
     /// When the timer task wakes the dispatcher; `None` if no timer is set.
     timer_due_at: Cell<Option<Instant>>,
@@ -115,6 +122,7 @@
             leaving,
             peer_address,
             peer_versions,
+            confirmed_at,
         } = cx;
         let state = State {
             dispatcher: Dispatcher::new(limits, seed),
@@ -133,6 +141,7 @@
             leaving,
             peer_address,
             peer_versions,
+            confirmed_at,
             next_ticket: Cell::new(0),
             timer_due_at: Cell::new(None),
             timer_moved: Notify::new(),
@@ -395,7 +404,14 @@
                 continue;
             };
             tokio::select! {
-                () = tokio::time::sleep_until(next.into()) => self.handle(Event::Wake),
+                () = tokio::time::sleep_until(next.into()) => {
+                    let delay = self.now().saturating_duration_since(next);
+                    if delay > LOGGED_TIMER_DELAY {
+                        warn!(self.shared.log, "route: traffic thread was late";
+                            "delay_ms" => delay.as_millis() as u64);
+                    }
+                    self.handle(Event::Wake);
+                }
                 () = self.timer_moved.notified() => {}
             }
         }
--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -35,7 +35,7 @@
 /// they are recorded.
 pub(crate) const REQUEST_DURATION: &str = "berylpin_request_duration_seconds";
 
-/// The time between two answers of the store to calls for the configuration.
+/// The time between two confirmations of the configuration by the store.
 pub(crate) const CONFIGURATION_UNCONFIRMED: &str = "berylpin_configuration_unconfirmed_seconds";
 
 /// Upper bounds of the latency buckets, in seconds.
