--- a/crates/berylpin_core/src/direct/catalogue/tests.rs
+++ b/crates/berylpin_core/src/direct/catalogue/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::direct::store_times::StoreCall;
 use crate::direct::testing::{EXPIRY_GRACE, catalogue, configuration, replica_entry};
 use proptest::prelude::*;
 
