Go on confirming after a failed call, whatever peers report

Found in reading the diff: after a failed confirming call, reports of peers would have put the next call off, while the store counted as unreachable until the watch of 30 s ended. In that time the daemon would have fetched state, entries included, from a peer each 0.5 to 1 s, though the store was back.

Now only an answer of the store ends the retries. Also: one function changes the confirmation and publishes it, one starts the proxy of the store in tests.

--- a/crates/berylpin_core/src/direct/store_times.rs
+++ b/crates/berylpin_core/src/direct/store_times.rs
@@ -59,8 +59,8 @@
 /// A dead connection is detected only when its call times out. The settle time starts when the
 /// connection fails, and the bound of a change when the change is made, so both may run at the same
 /// time: the wait of a watch, or the time until the configuration is confirmed without it, and all
-/// that follows must fit into each of them alone. Only the grace time of removed replicas is as long as the sum allows if the settle time is too short for
-/// it.
+/// that follows must fit into each of them alone. Only the grace time of removed replicas is as long
+/// as the sum allows if the settle time is too short for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreTimes {
     /// How long after its last confirmation the configuration is confirmed by a call of its own, so
--- a/crates/berylpin_daemon/src/direct/control/configuration.rs
+++ b/crates/berylpin_daemon/src/direct/control/configuration.rs
@@ -14,18 +14,14 @@
     /// Confirms the configuration by a call that does not wait whenever neither a call nor a peer has
     /// confirmed it for about `interval`; does not return.
     ///
-    /// The watch may be on a connection that went silent.
+    /// The watch may be on a connection that went silent. After a failed call only an answer of the
+    /// store ends the calls: peers show nothing about this daemon's way to it.
     pub(super) async fn confirm_configuration(&self, interval: Duration) {
         let config = WatchConfig::configuration();
         let mut failures = 0;
         loop {
-            let delay = confirmation_delay(interval, rand::rng().random());
-            loop {
-                let age = self.confirmation.get().age(self.now());
-                let Some(rest) = delay.checked_sub(age).filter(|rest| !rest.is_zero()) else {
-                    break;
-                };
-                tokio::time::sleep(rest).await;
+            if failures == 0 {
+                self.wait_until_unconfirmed(interval).await;
             }
             let since = self.configuration_revision.get();
             match self.list_or_watch(&config, since, Duration::ZERO).await {
@@ -46,31 +42,35 @@
         }
     }
 
+    /// Waits until the last confirmation is about `interval` old.
+    async fn wait_until_unconfirmed(&self, interval: Duration) {
+        let delay = confirmation_delay(interval, rand::rng().random());
+        loop {
+            let age = self.confirmation.get().age(self.now());
+            match delay.checked_sub(age) {
+                None | Some(Duration::ZERO) => return,
+                Some(rest) => tokio::time::sleep(rest).await,
+            }
+        }
+    }
+
     /// Records an answer that confirms the configuration as of `at`.
     pub(super) fn record_configuration_answer(&self, at: Instant, revision: u64) {
-        let mut confirmation = self.confirmation.get();
-        histogram!(CONFIGURATION_UNCONFIRMED).record(confirmation.record_answer(at));
-        self.set_confirmation(confirmation);
+        let gain = self.update_confirmation(|confirmation| confirmation.record_answer(at));
+        histogram!(CONFIGURATION_UNCONFIRMED).record(gain);
         self.configuration_revision.set(self.configuration_revision.get().max(Some(revision)));
     }
 
-    /// Records a call for the configuration that failed.
-    pub(super) fn record_configuration_failure(&self) {
+    /// Changes the confirmation, and publishes its time to the traffic thread.
+    pub(super) fn update_confirmation<T, F>(&self, update: F) -> T
+    where
+        F: FnOnce(&mut Confirmation) -> T,
+    {
         let mut confirmation = self.confirmation.get();
-        confirmation.record_failure(self.now());
-        self.set_confirmation(confirmation);
-    }
-
-    /// Records that a peer has the version in force confirmed as of `at`.
-    pub(super) fn record_peer_confirmation(&self, at: Instant) {
-        let mut confirmation = self.confirmation.get();
-        confirmation.record_peer(at);
-        self.set_confirmation(confirmation);
-    }
-
-    fn set_confirmation(&self, confirmation: Confirmation) {
+        let result = update(&mut confirmation);
         self.confirmation.set(confirmation);
         self.confirmed_at.send_replace(Some(confirmation.confirmed_at()));
+        result
     }
 
     pub(super) fn apply_configuration_list(&self, objects: Vec<Object>, _: u64) {
--- a/crates/berylpin_daemon/src/direct/control/state_delta.rs
+++ b/crates/berylpin_daemon/src/direct/control/state_delta.rs
@@ -72,7 +72,7 @@
             if self.catalogue.borrow().version() == Some(version)
                 && let Some(at) = confirmed_at
             {
-                self.record_peer_confirmation(at);
+                self.update_confirmation(|confirmation| confirmation.record_peer(at));
             }
             if !self.catalogue.borrow().is_older_than(version) {
                 continue;
--- a/crates/berylpin_daemon/src/direct/control/watches.rs
+++ b/crates/berylpin_daemon/src/direct/control/watches.rs
@@ -202,7 +202,9 @@
                 "elapsed_ms" => elapsed.as_millis() as u64, "wait_ms" => wait.as_millis() as u64);
         }
         match kind {
-            ObjectKind::Configuration if !succeeded => self.record_configuration_failure(),
+            ObjectKind::Configuration if !succeeded => {
+                self.update_confirmation(|confirmation| confirmation.record_failure(now));
+            }
             ObjectKind::Replicas => self.catalogue.borrow_mut().record_replicas_call(call, now),
             ObjectKind::Configuration | ObjectKind::Daemons => {}
         }
--- a/crates/berylpin_daemon/tests/platform/process.rs
+++ b/crates/berylpin_daemon/tests/platform/process.rs
@@ -1,11 +1,12 @@
 //! Daemons as processes that a test starts, signals and stops.
 
-use berylpin_platform_standin::Vm;
-use berylpin_standin::net::Zone;
+use berylpin_platform_standin::{Store, Vm};
+use berylpin_standin::net::{Net, Proxy, ProxyTarget, Zone};
 use berylpin_standin::ports::ReservedPorts;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -150,3 +151,14 @@
 pub(super) fn data_centre(zone: Zone) -> String {
     format!("centre-{}", zone.0)
 }
+
+/// Starts a proxy through which daemons reach the store.
+pub(super) async fn start_store_proxy(net: &Arc<Net>, store: &Store) -> Proxy {
+    let target = ProxyTarget {
+        zone: Zone::PLATFORM,
+        address: store.address(),
+        max_connections: usize::MAX,
+        count_bytes: false,
+    };
+    Proxy::start(net.clone(), 1, target).await.unwrap()
+}
--- a/crates/berylpin_daemon/tests/platform/silent_store.rs
+++ b/crates/berylpin_daemon/tests/platform/silent_store.rs
@@ -1,10 +1,10 @@
 //! Connections to the store that go silent without a reset.
 
-use super::process::{FleetPorts, Process, data_centre};
+use super::process::{FleetPorts, Process, data_centre, start_store_proxy};
 use berylpin_platform_standin::{
     Caller, Outcome, Replica, RequestKind, RunLog, Store, configuration, replica_entry,
 };
-use berylpin_standin::net::{Net, Proxy, ProxyTarget, Zone};
+use berylpin_standin::net::{Net, Proxy, Zone};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -47,13 +47,7 @@
         }
         put_configuration(&store, 1, "ledger");
         let net = Net::new(Duration::ZERO);
-        let target = ProxyTarget {
-            zone: Zone::PLATFORM,
-            address: store.address(),
-            max_connections: usize::MAX,
-            count_bytes: false,
-        };
-        let proxy = Proxy::start(net.clone(), 1, target).await.unwrap();
+        let proxy = start_store_proxy(&net, &store).await;
         let mut process = Process::new(Zone(0), &ports, proxy.address(), name);
         process.start();
         let caller = Caller::new(process.caller_address()).unwrap();
--- a/crates/berylpin_daemon/tests/platform/store_outage.rs
+++ b/crates/berylpin_daemon/tests/platform/store_outage.rs
@@ -1,10 +1,10 @@
 //! Daemons that apply state from peers during a store outage, and that restore a removed entry.
 
-use super::process::{FleetPorts, Process, data_centre};
+use super::process::{FleetPorts, Process, data_centre, start_store_proxy};
 use berylpin_platform_standin::{
     Caller, Outcome, Replica, RequestKind, RunLog, Store, StoreFault, configuration, replica_entry,
 };
-use berylpin_standin::net::{Net, Proxy, ProxyTarget, Zone};
+use berylpin_standin::net::{Net, Zone};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -101,13 +101,7 @@
     let _replicas = start_replicas(&store).await;
     store.put("config", "main", configuration(1, &shards(SHARDS), "ledger"));
     let net = Net::new(Duration::ZERO);
-    let target = ProxyTarget {
-        zone: Zone::PLATFORM,
-        address: store.address(),
-        max_connections: usize::MAX,
-        count_bytes: false,
-    };
-    let proxy = Proxy::start(net.clone(), 1, target).await.unwrap();
+    let proxy = start_store_proxy(&net, &store).await;
     let mut reaching = Process::new(Zone(0), &ports, store.address(), "reaching-store");
     let mut silent = Process::new(Zone(1), &ports, proxy.address(), "silent-watch");
     for process in [&mut reaching, &mut silent] {
