--- a/crates/berylpin_core/src/direct/store_times/tests.rs
+++ b/crates/berylpin_core/src/direct/store_times/tests.rs
@@ -83,6 +83,24 @@
     now + VIEW_DELAY
 }
 
+/// Returns how long a replica that is removed during the settle time after a silence is used beyond
+/// both the settle time and the drain limit.
+///
+/// `silent_after` is a share of the watch's wait and `removed_after` one of the settle time.
+fn use_beyond_settle_time(
+    bounds: &StoreBounds,
+    silent_after: f64,
+    removed_after: f64,
+    draws: (f64, f64),
+) -> Duration {
+    let started = Instant::now();
+    let silent_at = started + StoreTimes::new(bounds).replicas_wait.mul_f64(silent_after);
+    let removed_at = silent_at + bounds.settle.mul_f64(removed_after);
+    let last_use = last_use_after_silence(bounds, started, removed_at, draws);
+    let due = (silent_at + bounds.settle).max(removed_at + bounds.drain);
+    last_use.saturating_duration_since(due)
+}
+
 proptest! {
     /// A replica was used too long after its removal, because the time until a dead connection is
     /// noticed and the grace time were each within the bound, but their sum was not.
@@ -134,6 +152,9 @@
         let due = (silent_at + bounds.settle.max(shortest))
             .max(changed_at + bounds.config_apply.max(shortest));
         prop_assert!(learned_at <= due, "{:?} too late", learned_at - due);
+        if changed_after >= bounds.settle {
+            prop_assert!(learned_at <= changed_at + bounds.config_apply);
+        }
     }
 
     /// The watch of the replicas had the same fault: an entry that became draining while the settle
@@ -155,13 +176,23 @@
         jitter in 1.0..2.0f64,
         check_phase in 0.0..1.0f64,
     ) {
-        let started = Instant::now();
-        let silent_at = started + StoreTimes::new(&bounds).replicas_wait.mul_f64(silent_after);
-        let removed_at = silent_at + bounds.settle.mul_f64(removed_after);
-        let last_use =
-            last_use_after_silence(&bounds, started, removed_at, (jitter, check_phase));
-        let due = (silent_at + bounds.settle).max(removed_at + bounds.drain);
-        prop_assert!(last_use <= due, "used for {:?} more", last_use - due);
+        let excess =
+            use_beyond_settle_time(&bounds, silent_after, removed_after, (jitter, check_phase));
+        prop_assert_eq!(excess, Duration::ZERO);
+    }
+
+    /// The grace time of a removed replica does not fit into a shorter settle time.
+    #[test]
+    fn a_removed_replica_is_dropped_by_the_end_of_any_settle_time(
+        bounds in bounds(),
+        silent_after in 0.0..1.0f64,
+        removed_after in 0.0..1.0f64,
+        jitter in 1.0..2.0f64,
+        check_phase in 0.0..1.0f64,
+    ) {
+        let excess =
+            use_beyond_settle_time(&bounds, silent_after, removed_after, (jitter, check_phase));
+        prop_assert_eq!(excess, Duration::ZERO);
     }
 
     /// An outage that no call shows would drop running replicas whose entries expired in it.
