--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,165 @@
+//! The cases, and the site that all of them run on.
+
+mod changed_grace;
+mod false_promise;
+mod odd_entry;
+mod stale_reads;
+mod unparsable_list;
+
+use crate::Verdict;
+use crate::client::{self, Reply};
+use crate::daemon::Fleet;
+use crate::record::Record;
+use crate::replica::{Replica, Runs};
+use crate::store::Store;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// The time until all daemons of a case serve.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// How long the site is calm before a case begins; longer than `settle_window_ms`.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
+/// The data centres of a site, one for each daemon.
+const ZONES: [&str; 3] = ["zone-a", "zone-a", "zone-b"];
+
+/// The service that the requests of a case go to, and another one.
+const LEDGER: &str = "ledger";
+const ARCHIVE: &str = "archive";
+
+/// Runs the case of a name.
+pub fn run(case: &str, trouble: bool, record: &Arc<Record>) -> Verdict {
+    let result = match case {
+        "changed_grace" => changed_grace::run(trouble, record),
+        "false_promise" => false_promise::run(trouble, record),
+        "odd_entry" => odd_entry::run(trouble, record),
+        "stale_reads" => stale_reads::run(trouble, record),
+        "unparsable_list" => unparsable_list::run(trouble, record),
+        _ => Err(format!("no case {case}")),
+    };
+    match result {
+        Ok(true) => Verdict::Broken,
+        Ok(false) => Verdict::Held,
+        Err(cause) => Verdict::NotRun(cause),
+    }
+}
+
+/// Three daemons, a store, and replicas of two services.
+struct Site {
+    store: Store,
+    runs: Runs,
+    /// The replicas of `LEDGER`.
+    replicas: Vec<Replica>,
+    /// The replica of `ARCHIVE`.
+    _archive: Replica,
+    fleet: Fleet,
+    record: Arc<Record>,
+}
+
+impl Site {
+    /// Starts a site and waits until it serves and is calm. `route_type` is that of the route to
+    /// `LEDGER`, and `grace_s` the time that the daemons have to end after SIGTERM.
+    fn start(route_type: &str, grace_s: u32, record: &Arc<Record>) -> Result<Self, String> {
+        let store = Store::start().map_err(|e| e.to_string())?;
+        let runs = Runs::default();
+        let start = |id, service| start_replica(id, service, None, (&store, &runs, record));
+        let replicas = vec![start("i-1a01", LEDGER)?, start("i-1a02", LEDGER)?];
+        let archive = start("i-2b01", ARCHIVE)?;
+        let routes =
+            [route("/ledger/", route_type, LEDGER), route("/archive/", "idempotent", ARCHIVE)];
+        store.put("config", b"main", configuration(3, &routes, &[LEDGER, ARCHIVE]).as_bytes());
+        let fleet = Fleet::start(&ZONES, store.address(), grace_s, record);
+        let fleet = fleet.map_err(|e| e.to_string())?;
+        let record = record.clone();
+        let site = Self { store, runs, replicas, _archive: archive, fleet, record };
+        site.wait_until_served()?;
+        sleep(SETTLE_TIME);
+        Ok(site)
+    }
+
+    /// Waits until each daemon answers a request with success.
+    fn wait_until_served(&self) -> Result<(), String> {
+        let deadline = Instant::now() + START_TIMEOUT;
+        for daemon in self.fleet.addresses() {
+            while !send(daemon, &self.record).is_success() {
+                if Instant::now() >= deadline {
+                    return Err(format!("the daemon at {daemon} does not serve"));
+                }
+                sleep(Duration::from_millis(100));
+            }
+        }
+        Ok(())
+    }
+
+    /// Sends requests one after the other: in each round one to each daemon, then a pause.
+    fn send_rounds(&self, rounds: usize, pause: Duration) -> Vec<Reply> {
+        let mut replies = Vec::new();
+        for _ in 0..rounds {
+            for daemon in self.fleet.addresses() {
+                replies.push(send(daemon, &self.record));
+            }
+            sleep(pause);
+        }
+        replies
+    }
+
+    /// Starts a replica and puts its entry into the store.
+    fn start_replica(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+    ) -> Result<Replica, String> {
+        start_replica(id, service, Some(address), (&self.store, &self.runs, &self.record))
+    }
+}
+
+/// Sends a request for `LEDGER` that waits for 10 s.
+fn send(daemon: SocketAddr, record: &Record) -> Reply {
+    let request = ("POST", "/ledger/1", &b"amount=1"[..]);
+    client::send(daemon, request, Duration::from_secs(10), record)
+}
+
+fn start_replica(
+    id: &str,
+    service: &str,
+    address: Option<SocketAddr>,
+    (store, runs, record): (&Store, &Runs, &Arc<Record>),
+) -> Result<Replica, String> {
+    let replica = Replica::start(id, service, address, (runs, record));
+    let replica = replica.map_err(|e| e.to_string())?;
+    store.put("servers", id.as_bytes(), replica.entry(ZONES[0], "ready").as_bytes());
+    Ok(replica)
+}
+
+/// Returns a route of the configuration to one service.
+fn route(prefix: &str, route_type: &str, service: &str) -> String {
+    format!(
+        "{{\"name\":\"r-{service}\",\"host\":\"shop.example\",\"path_prefix\":\"{prefix}\",\
+         \"route_type\":\"{route_type}\",\"timeout_ms\":10000,\"target_latency_ms\":500,\
+         \"priority\":1,\"service\":\"{service}\",\"max_attempts\":2}}"
+    )
+}
+
+/// Returns a configuration with some routes and services.
+fn configuration(version: u32, routes: &[String], services: &[&str]) -> String {
+    let services: Vec<String> = services
+        .iter()
+        .map(|name| {
+            format!(
+                "{{\"name\":\"{name}\",\"health_path\":\"/health\",\"max_connections\":110,\
+                 \"protocol\":\"h1\",\"tls\":false}}"
+            )
+        })
+        .collect();
+    format!(
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\
+         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\
+         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
+        routes.join(","),
+        services.join(",")
+    )
+}
