--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -3,12 +3,14 @@
 mod changed_grace;
 mod false_promise;
 mod odd_entry;
+mod silent_removal;
 mod stale_reads;
 mod unparsable_list;
 
 use crate::Verdict;
 use crate::client::{self, Reply};
 use crate::daemon::Fleet;
+use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::replica::{Replica, Runs};
 use crate::store::Store;
@@ -36,6 +38,7 @@
         "changed_grace" => changed_grace::run(trouble, record),
         "false_promise" => false_promise::run(trouble, record),
         "odd_entry" => odd_entry::run(trouble, record),
+        "silent_removal" => silent_removal::run(trouble, record),
         "stale_reads" => stale_reads::run(trouble, record),
         "unparsable_list" => unparsable_list::run(trouble, record),
         _ => Err(format!("no case {case}")),
@@ -50,6 +53,8 @@
 /// Three daemons, a store, and replicas of two services.
 struct Site {
     store: Store,
+    /// Through which the daemons reach the store.
+    proxy: Proxy,
     runs: Runs,
     /// The replicas of `LEDGER`.
     replicas: Vec<Replica>,
@@ -71,10 +76,11 @@
         let routes =
             [route("/ledger/", route_type, LEDGER), route("/archive/", "idempotent", ARCHIVE)];
         store.put("config", b"main", configuration(3, &routes, &[LEDGER, ARCHIVE]).as_bytes());
-        let fleet = Fleet::start(&ZONES, store.address(), grace_s, record);
+        let proxy = Proxy::start(store.address()).map_err(|e| e.to_string())?;
+        let fleet = Fleet::start(&ZONES, proxy.address(), grace_s, record);
         let fleet = fleet.map_err(|e| e.to_string())?;
         let record = record.clone();
-        let site = Self { store, runs, replicas, _archive: archive, fleet, record };
+        let site = Self { store, proxy, runs, replicas, _archive: archive, fleet, record };
         site.wait_until_served()?;
         sleep(SETTLE_TIME);
         Ok(site)
@@ -111,9 +117,9 @@
         &self,
         id: &str,
         service: &str,
-        address: SocketAddr,
+        address: Option<SocketAddr>,
     ) -> Result<Replica, String> {
-        start_replica(id, service, Some(address), (&self.store, &self.runs, &self.record))
+        start_replica(id, service, address, (&self.store, &self.runs, &self.record))
     }
 }
 
--- a/review/standin-2/cases/changed_grace.rs
+++ b/review/standin-2/cases/changed_grace.rs
@@ -18,7 +18,7 @@
 const RELOAD_TIME: Duration = Duration::from_secs(8);
 
 /// The clients; each sends one charge after the other, with a pause after each.
-const CLIENTS: usize = 60;
+const CLIENTS: usize = 120;
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// The run time of a charge.
--- a/review/standin-2/cases/odd_entry.rs
+++ b/review/standin-2/cases/odd_entry.rs
@@ -36,7 +36,7 @@
     sleep(ENTRY_TIME);
     first.end();
     sleep(ADDRESS_REUSE);
-    let _heir = site.start_replica("i-2b02", ARCHIVE, first.address())?;
+    let _heir = site.start_replica("i-2b02", ARCHIVE, Some(first.address()))?;
     sleep(EXPIRY.saturating_sub(ADDRESS_REUSE));
     site.store.remove("servers", first.id().as_bytes());
     sleep(CALM);
--- a/review/standin-2/daemon.rs
+++ b/review/standin-2/daemon.rs
@@ -17,10 +17,15 @@
 /// Kills all processes that were started and not ended.
 pub fn kill_all() {
     for id in PROCESSES.lock().unwrap().drain(..) {
-        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        send_signal("-KILL", id);
     }
 }
 
+/// Sends a signal, named as an option of the shell's `kill`.
+fn send_signal(option: &str, id: u32) {
+    let _ = Command::new("sh").args(["-c", &format!("kill {option} {id}")]).status();
+}
+
 /// The settings of a daemon.
 #[derive(Clone)]
 pub struct Settings {
@@ -168,7 +173,7 @@
     pub fn signal(&self, option: &str) {
         if let Some(child) = &self.child {
             self.record.line(&format!("daemon {} gets {option}", self.settings.name));
-            let _ = Command::new("kill").args([option, &child.id().to_string()]).status();
+            send_signal(option, child.id());
         }
     }
 
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod client;
 mod daemon;
 mod http;
+mod proxy;
 mod record;
 mod replica;
 mod store;
