--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -6,6 +6,7 @@
 mod silent_removal;
 mod stale_reads;
 mod unparsable_list;
+mod zero_weight;
 
 use crate::Verdict;
 use crate::client::{self, Reply};
@@ -41,6 +42,7 @@
         "silent_removal" => silent_removal::run(trouble, record),
         "stale_reads" => stale_reads::run(trouble, record),
         "unparsable_list" => unparsable_list::run(trouble, record),
+        "zero_weight" => zero_weight::run(trouble, record),
         _ => Err(format!("no case {case}")),
     };
     match result {
--- a/review/standin-2/cases/stale_reads.rs
+++ b/review/standin-2/cases/stale_reads.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 /// How old the data is.
-const STALENESS: Duration = Duration::from_secs(5);
+const STALENESS: Duration = Duration::from_secs(4);
 
 /// How long calls are stale before the replica drains.
 const STALE_TIME: Duration = Duration::from_secs(8);
