--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -17,7 +17,7 @@
 use crate::store::Store;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread::sleep;
+use std::thread::{JoinHandle, sleep};
 use std::time::{Duration, Instant};
 
 /// The time until all daemons of a case serve.
@@ -29,6 +29,10 @@
 /// The data centres of a site, one for each daemon.
 const ZONES: [&str; 3] = ["zone-a", "zone-a", "zone-b"];
 
+/// The requests that are sent to each daemon at once, and the pause after each.
+const REQUESTS_AT_ONCE: usize = 4;
+const PAUSE_AT_ONCE: Duration = Duration::from_millis(10);
+
 /// The service that the requests of a case go to, and another one.
 const LEDGER: &str = "ledger";
 const ARCHIVE: &str = "archive";
@@ -114,6 +118,48 @@
         replies
     }
 
+    /// Sends a few requests to each daemon, none of which waits for the others.
+    fn send_at_once(&self) -> Vec<JoinHandle<Reply>> {
+        let mut clients = Vec::new();
+        for daemon in self.fleet.addresses() {
+            for _ in 0..REQUESTS_AT_ONCE {
+                let record = self.record.clone();
+                clients.push(std::thread::spawn(move || send(daemon, &record)));
+                sleep(PAUSE_AT_ONCE);
+            }
+        }
+        clients
+    }
+
+    /// Returns how many requests reached a replica after `due`; records them, and how many of them
+    /// were lost at its end.
+    fn count_late_runs(
+        &self,
+        replica: &Replica,
+        (acknowledged, due): (Instant, Instant),
+        replies: &[Reply],
+    ) -> usize {
+        let runs = self.runs.all();
+        let late = runs.iter().filter(|run| run.replica == replica.id() && run.arrived > due);
+        let late: Vec<_> = late.collect();
+        for run in &late {
+            let after = run.arrived.duration_since(acknowledged).as_millis();
+            self.record.line(&format!(
+                "{} reached {} {after} ms after the acknowledgement",
+                run.request, run.replica
+            ));
+        }
+        let failed = |id: &String| replies.iter().any(|r| r.request == *id && !r.is_success());
+        let lost = late.iter().filter(|run| run.cut && failed(&run.request)).count();
+        self.record.line(&format!(
+            "{} of {} requests reached {} too late; {lost} of them were cut at its end and failed",
+            late.len(),
+            replies.len(),
+            replica.id()
+        ));
+        late.len()
+    }
+
     /// Starts a replica and puts its entry into the store.
     fn start_replica(
         &self,
@@ -125,6 +171,14 @@
     }
 }
 
+fn wait_for_replies(clients: Vec<JoinHandle<Reply>>) -> Vec<Reply> {
+    clients.into_iter().filter_map(|client| client.join().ok()).collect()
+}
+
+fn sleep_until(end: Instant) {
+    sleep(end.saturating_duration_since(Instant::now()));
+}
+
 /// Sends a request for `LEDGER` that waits for 10 s.
 fn send(daemon: SocketAddr, record: &Record) -> Reply {
     let request = ("POST", "/ledger/1", &b"amount=1"[..]);
--- a/review/standin-2/cases/silent_removal.rs
+++ b/review/standin-2/cases/silent_removal.rs
@@ -1,7 +1,7 @@
 //! The open connections to the store go silent, and new ones work. The entry of a replica that
-//! leaves is removed meanwhile.
+//! leaves is removed meanwhile, and the replica ends some time later.
 
-use super::{LEDGER, Site, send};
+use super::{LEDGER, Site, sleep_until, wait_for_replies};
 use crate::record::Record;
 use crate::replica::Replica;
 use std::sync::Arc;
@@ -17,14 +17,15 @@
 /// How long after the silence the entry is removed.
 const REMOVAL_DELAY: Duration = Duration::from_millis(200);
 
-/// The time from the end of both to the first charge, so that the bounds are passed for certain.
+/// The time from the end of both to the first charge, and from then to the end of the replica.
 const SEND_DELAY: Duration = Duration::from_millis(50);
+const EXTRA_TIME: Duration = Duration::from_millis(500);
 
-/// How long charges are sent.
-const SEND_TIME: Duration = Duration::from_millis(600);
+/// The run time of a charge.
+const WORK: Duration = Duration::from_millis(600);
 
 /// The rounds; in each the silence begins at another point of the daemons' watches.
-const ROUNDS: u32 = 5;
+const ROUNDS: u32 = 4;
 const PHASE: Duration = Duration::from_millis(130);
 
 /// The calm before each round.
@@ -35,9 +36,9 @@
     let mut late = 0;
     for round in 0..ROUNDS {
         sleep(CALM + PHASE * round);
+        site.replicas.iter().for_each(|replica| replica.set_work(WORK));
         let leaving = site.replicas.remove(0);
         late += run_round(&site, &leaving, trouble);
-        leaving.end();
         site.replicas.push(site.start_replica(&format!("i-1b0{round}"), LEDGER, None)?);
     }
     record.line(&format!("{late} charges reached a replica too late"));
@@ -57,34 +58,12 @@
     let acknowledged = site.store.remove("servers", leaving.id().as_bytes());
     record.line(&format!("the store acknowledges that the entry of {} is removed", leaving.id()));
     // No charges come meanwhile, so no answer of the replica tells the daemons that it leaves.
-    let due = (silent_at + SETTLE).max(acknowledged + DRAIN) + SEND_DELAY;
-    sleep(due.saturating_duration_since(Instant::now()));
-    let clients: Vec<_> = site
-        .fleet
-        .addresses()
-        .into_iter()
-        .map(|daemon| {
-            let record = record.clone();
-            std::thread::spawn(move || {
-                while Instant::now() < due + SEND_TIME {
-                    send(daemon, &record);
-                }
-            })
-        })
-        .collect();
-    for client in clients {
-        let _ = client.join();
-    }
-    let runs = site.runs.all();
-    let late = runs.iter().filter(|run| run.replica == leaving.id() && run.arrived > due);
-    let late: Vec<_> = late.collect();
-    for run in &late {
-        let after = run.arrived.duration_since(acknowledged).as_millis();
-        let settled = run.arrived.duration_since(silent_at).as_millis();
-        record.line(&format!(
-            "{} reached {} {after} ms after the acknowledgement, {settled} ms after the silence",
-            run.request, run.replica
-        ));
-    }
-    late.len()
+    let due = (silent_at + SETTLE).max(acknowledged + DRAIN);
+    sleep_until(due + SEND_DELAY);
+    let clients = site.send_at_once();
+    sleep_until(due + SEND_DELAY + EXTRA_TIME);
+    leaving.end();
+    let replies = wait_for_replies(clients);
+    sleep(WORK);
+    site.count_late_runs(leaving, (acknowledged, due), &replies)
 }
--- a/review/standin-2/cases/stale_reads.rs
+++ b/review/standin-2/cases/stale_reads.rs
@@ -1,10 +1,10 @@
 //! Calls with `stale_ok` return data that is some seconds old. A replica drains meanwhile.
 
-use super::{Site, ZONES, send};
+use super::{Site, ZONES, sleep_until, wait_for_replies};
 use crate::record::Record;
 use std::sync::Arc;
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How old the data is.
 const STALENESS: Duration = Duration::from_secs(4);
@@ -19,10 +19,6 @@
 const SEND_DELAY: Duration = Duration::from_millis(200);
 const EXTRA_TIME: Duration = Duration::from_millis(600);
 
-/// The charges for each daemon, and the pause after each.
-const CHARGES: usize = 4;
-const PAUSE: Duration = Duration::from_millis(10);
-
 /// The run time of a charge.
 const WORK: Duration = Duration::from_millis(600);
 
@@ -40,37 +36,14 @@
     let acknowledged = site.store.put("servers", leaving.id().as_bytes(), entry.as_bytes());
     record.line("the store acknowledges that i-1a01 drains");
     // No charges come meanwhile, so no answer of the replica tells the daemons that it leaves.
-    sleep((acknowledged + DRAIN + SEND_DELAY).saturating_duration_since(Instant::now()));
-    let mut clients = Vec::new();
-    for daemon in site.fleet.addresses() {
-        for _ in 0..CHARGES {
-            let record = record.clone();
-            clients.push(std::thread::spawn(move || send(daemon, &record)));
-            sleep(PAUSE);
-        }
-    }
-    sleep((acknowledged + DRAIN + EXTRA_TIME).saturating_duration_since(Instant::now()));
+    let due = acknowledged + DRAIN;
+    sleep_until(due + SEND_DELAY);
+    let clients = site.send_at_once();
+    sleep_until(due + EXTRA_TIME);
     leaving.end();
-    let replies: Vec<_> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
-    // Until the replica's threads have noticed its end.
-    sleep(WORK * 2);
-
-    let runs = site.runs.all();
-    let late =
-        runs.iter().filter(|run| run.replica == leaving.id() && run.arrived > acknowledged + DRAIN);
-    let late: Vec<_> = late.collect();
-    for run in &late {
-        let after = run.arrived.duration_since(acknowledged).as_millis();
-        record
-            .line(&format!("{} reached i-1a01 {after} ms after the acknowledgement", run.request));
-    }
-    let failed = |id: &String| replies.iter().any(|r| r.request == *id && !r.is_success());
-    let lost = late.iter().filter(|run| run.cut && failed(&run.request)).count();
-    record.line(&format!(
-        "{} of {} charges reached the draining replica too late; {lost} of them were cut at its end \
-         and failed",
-        late.len(),
-        replies.len()
-    ));
-    Ok(!late.is_empty())
+    let replies = wait_for_replies(clients);
+    sleep(WORK);
+    let late = site.count_late_runs(leaving, (acknowledged, due), &replies);
+    record.line(&format!("{late} charges reached the replica too late"));
+    Ok(late > 0)
 }
