--- a/review/standin-2/daemon.rs
+++ b/review/standin-2/daemon.rs
@@ -11,6 +11,9 @@
 /// The program of the deploy file, from the repository's root.
 const PROGRAM: &str = "target/release/berylpind";
 
+/// The time between the starts of two daemons; all machines start within 0.3 s of each other.
+const START_INTERVAL: Duration = Duration::from_millis(140);
+
 /// All processes that were started and not ended.
 static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -128,6 +131,7 @@
             let mut daemon = Daemon { settings, folder, child: None, record };
             daemon.start()?;
             fleet.daemons.push(daemon);
+            std::thread::sleep(START_INTERVAL);
         }
         Ok(fleet)
     }
