--- a/crates/berylpin_daemon/src/direct/control/watches.rs
+++ b/crates/berylpin_daemon/src/direct/control/watches.rs
@@ -28,6 +28,9 @@
 /// The maximum back-off for the daemons, which change rarely.
 pub(super) const MAX_DAEMONS_RETRY_BACKOFF: Duration = Duration::from_secs(4);
 
+/// The revision of state from an incomplete list, so that any complete state counts as newer.
+const INCOMPLETE_REVISION: u64 = 0;
+
 /// How the objects of one kind are listed and watched.
 pub(super) struct WatchConfig {
     kind: ObjectKind,
@@ -169,8 +172,14 @@
         let (store, called_at) = (self.store(), self.now());
         let Some(since) = since else {
             let listing = store.list(*kind, *list_freshness).await;
-            self.record_call(*kind, listing.is_ok(), called_at, Duration::ZERO);
+            let succeeded = listing.as_ref().is_ok_and(|listing| listing.complete);
+            self.record_call(*kind, succeeded, called_at, Duration::ZERO);
             let listing = listing?;
+            if !listing.complete {
+                let found = listing.objects.into_iter().map(Change::Put).collect();
+                apply_changes(self, found, INCOMPLETE_REVISION);
+                return Err(StoreError::Incomplete);
+            }
             apply_list(self, listing.objects, listing.revision);
             self.record_answer(*kind, called_at, listing.revision);
             return Ok(listing.revision);
--- a/crates/berylpin_daemon/tests/platform/main.rs
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod connections;
 mod long_bodies;
+mod odd_entries;
 mod planned_stop;
 mod process;
 mod replicas_in_trouble;
--- /dev/null
+++ b/crates/berylpin_daemon/tests/platform/odd_entries.rs
@@ -0,0 +1,64 @@
+//! Entries of another writer among those of the replicas.
+
+use super::process::{FleetPorts, Process, data_centre};
+use berylpin_platform_standin::{
+    Caller, Outcome, Replica, RequestKind, RunLog, Store, configuration, replica_entry,
+};
+use berylpin_standin::net::Zone;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// The timeout until a daemon serves, and of each answer; ample even on a loaded machine.
+const SERVE_TIMEOUT: Duration = Duration::from_secs(20);
+
+const SHARDS: [&str; 4] = ["a0", "a1", "a2", "a3"];
+
+/// Names with characters that have a meaning in a URL. Each sorts before the names of all replicas,
+/// so that a list with pages of one object continues after it.
+const ODD_NAMES: [&str; 8] =
+    ["&watch=1", "+", "#", "% ", "%zz", "/..", "a b&after=z", " Ünïcode \u{1f980}?"];
+
+/// Waits until a daemon answers a query with all shards.
+async fn wait_until_serves(process: &Process) {
+    let caller = Caller::new(process.caller_address()).unwrap();
+    let deadline = Instant::now() + SERVE_TIMEOUT;
+    for number in 0.. {
+        assert!(Instant::now() < deadline, "{} does not serve:\n{}", process.name(), process.log());
+        let outcome = caller.send(RequestKind::Query, &format!("q-{number}"), SERVE_TIMEOUT).await;
+        if matches!(outcome, Outcome::Answered(parts) if parts.contains(&"missing 0".to_owned())) {
+            return;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// The name of the last entry of a page was sent without encoding, so the list was cut short or did
+/// not get past the entry, and daemons that started served nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_with_an_odd_name_does_not_hide_the_replicas_on_later_pages() {
+    let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
+    let run_log = Arc::<RunLog>::default();
+    let mut replicas = Vec::new();
+    for service in SHARDS.into_iter().chain(["ledger"]) {
+        let id = format!("i-{service}");
+        let replica = Replica::start(&id, service, run_log.clone(), 1).await.unwrap();
+        let entry = replica_entry(service, replica.address(), &data_centre(Zone(0)), false);
+        store.put("servers", &id, entry);
+        replicas.push(replica);
+    }
+    for kind in ["config", "servers", "daemons"] {
+        for name in ODD_NAMES {
+            store.put(kind, name, json!({"note": "of another writer"}));
+        }
+    }
+    store.put("config", "main", configuration(1, &SHARDS.map(str::to_owned), "ledger"));
+    store.set_page_size(1);
+    let mut process = Process::new(Zone(0), &ports, store.address(), "odd-names");
+    for _ in 0..2 {
+        process.start();
+        wait_until_serves(&process).await;
+        process.kill();
+    }
+}
