Log the beginning, the end and the failure of a start

The ways in which a process can end around its start left no line, one line of plain text on standard error, or `daemon: started` although the start had failed. Now `daemon: starting` comes first, `daemon: not started` has the cause, `daemon: started` is written once callers are accepted, with the time that the start took, and `daemon: stopping` names the signal.

No decision changes.

--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -13,7 +13,7 @@
 use berylpin_core::direct::{ExtraLimits, Replica, Stop, StopSchedule, View};
 use berylpin_platform::{PlatformSettings, SettingsError, Store, StoreError};
 use rand::Rng;
-use slog::{info, warn};
+use slog::{error, info, warn};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -81,6 +81,19 @@
 ///
 /// Returns why the daemon cannot start.
 pub fn run_on_platform(path: &Path, clock: Arc<dyn Clock>, log: Log) -> Result<(), RunError> {
+    info!(log, "daemon: starting"; "version" => env!("CARGO_PKG_VERSION"),
+        "process" => std::process::id());
+    let result = run(path, clock, &log);
+    if let Err(e) = &result {
+        error!(log, "daemon: not started"; "cause" => %e);
+        // The log thread cannot be joined.
+        std::thread::sleep(LOG_FLUSH_TIME);
+    }
+    result
+}
+
+fn run(path: &Path, clock: Arc<dyn Clock>, log: &Log) -> Result<(), RunError> {
+    let started_at = clock.now();
     let settings = PlatformSettings::load(path)?;
     let (view_tx, view) = watch::channel(None);
     let (stop_tx, stop) = watch::channel(None);
@@ -91,8 +104,6 @@
     let (peer_versions_tx, peer_versions) = mpsc::channel(MAX_QUEUED_PEER_VERSIONS);
     let (confirmed_at_tx, confirmed_at) = watch::channel(None);
     let shared = Shared { clock: clock.clone(), log: log.clone(), view, stop, stop_accepting };
-    info!(log, "daemon: started"; "name" => &settings.name,
-        "version" => env!("CARGO_PKG_VERSION"), "data_centre" => &settings.data_centre);
 
     // Binds before the threads start, so that an address in use leaves no thread to shut down.
     let status = StatusContext::bind(&settings, &shared)?;
@@ -136,7 +147,7 @@
             let result =
                 local.block_on(runtime, run_traffic(&settings, shared, sockets, to_control));
             if let Err(e) = result {
-                slog::error!(log, "daemon: traffic not served"; "cause" => %e);
+                error!(log, "daemon: traffic not served"; "cause" => %e);
             }
             // The remaining tasks log the requests that they abort when they are dropped.
             drop(local);
@@ -146,7 +157,10 @@
     };
     // The end of the thread is awaited through `drained`, because a join has no timeout.
     drop(traffic);
-    run_until_stop_signal(path.to_owned(), settings_tx, &log)?;
+    let elapsed = clock.now().saturating_duration_since(started_at);
+    info!(log, "daemon: started"; "name" => &settings.name, "data_centre" => &settings.data_centre,
+        "version" => env!("CARGO_PKG_VERSION"), "elapsed_ms" => elapsed.as_millis() as u64);
+    run_until_stop_signal(path.to_owned(), settings_tx, log)?;
     let schedule = StopSchedule::new(settings.stop_limit);
     stop_tx.send_replace(Some(schedule.begin(clock.now())));
     std::thread::sleep(schedule.notice);
@@ -224,10 +238,10 @@
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut hang_up = signal(SignalKind::hangup())?;
         let reload_requested = Notify::new();
-        loop {
+        let signal = loop {
             tokio::select! {
-                _ = terminate.recv() => break,
-                _ = interrupt.recv() => break,
+                _ = terminate.recv() => break "SIGTERM",
+                _ = interrupt.recv() => break "SIGINT",
                 _ = hang_up.recv() => {
                     info!(log, "daemon: reload of settings requested");
                     reload_requested.notify_one();
@@ -235,8 +249,8 @@
                 () = reload_requested.notified() => reload(&path, &settings, log),
                 () = tokio::time::sleep(SETTINGS_RELOAD_INTERVAL) => reload(&path, &settings, log),
             }
-        }
-        info!(log, "daemon: stopping");
+        };
+        info!(log, "daemon: stopping"; "signal" => signal);
         Ok(())
     })
 }
