--- a/crates/berylpin_daemon/tests/platform/main.rs
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -8,5 +8,6 @@
 mod replicas_in_trouble;
 mod silent_store;
 mod soak;
+mod start;
 mod store_outage;
 mod truncated_heads;
--- a/crates/berylpin_daemon/tests/platform/process.rs
+++ b/crates/berylpin_daemon/tests/platform/process.rs
@@ -3,9 +3,9 @@
 use berylpin_platform_standin::{Store, Vm};
 use berylpin_standin::net::{Net, Proxy, ProxyTarget, Zone};
 use berylpin_standin::ports::ReservedPorts;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -16,6 +16,9 @@
 /// The memory of a VM in MB, unless a test sets it.
 const DEFAULT_MEMORY_MB: u32 = 128;
 
+/// The first of the ports that are below those that the system assigns.
+const FIRST_UNASSIGNED_PORT: u16 = 20_000;
+
 /// Returns the address of the daemon in a data centre.
 pub(super) fn daemon_address(zone: Zone) -> Ipv4Addr {
     zone.address(1)
@@ -34,6 +37,14 @@
         let ports = [(); 3].map(|()| reserved.reserve(Ipv4Addr::UNSPECIFIED).unwrap().port());
         Self { ports, _reserved: reserved }
     }
+
+    /// Chooses free ports without reserving them; the system assigns none of them by itself.
+    pub(super) fn unreserved() -> Self {
+        let first = FIRST_UNASSIGNED_PORT + (std::process::id() % 9000) as u16;
+        let mut free = (first..).filter(|port| TcpListener::bind(("0.0.0.0", *port)).is_ok());
+        let ports = [(); 3].map(|()| free.next().unwrap());
+        Self { ports, _reserved: ReservedPorts::default() }
+    }
 }
 
 /// A daemon's process, its settings and its log.
@@ -82,13 +93,33 @@
         SocketAddr::new(self.vm.ip, self.vm.ports[2])
     }
 
+    /// Returns the addresses on which the daemon listens.
+    pub(super) fn addresses(&self) -> [SocketAddr; 3] {
+        self.vm.ports.map(|port| SocketAddr::new(self.vm.ip, port))
+    }
+
+    /// Returns the path of the settings file.
+    pub(super) fn settings_path(&self) -> PathBuf {
+        self.log.with_extension("json")
+    }
+
+    /// Returns the content of the settings file.
+    pub(super) fn settings(&self) -> String {
+        self.vm.settings().to_string()
+    }
+
+    /// Writes the settings file and starts the process.
     pub(super) fn start(&mut self) {
-        let file = self.log.with_extension("json");
-        std::fs::write(&file, self.vm.settings().to_string()).unwrap();
+        std::fs::write(self.settings_path(), self.settings()).unwrap();
+        self.spawn();
+    }
+
+    /// Starts the process with the settings file as it is.
+    pub(super) fn spawn(&mut self) {
         let log = std::fs::File::options().create(true).append(true).open(&self.log).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_berylpind"))
             .arg("--platform")
-            .arg(file)
+            .arg(self.settings_path())
             .stdout(log)
             .stderr(Stdio::inherit())
             .spawn();
@@ -104,6 +135,11 @@
         }
     }
 
+    /// Returns the exit status of the process if it has ended.
+    pub(super) fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.as_mut().unwrap().try_wait().unwrap()
+    }
+
     pub(super) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             child.kill().unwrap();
