Repeat a start that fails, and install signal handlers first

Its handlers were installed last, so SIGHUP, which only says that the settings changed, ended a process in its start, and SIGTERM ended it without a planned stop. A settings file that was being written, and an address that another process had for a moment, ended it with exit status 1. The class: a transient state of the surroundings is taken for a final one.

Change: the handlers come before anything else in the process; a signal that arrives in the start is acted on as soon as it can be. A start that fails for its settings, an address, the client of the store or a thread is repeated after 0.05 to 1 s until it succeeds or a stop signal comes; nothing is served and the readiness probe fails meanwhile. The threads report that they listen, so an address that cannot be listened on no longer leaves a process that is ready and serves nobody. The daemon of the product's own interface handles SIGHUP as well.

--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -30,6 +30,7 @@
 mod replicas;
 mod route_latency;
 mod split;
+mod start;
 mod state_delta;
 mod stop;
 mod store_times;
@@ -51,6 +52,7 @@
 };
 pub use fleet::RENEWAL_INTERVAL;
 pub use peers::{CallKey, PartsReply, PartsRequest};
+pub use start::StartAttempts;
 pub use state_delta::{StateDelta, StateRevisions};
 pub use stop::{Stop, StopSchedule};
 pub use store_times::{
--- a/crates/berylpin_daemon/src/direct/mod.rs
+++ b/crates/berylpin_daemon/src/direct/mod.rs
@@ -8,6 +8,7 @@
 mod control;
 mod decision_log;
 mod disconnect;
+mod lifecycle;
 mod links;
 mod peer_versions;
 mod peers;
@@ -17,4 +18,4 @@
 mod streams;
 mod traffic;
 
-pub use process::{RunError, run_on_platform};
+pub use lifecycle::run_on_platform;
--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -1,4 +1,4 @@
-//! The process of a daemon on the users' platform: start, signals and shutdown.
+//! The threads of a daemon on the users' platform: one for control state and one for traffic.
 
 use super::caller::accept_callers;
 use super::control::{ControlContext, StateDeltaRequest, run_control};
@@ -10,26 +10,20 @@
 use crate::logging::Log;
 use crate::sockets::Socket;
 use berylpin_core::clock::Clock;
-use berylpin_core::direct::{ExtraLimits, Replica, Stop, StopSchedule, View};
+use berylpin_core::direct::{ExtraLimits, Replica, Stop, View};
 use berylpin_platform::{PlatformSettings, SettingsError, Store, StoreError};
 use rand::Rng;
-use slog::{error, info, warn};
 use std::io;
-use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use thiserror::Error;
+use tokio::net::TcpListener;
 use tokio::runtime::Builder;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
-/// How long the process waits for the log thread's last lines; a full queue takes less.
-const LOG_FLUSH_TIME: Duration = Duration::from_millis(100);
-
-/// The interval at which the settings file is read, because it may change without a signal.
-const SETTINGS_RELOAD_INTERVAL: Duration = Duration::from_secs(5);
-
 /// The back-off after a failed accept, for example for lack of file descriptors.
 pub(super) const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -48,7 +42,7 @@
 
 /// Why a daemon cannot start.
 #[derive(Debug, Error)]
-pub enum RunError {
+pub(super) enum RunError {
     /// The settings cannot be read or are invalid.
     #[error(transparent)]
     Settings(#[from] SettingsError),
@@ -58,9 +52,12 @@
     /// The client of the store cannot be created.
     #[error(transparent)]
     Store(#[from] StoreError),
-    /// A thread, its runtime or a signal handler cannot be created.
-    #[error("process: {0}")]
-    Process(#[from] io::Error),
+    /// A thread or its runtime cannot be created.
+    #[error("thread: {0}")]
+    Thread(#[from] io::Error),
+    /// A thread ended before it served.
+    #[error("a thread ended during the start")]
+    ThreadEnded,
 }
 
 /// The state that the threads of a daemon share.
@@ -75,105 +72,176 @@
     pub(super) stop_accepting: watch::Receiver<bool>,
 }
 
-/// Runs a daemon with the platform's settings file until it receives a stop signal.
+/// The threads of a daemon and the channels to them.
 ///
-/// # Errors
-///
-/// Returns why the daemon cannot start.
-pub fn run_on_platform(path: &Path, clock: Arc<dyn Clock>, log: Log) -> Result<(), RunError> {
-    info!(log, "daemon: starting"; "version" => env!("CARGO_PKG_VERSION"),
-        "process" => std::process::id());
-    let result = run(path, clock, &log);
-    if let Err(e) = &result {
-        error!(log, "daemon: not started"; "cause" => %e);
-        // The log thread cannot be joined.
-        std::thread::sleep(LOG_FLUSH_TIME);
-    }
-    result
+/// Dropping it ends the threads without a planned stop.
+pub(super) struct Threads {
+    settings: watch::Sender<PlatformSettings>,
+    /// The time after a stop signal within which the process must exit.
+    pub(super) stop_limit: Duration,
+    stop: watch::Sender<Option<Stop>>,
+    stop_accepting: watch::Sender<bool>,
+    end_control: oneshot::Sender<()>,
+    control: JoinHandle<()>,
+    /// Receives a message, or is closed, when the traffic thread has answered all callers.
+    answered: Receiver<()>,
 }
 
-fn run(path: &Path, clock: Arc<dyn Clock>, log: &Log) -> Result<(), RunError> {
-    let started_at = clock.now();
-    let settings = PlatformSettings::load(path)?;
-    let (view_tx, view) = watch::channel(None);
-    let (stop_tx, stop) = watch::channel(None);
-    let (stop_accepting_tx, stop_accepting) = watch::channel(false);
-    let (settings_tx, settings_rx) = watch::channel(settings.clone());
-    let (state_requests_tx, state_requests) = mpsc::channel(MAX_QUEUED_STATE_REQUESTS);
-    let (leaving_tx, leaving) = mpsc::channel(MAX_QUEUED_LEAVING);
-    let (peer_versions_tx, peer_versions) = mpsc::channel(MAX_QUEUED_PEER_VERSIONS);
-    let (confirmed_at_tx, confirmed_at) = watch::channel(None);
-    let shared = Shared { clock: clock.clone(), log: log.clone(), view, stop, stop_accepting };
+impl Threads {
+    /// Starts the threads; all addresses accept connections when it returns.
+    ///
+    /// # Errors
+    ///
+    /// Returns why a thread cannot be started or serve; no thread stays.
+    pub(super) fn start(
+        settings: PlatformSettings,
+        clock: &Arc<dyn Clock>,
+        log: &Log,
+    ) -> Result<Self, RunError> {
+        let (view_tx, view) = watch::channel(None);
+        let (stop_tx, stop) = watch::channel(None);
+        let (stop_accepting_tx, stop_accepting) = watch::channel(false);
+        let (settings_tx, settings_rx) = watch::channel(settings.clone());
+        let (state_requests_tx, state_requests) = mpsc::channel(MAX_QUEUED_STATE_REQUESTS);
+        let (leaving_tx, leaving) = mpsc::channel(MAX_QUEUED_LEAVING);
+        let (peer_versions_tx, peer_versions) = mpsc::channel(MAX_QUEUED_PEER_VERSIONS);
+        let (confirmed_at_tx, confirmed_at) = watch::channel(None);
+        let (listening_tx, listening) = channel();
+        let shared = Shared { clock: clock.clone(), log: log.clone(), view, stop, stop_accepting };
 
-    // Binds before the threads start, so that an address in use leaves no thread to shut down.
-    let status = StatusContext::bind(&settings, &shared)?;
-    let callers = Socket::bind("caller_address", settings.caller_address)?;
-    let peers = Socket::bind("peer_address", (settings.ip, settings.peer_ports.0).into())?;
-    let (end_control_tx, end_control) = oneshot::channel();
-    let control = {
-        let shared = shared.clone();
-        let store = Store::new(settings.store, settings.ip)?;
+        // Binds before the threads start, so that an address in use leaves no thread to shut down.
+        let callers = Socket::bind("caller_address", settings.caller_address)?;
+        let peers = Socket::bind("peer_address", (settings.ip, settings.peer_ports.0).into())?;
+        let status = StatusContext::bind(&settings, &shared)?;
         let cx = ControlContext {
             settings: settings_rx,
             view: view_tx,
-            store,
+            store: Store::new(settings.store, settings.ip)?,
             state_requests,
             leaving,
             confirmed_at: confirmed_at_tx,
             peer_versions,
         };
-        spawn_thread("control", move |local, runtime| {
-            local.block_on(runtime, async move {
-                tokio::task::spawn_local(serve_status(status));
-                tokio::select! {
-                    () = run_control(cx, shared) => {}
-                    // An error means that the sender was dropped, so the process is ending.
-                    _ = end_control => {}
-                }
-            });
-        })?
-    };
-    let (drained_tx, drained) = std::sync::mpsc::channel();
-    let traffic = {
-        let (shared, settings, log) = (shared.clone(), settings.clone(), log.clone());
-        spawn_thread("traffic", move |local, runtime| {
-            let sockets = (callers, peers);
-            let to_control = ToControl {
-                state_requests: state_requests_tx,
-                leaving: leaving_tx,
-                peer_versions: peer_versions_tx,
-                confirmed_at,
+        let (end_control, control_end) = oneshot::channel();
+        let control = spawn_control(cx, status, shared.clone(), listening_tx.clone(), control_end)?;
+        let to_control = ToControl {
+            state_requests: state_requests_tx,
+            leaving: leaving_tx,
+            peer_versions: peer_versions_tx,
+            confirmed_at,
+        };
+        let stop_limit = settings.stop_limit;
+        let answered = spawn_traffic(settings, shared, (callers, peers), to_control, listening_tx)?;
+        for _ in 0..2 {
+            listening.recv().map_err(|_| RunError::ThreadEnded)??;
+        }
+        Ok(Self {
+            settings: settings_tx,
+            stop_limit,
+            stop: stop_tx,
+            stop_accepting: stop_accepting_tx,
+            end_control,
+            control,
+            answered,
+        })
+    }
+
+    /// Returns the settings in force.
+    pub(super) fn settings(&self) -> PlatformSettings {
+        self.settings.borrow().clone()
+    }
+
+    /// Puts settings in force; returns whether they differ from those before.
+    pub(super) fn update_settings(&self, settings: PlatformSettings) -> bool {
+        self.settings.send_if_modified(|current| {
+            let changed = *current != settings;
+            *current = settings;
+            changed
+        })
+    }
+
+    /// Begins a planned stop: the daemon reports not ready, and its requests are limited.
+    pub(super) fn begin_stop(&self, stop: Stop) {
+        self.stop.send_replace(Some(stop));
+    }
+
+    /// Accepts no callers from now on.
+    pub(super) fn stop_accepting(&self) {
+        self.stop_accepting.send_replace(true);
+    }
+
+    /// Waits until all callers are answered; returns whether they are within the time.
+    pub(super) fn wait_until_answered(&self, timeout: Duration) -> bool {
+        self.answered.recv_timeout(timeout).is_ok()
+    }
+
+    /// Ends the control thread; returns whether it ended without a panic.
+    pub(super) fn end_control(self) -> bool {
+        // An error means that the thread has ended.
+        let _ = self.end_control.send(());
+        self.control.join().is_ok()
+    }
+}
+
+/// Starts the control thread, which also serves the status endpoints.
+fn spawn_control(
+    cx: ControlContext,
+    status: StatusContext,
+    shared: Shared,
+    listening: Sender<Result<(), StartError>>,
+    end: oneshot::Receiver<()>,
+) -> io::Result<JoinHandle<()>> {
+    spawn_thread("control", move |local, runtime| {
+        local.block_on(runtime, async move {
+            let status = match status.listen() {
+                Ok(status) => status,
+                Err(e) => return report(&listening, Err(e)),
             };
-            let result =
-                local.block_on(runtime, run_traffic(&settings, shared, sockets, to_control));
-            if let Err(e) = result {
-                error!(log, "daemon: traffic not served"; "cause" => %e);
+            report(&listening, Ok(()));
+            drop(listening);
+            tokio::task::spawn_local(serve_status(status));
+            tokio::select! {
+                () = run_control(cx, shared) => {}
+                // An error means that the sender was dropped, so the process is ending.
+                _ = end => {}
             }
-            // The remaining tasks log the requests that they abort when they are dropped.
-            drop(local);
-            // An error means that the receiver was dropped, so the process is ending.
-            let _ = drained_tx.send(());
-        })?
-    };
-    // The end of the thread is awaited through `drained`, because a join has no timeout.
-    drop(traffic);
-    let elapsed = clock.now().saturating_duration_since(started_at);
-    info!(log, "daemon: started"; "name" => &settings.name, "data_centre" => &settings.data_centre,
-        "version" => env!("CARGO_PKG_VERSION"), "elapsed_ms" => elapsed.as_millis() as u64);
-    run_until_stop_signal(path.to_owned(), settings_tx, log)?;
-    let schedule = StopSchedule::new(settings.stop_limit);
-    stop_tx.send_replace(Some(schedule.begin(clock.now())));
-    std::thread::sleep(schedule.notice);
-    stop_accepting_tx.send_replace(true);
-    let all_answered = drained.recv_timeout(schedule.exit.saturating_sub(schedule.notice)).is_ok();
-    // The control thread ends first, so that after the line `daemon: stopped` only lines about
-    // aborted requests can follow.
-    let _ = end_control_tx.send(());
-    let control_ended = control.join().is_ok();
-    info!(log, "daemon: stopped"; "all_answered" => all_answered, "control_ended" => control_ended);
-    // The log thread cannot be joined.
-    std::thread::sleep(LOG_FLUSH_TIME);
-    Ok(())
+        });
+    })
+}
+
+/// Starts the traffic thread; returns a channel that receives a message or is closed at its end.
+fn spawn_traffic(
+    settings: PlatformSettings,
+    shared: Shared,
+    (callers, peers): (Socket, Socket),
+    to_control: ToControl,
+    listening: Sender<Result<(), StartError>>,
+) -> io::Result<Receiver<()>> {
+    let (answered_tx, answered) = channel();
+    let thread = spawn_thread("traffic", move |local, runtime| {
+        local.block_on(runtime, async {
+            let listeners = callers.listen().and_then(|callers| Ok((callers, peers.listen()?)));
+            let listeners = match listeners {
+                Ok(listeners) => listeners,
+                Err(e) => return report(&listening, Err(e)),
+            };
+            report(&listening, Ok(()));
+            drop(listening);
+            run_traffic(&settings, shared, listeners, to_control).await;
+        });
+        // The remaining tasks log the requests that they abort when they are dropped.
+        drop(local);
+        // An error means that the receiver was dropped, so the process is ending.
+        let _ = answered_tx.send(());
+    })?;
+    // The end of the thread is awaited through the channel, because a join has no timeout.
+    drop(thread);
+    Ok(answered)
+}
+
+fn report(listening: &Sender<Result<(), StartError>>, result: Result<(), StartError>) {
+    // An error means that the other thread has failed, so the start has as well.
+    let _ = listening.send(result);
 }
 
 /// The traffic thread's queues to the control thread, and what that publishes besides views.
@@ -188,11 +256,10 @@
 async fn run_traffic(
     settings: &PlatformSettings,
     shared: Shared,
-    (callers, peers): (Socket, Socket),
+    (callers, peers): (TcpListener, TcpListener),
     to_control: ToControl,
-) -> Result<(), StartError> {
+) {
     let ToControl { state_requests, leaving, peer_versions, confirmed_at } = to_control;
-    let (callers, peers) = (callers.listen()?, peers.listen()?);
     let limits = ExtraLimits {
         ratio: settings.extra_attempt_ratio,
         slack: settings.extra_attempt_slack,
@@ -212,10 +279,9 @@
     let cx = PeerContext { traffic: traffic.clone(), state_requests, log: shared.log.clone() };
     tokio::task::spawn_local(accept_peers(peers, cx));
     accept_callers(callers, traffic, shared).await;
-    Ok(())
 }
 
-fn spawn_thread<F>(name: &str, work: F) -> io::Result<std::thread::JoinHandle<()>>
+fn spawn_thread<F>(name: &str, work: F) -> io::Result<JoinHandle<()>>
 where
     F: FnOnce(LocalSet, &tokio::runtime::Runtime) + Send + 'static,
 {
@@ -225,48 +291,3 @@
         .stack_size(THREAD_STACK_BYTES)
         .spawn(move || work(LocalSet::new(), &runtime))
 }
-
-/// Reloads the settings on SIGHUP and at intervals; returns on SIGTERM or SIGINT.
-fn run_until_stop_signal(
-    path: PathBuf,
-    settings: watch::Sender<PlatformSettings>,
-    log: &Log,
-) -> Result<(), RunError> {
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        let mut hang_up = signal(SignalKind::hangup())?;
-        let reload_requested = Notify::new();
-        let signal = loop {
-            tokio::select! {
-                _ = terminate.recv() => break "SIGTERM",
-                _ = interrupt.recv() => break "SIGINT",
-                _ = hang_up.recv() => {
-                    info!(log, "daemon: reload of settings requested");
-                    reload_requested.notify_one();
-                }
-                () = reload_requested.notified() => reload(&path, &settings, log),
-                () = tokio::time::sleep(SETTINGS_RELOAD_INTERVAL) => reload(&path, &settings, log),
-            }
-        };
-        info!(log, "daemon: stopping"; "signal" => signal);
-        Ok(())
-    })
-}
-
-fn reload(path: &Path, settings: &watch::Sender<PlatformSettings>, log: &Log) {
-    match PlatformSettings::load(path) {
-        Ok(new_settings) => {
-            let changed = settings.send_if_modified(|current| {
-                let changed = *current != new_settings;
-                *current = new_settings;
-                changed
-            });
-            if changed {
-                info!(log, "daemon: settings changed");
-            }
-        }
-        Err(e) => warn!(log, "daemon: settings not reloaded"; "cause" => %e),
-    }
-}
--- a/crates/berylpin_daemon/src/direct/status.rs
+++ b/crates/berylpin_daemon/src/direct/status.rs
@@ -10,8 +10,10 @@
 use poem::listener::TcpAcceptor;
 use poem::{Endpoint, IntoEndpoint, Route, Server, get};
 use slog::warn;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::net::TcpListener;
 
 /// The port of the metrics endpoint; also set in `deploy/system.toml`.
 const METRICS_PORT: u16 = 9464;
@@ -29,20 +31,36 @@
 
 impl StatusContext {
     pub(super) fn bind(settings: &PlatformSettings, shared: &Shared) -> Result<Self, StartError> {
+        let ready = Socket::bind("ready_address", settings.ready_address)?;
         let metrics = SocketAddr::new(settings.ip, METRICS_PORT);
-        let metrics = Socket::bind("metrics", metrics).inspect_err(|e| {
-            warn!(shared.log, "daemon: metrics not served"; "cause" => %e);
-        });
-        Ok(Self {
-            ready: Socket::bind("ready_address", settings.ready_address)?,
-            metrics: metrics.ok(),
-            shared: shared.clone(),
-        })
+        let metrics = Socket::bind("metrics", metrics);
+        Ok(Self { ready, metrics: optional(metrics, shared), shared: shared.clone() })
     }
+
+    /// Starts to listen; must be called within the runtime that serves the endpoints.
+    pub(super) fn listen(self) -> Result<StatusListeners, StartError> {
+        let metrics = self.metrics.and_then(|socket| optional(socket.listen(), &self.shared));
+        Ok(StatusListeners { ready: self.ready.listen()?, metrics, shared: self.shared })
+    }
+}
+
+/// Logs why the metrics endpoint is not served; the daemon runs without it.
+fn optional<T>(metrics: Result<T, StartError>, shared: &Shared) -> Option<T> {
+    let log_failure = |e: &StartError| {
+        warn!(shared.log, "daemon: metrics not served"; "cause" => %e);
+    };
+    metrics.inspect_err(log_failure).ok()
+}
+
+/// The listeners of the endpoints and the state that they report.
+pub(super) struct StatusListeners {
+    ready: TcpListener,
+    metrics: Option<TcpListener>,
+    shared: Shared,
 }
 
 /// Serves readiness and metrics until the task is dropped.
-pub(super) async fn serve_status(cx: StatusContext) {
+pub(super) async fn serve_status(cx: StatusListeners) {
     let shared = cx.shared.clone();
     let ready = poem::endpoint::make_sync(move |_| {
         if shared.stop.borrow().is_none() && shared.view.borrow().is_some() {
@@ -56,8 +74,8 @@
     let metrics = Route::new().at("/metrics", get(metrics));
     let log = &cx.shared.log;
     let metrics = async {
-        if let Some(socket) = cx.metrics {
-            serve(socket, metrics, log).await;
+        if let Some(listener) = cx.metrics {
+            serve(listener, metrics, log).await;
         }
     };
     let upkeep = async {
@@ -69,15 +87,15 @@
     tokio::join!(serve(cx.ready, ready, log), metrics, upkeep);
 }
 
-async fn serve<E>(socket: Socket, routes: E, log: &Log)
+async fn serve<E>(listener: TcpListener, routes: E, log: &Log)
 where
     E: IntoEndpoint,
     E::Endpoint: Endpoint + 'static,
 {
     let served = async {
-        let acceptor = TcpAcceptor::from_std(socket.listen()?.into_std()?)?;
+        let acceptor = TcpAcceptor::from_tokio(listener)?;
         Server::new_with_acceptor(acceptor).run(routes).await?;
-        Ok::<_, StartError>(())
+        Ok::<_, io::Error>(())
     };
     if let Err(e) = served.await {
         warn!(log, "daemon: status endpoint failed"; "cause" => %e);
--- a/crates/berylpin_daemon/src/main.rs
+++ b/crates/berylpin_daemon/src/main.rs
@@ -1,14 +1,15 @@
 //! `berylpind`: the daemon of the berylpin query tier.
 
 use berylpin_daemon::{
-    BOUNDED_LOG_CAPACITY, DECISION_LOG_CAPACITY, Daemon, DaemonSettings, LogFormat, SystemClock,
-    install_metrics, open_log, run_on_platform,
+    BOUNDED_LOG_CAPACITY, DECISION_LOG_CAPACITY, Daemon, DaemonSettings, LogFormat, Request,
+    Signals, SystemClock, install_metrics, open_log, run_on_platform,
 };
+use slog::warn;
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
-use tokio::signal::unix::{SignalKind, signal};
+use std::time::Duration;
 
 const USAGE: &str = "\
 Runs one daemon of the berylpin query tier.
@@ -27,6 +28,13 @@
 const EXIT_USAGE: u8 = 2;
 
 fn main() -> ExitCode {
+    let signals = match Signals::install() {
+        Ok(signals) => signals,
+        Err(e) => {
+            eprintln!("berylpind: signal handlers: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
     let mut args = pico_args::Arguments::from_env();
     if args.contains("--help") {
         print!("{USAGE}");
@@ -37,7 +45,7 @@
         return ExitCode::SUCCESS;
     }
     if let Ok(path) = args.value_from_str::<_, PathBuf>("--platform") {
-        return run_platform(&path);
+        return run_platform(&path, signals);
     }
     let check = args.contains("--check");
     let config: PathBuf = match args.value_from_str("--config") {
@@ -55,7 +63,7 @@
         println!("{}: the settings are valid", config.display());
         return ExitCode::SUCCESS;
     }
-    match run(settings) {
+    match run(settings, signals) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("berylpind: {e}");
@@ -64,17 +72,14 @@
     }
 }
 
-fn run_platform(path: &Path) -> ExitCode {
+fn run_platform(path: &Path, signals: Signals) -> ExitCode {
     let log = open_log(LogFormat::Json, BOUNDED_LOG_CAPACITY, std::io::stdout());
-    let installed = install_metrics().map_err(Box::<dyn std::error::Error>::from);
-    let result = installed.and_then(|()| Ok(run_on_platform(path, Arc::new(SystemClock), log)?));
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("berylpind: {e}");
-            ExitCode::FAILURE
-        }
+    if let Err(e) = install_metrics() {
+        eprintln!("berylpind: {e}");
+        return ExitCode::FAILURE;
     }
+    run_on_platform(path, Arc::new(SystemClock), log, signals);
+    ExitCode::SUCCESS
 }
 
 fn usage_error(problem: &str) -> ExitCode {
@@ -82,21 +87,20 @@
     ExitCode::from(EXIT_USAGE)
 }
 
-fn run(settings: DaemonSettings) -> Result<(), Box<dyn std::error::Error>> {
+fn run(settings: DaemonSettings, mut signals: Signals) -> Result<(), Box<dyn std::error::Error>> {
     let format = if std::io::stderr().is_terminal() { LogFormat::Text } else { LogFormat::Json };
     let log = open_log(format, DECISION_LOG_CAPACITY, std::io::stderr());
     install_metrics()?;
-    let daemon = Daemon::start(settings, Arc::new(SystemClock), log)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+    let daemon = Daemon::start(settings, Arc::new(SystemClock), log.clone())?;
+    loop {
+        match signals.wait(Duration::MAX) {
+            Some(Request::Stop(_)) => break,
+            Some(Request::Reload) => {
+                warn!(log, "daemon: SIGHUP ignored, the settings are read at the start only");
+            }
+            None => {}
         }
-        Ok::<_, std::io::Error>(())
-    })?;
+    }
     daemon.stop();
     Ok(())
 }
--- a/crates/berylpin_daemon/tests/process.rs
+++ b/crates/berylpin_daemon/tests/process.rs
@@ -85,9 +85,10 @@
         timeout(PROCESS_TIMEOUT, ready).await.expect("the daemon becomes ready");
     }
 
-    fn terminate(&self) {
+    /// Sends a signal, named as an option of `kill`.
+    fn signal(&self, option: &str) {
         let id = self.child.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        let status = Command::new("kill").args([option, &id]).status().unwrap();
         assert!(status.success());
     }
 
@@ -151,7 +152,7 @@
     for metric in ["queue_delay_seconds", "revision_in_force", "platform_calls_total"] {
         assert!(page.contains(&format!("berylpin_{metric}")), "{metric} is missing:\n{page}");
     }
-    process.terminate();
+    process.signal("-TERM");
     sleep(BALANCER_DELAY).await;
     balancer.set_entry(0, None);
     assert!(process.exits_successfully().await, "the daemon did not exit with status 0");
@@ -181,6 +182,18 @@
     assert!(text.contains("`quota`") && text.contains("not_run"), "{text}");
 }
 
+/// SIGHUP, which operators send after a change of settings, ended the daemon without an answer to the
+/// requests in progress.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sighup_does_not_end_the_daemon() {
+    let (platform, _upstreams, _) = start_standins().await;
+    let mut process = Process::start("sighup.toml", &platform).await;
+    process.signal("-HUP");
+    process.wait_ready().await;
+    process.signal("-TERM");
+    assert!(process.exits_successfully().await, "the daemon did not exit with status 0");
+}
+
 #[test]
 fn invalid_settings_file_is_rejected_with_positions() {
     let path = settings_file("bad.toml", "name = \"entry-1\"\nregion = 7\n");
