Keep the grace time of the newest settings in a planned stop

Cause: the schedule of the stop was made from the settings as they were at the start; a reload was logged and reached the control thread alone.

Change: the schedule is made from the settings in force at the signal, after one more reading of the file, because it may have changed without a signal. The line `daemon: stopping` says which time was used.

The limits of extra attempts, of memory and of the store's bounds are still read at the start.

--- a/crates/berylpin_daemon/src/direct/lifecycle.rs
+++ b/crates/berylpin_daemon/src/direct/lifecycle.rs
@@ -68,28 +68,33 @@
 /// Reloads the settings on SIGHUP and at intervals; returns on SIGTERM or SIGINT.
 fn run_until_stop_signal(path: &Path, threads: &Threads, log: &Log, signals: &mut Signals) {
     loop {
-        match signals.wait(SETTINGS_RELOAD_INTERVAL) {
-            Some(Request::Stop(signal)) => {
-                info!(log, "daemon: stopping"; "signal" => signal);
-                return;
-            }
-            Some(Request::Reload) => info!(log, "daemon: reload of settings requested"),
-            None => {}
+        let request = signals.wait(SETTINGS_RELOAD_INTERVAL);
+        if request == Some(Request::Reload) {
+            info!(log, "daemon: reload of settings requested");
         }
-        match PlatformSettings::load(path) {
-            Ok(settings) => {
-                if threads.update_settings(settings) {
-                    info!(log, "daemon: settings changed");
-                }
+        reload(path, threads, log);
+        if let Some(Request::Stop(signal)) = request {
+            info!(log, "daemon: stopping"; "signal" => signal,
+                "grace_ms" => threads.settings().stop_limit.as_millis() as u64);
+            return;
+        }
+    }
+}
+
+fn reload(path: &Path, threads: &Threads, log: &Log) {
+    match PlatformSettings::load(path) {
+        Ok(settings) => {
+            if threads.update_settings(settings) {
+                info!(log, "daemon: settings changed");
             }
-            Err(e) => warn!(log, "daemon: settings not reloaded"; "cause" => %e),
         }
+        Err(e) => warn!(log, "daemon: settings not reloaded"; "cause" => %e),
     }
 }
 
 /// Stops accepting callers after the notice, and ends when all are answered or the time is over.
 fn stop(threads: Threads, clock: &dyn Clock, log: &Log) {
-    let schedule = StopSchedule::new(threads.stop_limit);
+    let schedule = StopSchedule::new(threads.settings().stop_limit);
     threads.begin_stop(schedule.begin(clock.now()));
     std::thread::sleep(schedule.notice);
     threads.stop_accepting();
--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -77,8 +77,6 @@
 /// Dropping it ends the threads without a planned stop.
 pub(super) struct Threads {
     settings: watch::Sender<PlatformSettings>,
-    /// The time after a stop signal within which the process must exit.
-    pub(super) stop_limit: Duration,
     stop: watch::Sender<Option<Stop>>,
     stop_accepting: watch::Sender<bool>,
     end_control: oneshot::Sender<()>,
@@ -130,14 +128,12 @@
             peer_versions: peer_versions_tx,
             confirmed_at,
         };
-        let stop_limit = settings.stop_limit;
         let answered = spawn_traffic(settings, shared, (callers, peers), to_control, listening_tx)?;
         for _ in 0..2 {
             listening.recv().map_err(|_| RunError::ThreadEnded)??;
         }
         Ok(Self {
             settings: settings_tx,
-            stop_limit,
             stop: stop_tx,
             stop_accepting: stop_accepting_tx,
             end_control,
--- a/crates/berylpin_daemon/tests/platform/start.rs
+++ b/crates/berylpin_daemon/tests/platform/start.rs
@@ -118,6 +118,29 @@
     }
 }
 
+/// A grace time that was changed in the settings was logged and not used, so a planned stop was cut
+/// off by the platform.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_keeps_the_grace_time_of_the_newest_settings() {
+    let mut setup = Setup::new("changed-grace", FleetPorts::reserve()).await;
+    let path = setup.process.settings_path();
+    for (grace, announced) in [("2", true), ("1", false)] {
+        setup.process.start();
+        setup.wait_until_serves().await;
+        let settings = setup.process.settings();
+        let changed = settings.replace(r#""grace_s":6"#, &format!(r#""grace_s":{grace}"#));
+        assert_ne!(changed, settings);
+        replace_settings(&path, &changed);
+        if announced {
+            setup.process.signal("-HUP");
+        }
+        setup.process.signal("-TERM");
+        setup.process.wait_for_stop().await;
+        let used = format!(r#""grace_ms":{grace}000"#);
+        assert!(setup.process.log().contains(&used), "not {used}:\n{}", setup.process.log());
+    }
+}
+
 /// A process that waits for its settings was not reached by a stop.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_start_that_waits_for_settings_ends_with_sigterm() {
