--- a/crates/berylpin_daemon/tests/platform/main.rs
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod planned_stop;
 mod process;
 mod replicas_in_trouble;
+mod silent_peers;
 mod silent_store;
 mod soak;
 mod start;
