Reject replies whose status is not that of a final answer

Cause: `read_reply_head` took every status that the HTTP library returned. It returns all from 100 to 999, except interim ones other than 101.

Change: only 200 to 599 are statuses of final answers. Any other is a defect of the reply (`ReplyDefect::InvalidStatus`, in the log `invalid_status`): the attempt is broken and may have run, nothing else in the head counts, and the connection is closed. Repeatable requests go on at another replica; others get 502. A status that cannot be encoded is answered without the replica's headers.

Evidence: new table tests with real sockets, two daemons (one fetches parts for the other), 17 status lines with four sets of headers, for queries, charges and reads. A status line without a reason is an answer. Interim answers decide nothing, whatever their headers say. - `an_answer_with_an_odd_status_is_never_relayed`, `a_repeatable_request_goes_on_at_another_replica_after_an_odd_status` and `only_statuses_of_final_answers_are_answers` failed; queries never took such parts. The product's own interface matches documented statuses one by one; its new cases passed before and stay as guards.

--- a/crates/berylpin_core/src/direct/event.rs
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -84,6 +84,8 @@
     NoAnswer,
     /// The connection closed before the end of the answer's body, or the body is too long.
     Truncated,
+    /// The status of the answer is not that of a final answer.
+    InvalidStatus,
     /// The answer carries the id of another request, or it is a success without an id.
     ForeignAnswer,
     /// The answer has a content encoding, so its body is not the one that the replica produced.
@@ -102,6 +104,7 @@
             Self::ClosedBefore => "closed_before",
             Self::NoAnswer => "no_answer",
             Self::Truncated => "truncated",
+            Self::InvalidStatus => "invalid_status",
             Self::ForeignAnswer => "foreign_answer",
             Self::Encoded => "encoded",
             Self::TooLong => "too_long",
@@ -112,7 +115,7 @@
 /// A complete answer of a replica.
 #[derive(Clone, Debug)]
 pub struct Reply<H> {
-    /// The HTTP status code.
+    /// The HTTP status code; from 200 to 599.
     pub status: u16,
     /// The replica's signature, which proves the origin of the answer.
     pub signature: Option<Box<str>>,
--- a/crates/berylpin_daemon/src/direct/attempt.rs
+++ b/crates/berylpin_daemon/src/direct/attempt.rs
@@ -159,6 +159,7 @@
         };
         let broken = |failure| Outcome::Broken(Verdict::MayHaveRun, failure);
         let outcome = match head.defect {
+            Some(ReplyDefect::InvalidStatus) => broken(Failure::InvalidStatus),
             Some(ReplyDefect::WrongReplica) => Outcome::WrongReplica,
             Some(ReplyDefect::OtherRequest) => broken(Failure::ForeignAnswer),
             Some(ReplyDefect::Encoded) => broken(Failure::Encoded),
--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -139,9 +139,12 @@
 fn encode_answer(answer: Answer<HeaderMap>) -> Response<Full<Bytes>> {
     match answer {
         Answer::Relayed(reply) => {
+            // No other status may bear the replica's signature.
+            let Ok(status) = StatusCode::from_u16(reply.status) else {
+                return empty_response(StatusCode::BAD_GATEWAY, HeaderMap::new());
+            };
             let mut response = Response::new(Full::new(reply.body));
-            *response.status_mut() =
-                StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            *response.status_mut() = status;
             *response.headers_mut() = relayed_headers(&reply.headers);
             response
         }
--- a/crates/berylpin_daemon/src/traffic/execute/upstream.rs
+++ b/crates/berylpin_daemon/src/traffic/execute/upstream.rs
@@ -124,3 +124,6 @@
 fn failed(verdict: Verdict, reason: FailReason) -> CallResult {
     CallResult::Failed { verdict, reason }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_daemon/src/traffic/upstream/tests.rs
+++ b/crates/berylpin_daemon/src/traffic/upstream/tests.rs
@@ -76,6 +76,18 @@
             http_response("307 Redirect", "location: /\r\n", ""),
             Some((Verdict::MayHaveRun, FailReason::UpstreamError)),
         ),
+        (
+            http_response("101 Switch", "x-not-run: 1\r\n", REPLY),
+            Some((Verdict::MayHaveRun, FailReason::UpstreamError)),
+        ),
+        (
+            http_response("600 Odd", "x-not-run: 1\r\n", REPLY),
+            Some((Verdict::MayHaveRun, FailReason::UpstreamError)),
+        ),
+        (
+            http_response("000 Odd", "x-not-run: 1\r\n", REPLY),
+            Some((Verdict::MayHaveRun, FailReason::Connection)),
+        ),
         (http_response("200 OK", "", "{}"), Some((Verdict::MayHaveRun, FailReason::BadReply))),
     ];
     for (reply, expected) in cases {
--- a/crates/berylpin_daemon/tests/platform/main.rs
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod connections;
 mod long_bodies;
 mod odd_entries;
+mod odd_statuses;
 mod planned_stop;
 mod process;
 mod replicas_in_trouble;
