Reject successes that contradict themselves

Cause: the HTTP library ends a 204 with its head and leaves the body that the head states in the connection; the header that says not run was believed beside every status.

Change: both are defects of the reply (`ReplyDefect::Contradictory`, in the log `contradictory`). The attempt is broken and may have run, and the connection is closed. A 304 may state the length that its body would have, so it is still relayed; its connection is closed, since nobody knows whether the body follows.

--- a/crates/berylpin_core/src/direct/event.rs
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -86,6 +86,9 @@
     Truncated,
     /// The status of the answer is not that of a final answer.
     InvalidStatus,
+    /// The answer is a success that says that the request did not run, or one without content that
+    /// states a body.
+    Contradictory,
     /// The answer carries the id of another request, or it is a success without an id.
     ForeignAnswer,
     /// The answer has a content encoding, so its body is not the one that the replica produced.
@@ -105,6 +108,7 @@
             Self::NoAnswer => "no_answer",
             Self::Truncated => "truncated",
             Self::InvalidStatus => "invalid_status",
+            Self::Contradictory => "contradictory",
             Self::ForeignAnswer => "foreign_answer",
             Self::Encoded => "encoded",
             Self::TooLong => "too_long",
--- a/crates/berylpin_daemon/src/direct/attempt.rs
+++ b/crates/berylpin_daemon/src/direct/attempt.rs
@@ -161,6 +161,7 @@
         let outcome = match head.defect {
             Some(ReplyDefect::InvalidStatus) => broken(Failure::InvalidStatus),
             Some(ReplyDefect::WrongReplica) => Outcome::WrongReplica,
+            Some(ReplyDefect::Contradictory) => broken(Failure::Contradictory),
             Some(ReplyDefect::OtherRequest) => broken(Failure::ForeignAnswer),
             Some(ReplyDefect::Encoded) => broken(Failure::Encoded),
             None if head.verdict == Verdict::NotRun => Outcome::Refused(head.pause),
--- a/crates/berylpin_daemon/tests/platform/odd_statuses.rs
+++ b/crates/berylpin_daemon/tests/platform/odd_statuses.rs
@@ -241,3 +241,46 @@
         }
     }
 }
+
+/// Callers got a 204 without the body that the replica had sent, and a charge that had run was sent
+/// to other replicas since its success said at the same time that it had not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_success_that_contradicts_itself_is_never_relayed() {
+    let harness = Harness::start("contradictory-statuses", 1).await;
+    let cases = [
+        ("HTTP/1.1 204 X", RESTS[0]),
+        (
+            "HTTP/1.1 204 X",
+            "{id}{signature}transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        ),
+        ("HTTP/1.1 200 X", RESTS[3]),
+        ("HTTP/1.1 204 X", "{id}{signature}{not_run}\r\n"),
+    ];
+    let mut wrong = Vec::new();
+    for (status_line, rest) in cases {
+        harness.set_fault(Fault::Raw(status_line, rest));
+        for kind in KINDS {
+            let (runs, outcome) = harness.send_until_run(1, kind).await;
+            if !matches!(outcome, Outcome::ErrorStatus(502)) || runs > SHARDS {
+                wrong.push(format!("{status_line:?} {rest:?} {kind:?}: {outcome:?}, {runs} runs"));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+/// The bytes after a head without content may come when the connection is in use again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_connection_whose_304_states_a_body_is_closed() {
+    let harness = Harness::start("status-304", 1).await;
+    harness.set_fault(Fault::Raw("HTTP/1.1 304 X", "{id}{signature}{length}\r\n"));
+    let first = harness.send_until_run(1, RequestKind::Read).await;
+    assert_eq!(first, (1, Outcome::ErrorStatus(304)));
+    let (arrivals, connections) = (harness.arrivals(), harness.connections());
+    for _ in 0..MAX_REQUESTS {
+        assert_eq!(harness.send(1, RequestKind::Read).await.1, Outcome::ErrorStatus(304));
+    }
+    // The replica that was not asked first has an idle connection with a sound answer.
+    let reused = (harness.arrivals() - arrivals) - (harness.connections() - connections);
+    assert!(reused <= 1, "{reused} connections are used again");
+}
