Relay no replica's refusal that does not prove that the request did not run

Callers saw: a replica's 503, 429 or 408 without the header that says not run was relayed with its signature, for requests that had run. These statuses promise that the request has not run and never will (rule REFUSED), so a caller sends a charge again.

Cause: such an answer counted as run, and was then relayed like any other error of a replica; 429 and 408 even without trying another replica, since a status below 500 was taken for what every replica would answer.

Change: without the header these statuses are a defect of the reply (`ReplyDefect::UnprovenRefusal`, in the log `unproven_refusal`): the attempt is broken and may have run. Requests that may run once get 502 of this daemon, without the replica's signature. Repeatable requests go on at another replica and get 502 if none answers: the promise would be as untrue for them, callers repeat them after any failure, and a retry delay of such an answer would only hold them up.

--- a/crates/berylpin_core/src/direct/event.rs
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -89,6 +89,9 @@
     /// The answer is a success that says that the request did not run, or one without content that
     /// states a body.
     Contradictory,
+    /// The status of the answer promises callers that the request did not run, and the answer does
+    /// not prove it.
+    UnprovenRefusal,
     /// The answer carries the id of another request, or it is a success without an id.
     ForeignAnswer,
     /// The answer has a content encoding, so its body is not the one that the replica produced.
@@ -109,6 +112,7 @@
             Self::Truncated => "truncated",
             Self::InvalidStatus => "invalid_status",
             Self::Contradictory => "contradictory",
+            Self::UnprovenRefusal => "unproven_refusal",
             Self::ForeignAnswer => "foreign_answer",
             Self::Encoded => "encoded",
             Self::TooLong => "too_long",
@@ -119,7 +123,8 @@
 /// A complete answer of a replica.
 #[derive(Clone, Debug)]
 pub struct Reply<H> {
-    /// The HTTP status code; from 200 to 599.
+    /// The HTTP status code; from 200 to 599, and none that promises callers that the request did not
+    /// run: an answer that proves it is [`Outcome::Refused`].
     pub status: u16,
     /// The replica's signature, which proves the origin of the answer.
     pub signature: Option<Box<str>>,
--- a/crates/berylpin_daemon/src/direct/attempt.rs
+++ b/crates/berylpin_daemon/src/direct/attempt.rs
@@ -162,6 +162,7 @@
             Some(ReplyDefect::InvalidStatus) => broken(Failure::InvalidStatus),
             Some(ReplyDefect::WrongReplica) => Outcome::WrongReplica,
             Some(ReplyDefect::Contradictory) => broken(Failure::Contradictory),
+            Some(ReplyDefect::UnprovenRefusal) => broken(Failure::UnprovenRefusal),
             Some(ReplyDefect::OtherRequest) => broken(Failure::ForeignAnswer),
             Some(ReplyDefect::Encoded) => broken(Failure::Encoded),
             None if head.verdict == Verdict::NotRun => Outcome::Refused(head.pause),
--- a/crates/berylpin_daemon/tests/platform/odd_statuses.rs
+++ b/crates/berylpin_daemon/tests/platform/odd_statuses.rs
@@ -185,10 +185,16 @@
 async fn a_repeatable_request_goes_on_at_another_replica_after_an_odd_status() {
     let harness = Harness::start("odd-status-retries", 2).await;
     let (first, second) = harness.replicas.split_at(SHARDS + 1);
-    let mut wrong = Vec::new();
-    // A replica with an odd answer is avoided for a while, so they take turns.
     let cases = [("HTTP/1.1 000 X", first), ("HTTP/1.1 101 X", second), ("HTTP/1.1 600 X", first)];
-    for (status_line, odd) in cases {
+    check_retries(&harness, &cases).await;
+}
+
+/// Checks that queries and reads are answered in full while some replicas send a status line.
+///
+/// A replica with an odd answer is avoided for a while, so different ones should take turns.
+async fn check_retries(harness: &Harness, cases: &[(&'static str, &[Replica])]) {
+    let mut wrong = Vec::new();
+    for (status_line, odd) in cases.iter().copied() {
         harness.set_fault(Fault::None);
         for replica in odd {
             replica.set_fault(Fault::Raw(status_line, RESTS[0]), 1.0);
@@ -284,3 +290,32 @@
     let reused = (harness.arrivals() - arrivals) - (harness.connections() - connections);
     assert!(reused <= 1, "{reused} connections are used again");
 }
+
+/// A charge that had run was answered with the 503 of its replica, which promises callers that the
+/// charge has not run and never will.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_refusal_without_proof_is_never_relayed() {
+    let harness = Harness::start("unproven-refusals", 1).await;
+    let mut wrong = Vec::new();
+    for status_line in ["HTTP/1.1 408 X", "HTTP/1.1 429 X", "HTTP/1.1 503 X"] {
+        for rest in RESTS.into_iter().filter(|rest| !rest.contains("{not_run}")) {
+            harness.set_fault(Fault::Raw(status_line, rest));
+            for kind in KINDS {
+                let (runs, outcome) = harness.send_until_run(1, kind).await;
+                if outcome != Outcome::ErrorStatus(502) || runs > SHARDS {
+                    wrong.push(format!("{status_line:?} {rest:?} {kind:?}: {outcome:?}, {runs}"));
+                }
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+/// A read was answered with the 429 of the first replica, although another one could serve it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_repeatable_request_goes_on_at_another_replica_after_an_unproven_refusal() {
+    let harness = Harness::start("unproven-refusal-retries", 2).await;
+    let (first, second) = harness.replicas.split_at(SHARDS + 1);
+    let cases = [("HTTP/1.1 429 X", first), ("HTTP/1.1 408 X", second), ("HTTP/1.1 503 X", first)];
+    check_retries(&harness, &cases).await;
+}
