Cut off callers that are too slow for a long answer when its memory is needed

Callers saw: while two callers did not take their long answers, all other long answers failed with 502, for as long as the two kept their connections open.

Cause: an answer holds its share of the memory for answers until its caller has taken it, and nothing bounded that time.

Change: the core follows how much of each long answer (over 64 KB) its caller has taken (`Deliveries`). When an answer finds the memory used up, callers are cut off that are behind a steady pace up to their deadline, the furthest behind first, and only if that frees enough. Nobody is cut off in the first second, nor while there is memory. A caller that reads steadily until its deadline is never behind. Long answers are passed to the connection in copied pieces, so that their memory is free once the last piece is taken. The send buffer of callers' connections is set to 256 KB (`socket2`, which tokio uses already): with the kernel's own size a caller that read nothing took over 3 MB and looked like a steady one.

A property test holds that a steady caller is never cut off, and that a stalled one is after its deadline.

What remains: in the first second of a slow delivery, and while steady callers hold all of the memory, another long answer fails as before.

--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -19,6 +19,7 @@
 mod configuration;
 mod confirmation;
 mod delegation;
+mod delivery;
 mod dispatcher;
 mod event;
 mod fleet;
@@ -44,6 +45,7 @@
     ClientLimits, Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget,
 };
 pub use confirmation::{Confirmation, confirmed_by};
+pub use delivery::{Deliveries, Delivery, DeliveryKey};
 pub use dispatcher::Dispatcher;
 pub use event::{
     Action, Answer, AttemptKey, BodyLimits, Cause, DirectDecision, Event, Failure, MissingCause,
--- a/crates/berylpin_daemon/src/direct/attempt.rs
+++ b/crates/berylpin_daemon/src/direct/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts: a request is sent to one replica and its answer is read.
 
-use super::body::{BodyError, ReservedMemory, read_body};
+use super::body::{BodyError, read_body};
 use super::bounded_stream::{Allowance, BoundedStream, MAX_HEAD_BYTES};
 use super::pool::Connection;
 use super::traffic::{Payload, Traffic};
@@ -150,8 +150,7 @@
         if head.leaving {
             traffic.handle_leaving_replica(&self.replica);
         }
-        let memory = traffic.answer_memory().reserve();
-        let body = match self.read_body(body, allowance, memory).await {
+        let body = match self.read_body(body, allowance, traffic).await {
             Ok(body) => body,
             Err(failure) => {
                 return (Outcome::Broken(Verdict::MayHaveRun, failure), keep_alive);
@@ -181,7 +180,7 @@
         &self,
         mut body: Incoming,
         allowance: &Allowance,
-        memory: ReservedMemory,
+        traffic: &Rc<Traffic>,
     ) -> Result<Bytes, Failure> {
         let declared = body.size_hint().exact();
         let limit = match declared {
@@ -192,7 +191,9 @@
             return Err(Failure::TooLong);
         }
         allowance.start_body(limit);
-        read_body(&mut body, limit, memory).await.map_err(|e| match e {
+        let memory = traffic.answer_memory().reserve();
+        let reclaim = async |bytes| traffic.deliveries.reclaim(bytes, traffic.now()).await;
+        read_body(&mut body, limit, memory, reclaim).await.map_err(|e| match e {
             BodyError::TooLong | BodyError::NoMemory => Failure::TooLong,
             BodyError::Broken if allowance.is_exceeded() => Failure::TooLong,
             BodyError::Broken => Failure::Truncated,
--- a/crates/berylpin_daemon/src/direct/body.rs
+++ b/crates/berylpin_daemon/src/direct/body.rs
@@ -64,6 +64,11 @@
         reserved
     }
 
+    /// Returns how much memory is lacking to reserve `bytes` more.
+    fn shortfall(&self, bytes: usize) -> usize {
+        bytes.saturating_sub(self.available.load(Ordering::Relaxed))
+    }
+
     /// Makes all but `bytes` available again.
     fn shrink_to(&mut self, bytes: usize) {
         let rest = self.bytes.saturating_sub(bytes);
@@ -100,12 +105,17 @@
 /// Reads a body of at most `limit` bytes, which holds its memory.
 ///
 /// A chunk is a slice of the connection's read buffer and keeps all of it in memory, so the chunks
-/// are copied: a body in small pieces would otherwise take hundreds of times its length.
-pub(super) async fn read_body(
+/// are copied: a body in small pieces would otherwise take hundreds of times its length. `reclaim`
+/// is called with the number of bytes that are lacking and may make them available.
+pub(super) async fn read_body<F>(
     body: &mut Incoming,
     limit: usize,
     mut memory: ReservedMemory,
-) -> Result<Bytes, BodyError> {
+    reclaim: F,
+) -> Result<Bytes, BodyError>
+where
+    F: AsyncFn(usize),
+{
     let mut buf = Vec::new();
     while let Some(frame) = body.frame().await {
         let Ok(chunk) = frame.map_err(|_| BodyError::Broken)?.into_data() else { continue };
@@ -115,8 +125,12 @@
         let needed = buf.len() + chunk.len();
         if needed > buf.capacity() {
             let capacity = needed.max(2 * buf.capacity()).min(limit);
-            if !memory.try_extend(capacity - buf.capacity()) {
-                return Err(BodyError::NoMemory);
+            let more = capacity - buf.capacity();
+            if !memory.try_extend(more) {
+                reclaim(memory.shortfall(more)).await;
+                if !memory.try_extend(more) {
+                    return Err(BodyError::NoMemory);
+                }
             }
             buf.reserve_exact(capacity - buf.len());
         }
--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -1,20 +1,21 @@
 //! The HTTP server for callers.
 
 use super::body::{BodyError, ReservedMemory, discard_body, read_body};
+use super::delivery::{CallerBody, CallerConnection};
 use super::disconnect::DisconnectGuard;
 use super::process::{ACCEPT_BACKOFF, Shared};
 use super::traffic::{Payload, Traffic};
-use berylpin_core::direct::{Answer, ClientLimits, RefusalReason};
+use berylpin_core::direct::{Answer, ClientLimits, RefusalReason, Reply};
 use berylpin_core::verdict::Verdict;
 use berylpin_platform::{merged_headers, read_request_head, refusal_headers, relayed_headers};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::warn;
+use socket2::SockRef;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -26,6 +27,10 @@
 /// The minimum read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
 
+/// The part of an answer that the kernel keeps for a caller, in bytes. A round trip of 50 ms thus
+/// allows some 5 MB/s.
+const SEND_BUFFER_BYTES: usize = 256 << 10;
+
 /// The limits on callers before a configuration is in force; the platform's default values.
 const DEFAULT_CLIENT_LIMITS: ClientLimits = ClientLimits {
     header_bytes: 16 * 1024,
@@ -67,10 +72,15 @@
 ) {
     // Nagle's algorithm would delay a small answer until the previous one is acknowledged.
     let _ = stream.set_nodelay(true);
+    // More of a long answer in the kernel's buffer would hide that the caller does not take it. An
+    // error leaves the default size.
+    let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
     let limits = traffic.view().map_or(DEFAULT_CLIENT_LIMITS, |view| view.limits);
+    let caller = CallerConnection::default();
+    let serving = caller.clone();
     let service = service_fn(move |request| {
-        let traffic = traffic.clone();
-        async move { Ok::<_, Infallible>(handle_request(request, traffic).await) }
+        let (traffic, caller) = (traffic.clone(), serving.clone());
+        async move { Ok::<_, Infallible>(handle_request(request, traffic, caller).await) }
     });
     let mut connection = pin!(
         Builder::new()
@@ -83,13 +93,25 @@
     );
     // Errors of a connection affect only its caller, so they are ignored.
     tokio::select! {
+        // Checked first: an answer that is to be cut off must not end before and let another begin.
+        biased;
+        () = caller.cut_off() => return,
         _ = connection.as_mut() => return,
         _ = stop.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
     }
-    let _ = connection.await;
+    tokio::select! {
+        biased;
+        () = caller.cut_off() => {}
+        _ = connection => {}
+    }
 }
 
-async fn handle_request(request: Request<Incoming>, traffic: Rc<Traffic>) -> Response<Full<Bytes>> {
+async fn handle_request(
+    request: Request<Incoming>,
+    traffic: Rc<Traffic>,
+    caller: CallerConnection,
+) -> Response<CallerBody> {
+    let arrived = traffic.now();
     let limits = traffic.view().map_or(DEFAULT_CLIENT_LIMITS, |view| view.limits);
     let (parts, body) = request.into_parts();
     let head = read_request_head(&parts.headers);
@@ -112,11 +134,21 @@
         Err(_) => return empty_response(StatusCode::REQUEST_TIMEOUT, HeaderMap::new()),
     };
     let payload = Payload { method: parts.method, uri: parts.uri, head, body };
+    let request_id = payload.head.request_id.clone();
+    let time_left = payload.head.time_left.unwrap_or(limits.idle_timeout);
     let (ticket, reply) = traffic.start_request(payload);
-    let mut guard = DisconnectGuard::new(traffic, ticket);
+    let mut guard = DisconnectGuard::new(traffic.clone(), ticket);
     let answer = reply.await;
     guard.mark_answered();
     match answer {
+        Ok(Answer::Relayed(reply)) => {
+            let now = traffic.now();
+            let time_left = time_left.saturating_sub(now.saturating_duration_since(arrived));
+            relay(reply, |body| {
+                let delivery = (traffic.deliveries.clone(), caller);
+                CallerBody::relayed(body, (request_id, time_left), delivery, now)
+            })
+        }
         Ok(answer) => encode_answer(answer),
         // The request was dropped without an answer.
         Err(_) => empty_response(StatusCode::BAD_GATEWAY, HeaderMap::new()),
@@ -129,27 +161,33 @@
     limit: usize,
     memory: ReservedMemory,
 ) -> Result<Bytes, BodyError> {
-    let read = read_body(&mut body, limit, memory).await;
+    let read = read_body(&mut body, limit, memory, async |_| ()).await;
     if read == Err(BodyError::NoMemory) {
         discard_body(&mut body, limit).await?;
     }
     read
 }
 
-fn encode_answer(answer: Answer<HeaderMap>) -> Response<Full<Bytes>> {
+/// Encodes a replica's answer, with the body that `make_body` returns.
+fn relay<F>(reply: Reply<HeaderMap>, make_body: F) -> Response<CallerBody>
+where
+    F: FnOnce(Bytes) -> CallerBody,
+{
+    // No other status may bear the replica's signature.
+    let Ok(status) = StatusCode::from_u16(reply.status) else {
+        return empty_response(StatusCode::BAD_GATEWAY, HeaderMap::new());
+    };
+    let mut response = Response::new(make_body(reply.body));
+    *response.status_mut() = status;
+    *response.headers_mut() = relayed_headers(&reply.headers);
+    response
+}
+
+fn encode_answer(answer: Answer<HeaderMap>) -> Response<CallerBody> {
     match answer {
-        Answer::Relayed(reply) => {
-            // No other status may bear the replica's signature.
-            let Ok(status) = StatusCode::from_u16(reply.status) else {
-                return empty_response(StatusCode::BAD_GATEWAY, HeaderMap::new());
-            };
-            let mut response = Response::new(Full::new(reply.body));
-            *response.status_mut() = status;
-            *response.headers_mut() = relayed_headers(&reply.headers);
-            response
-        }
+        Answer::Relayed(reply) => relay(reply, CallerBody::whole),
         Answer::Merged { signatures, missing, records } => {
-            let mut response = Response::new(Full::new(records));
+            let mut response = Response::new(CallerBody::whole(records));
             *response.headers_mut() = merged_headers(signatures.iter().map(|s| &**s), missing);
             response
         }
@@ -169,8 +207,8 @@
     }
 }
 
-fn empty_response(status: StatusCode, headers: HeaderMap) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+fn empty_response(status: StatusCode, headers: HeaderMap) -> Response<CallerBody> {
+    let mut response = Response::new(CallerBody::whole(Bytes::new()));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/crates/berylpin_daemon/src/direct/mod.rs
+++ b/crates/berylpin_daemon/src/direct/mod.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod control;
 mod decision_log;
+mod delivery;
 mod disconnect;
 mod links;
 mod peer_versions;
--- a/crates/berylpin_daemon/src/direct/traffic.rs
+++ b/crates/berylpin_daemon/src/direct/traffic.rs
@@ -3,6 +3,7 @@
 use super::attempt::AttemptTask;
 use super::body::MemoryBudget;
 use super::decision_log::DecisionLog;
+use super::delivery::CallerDeliveries;
 use super::links::{DelegatedCall, PeerLinks, PeerSender, connect_peer};
 use super::peer_versions::PeerVersion;
 use super::pool::{Connection, ConnectionPools};
@@ -98,6 +99,8 @@
     shared: Shared,
     state: RefCell<State>,
     answer_memory: MemoryBudget,
+    /// The answers that hold memory until their callers take them.
+    pub(super) deliveries: Rc<CallerDeliveries>,
     /// The memory for the bodies of requests that are being received or have no answer.
     request_memory: MemoryBudget,
     leaving: mpsc::Sender<Arc<Replica>>,
@@ -134,6 +137,7 @@
             decision_log: DecisionLog::new(shared.log.clone(), shared.clock.now()),
         };
         let traffic = Rc::new(Self {
+            deliveries: Rc::new(CallerDeliveries::new(shared.log.clone())),
             shared,
             state: RefCell::new(state),
             answer_memory: MemoryBudget::new(memory_limit / ANSWER_MEMORY_DIVISOR),
--- a/crates/berylpin_daemon/tests/platform/main.rs
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod process;
 mod replicas_in_trouble;
 mod silent_store;
+mod slow_callers;
 mod soak;
 mod store_outage;
 mod truncated_heads;
--- a/crates/berylpin_daemon/tests/platform/replicas_in_trouble.rs
+++ b/crates/berylpin_daemon/tests/platform/replicas_in_trouble.rs
@@ -34,6 +34,9 @@
 /// The memory of a daemon that replicas send long bodies, in MB.
 const SMALL_MEMORY_MB: u32 = 48;
 
+/// The length of a long part; near the limit.
+const LONG_PART_BYTES: usize = 240 << 10;
+
 /// The bytes of one endless answer that may leave a replica, those in the buffers of the kernel
 /// included.
 const MAX_BYTES_PER_REQUEST: u64 = 16 << 20;
@@ -246,7 +249,7 @@
 async fn long_parts_that_wait_for_the_others_are_held_in_limited_memory() {
     let harness = Harness::start_with_memory("long-parts", Some(SMALL_MEMORY_MB)).await;
     let (long, hanging) = harness.replicas.split_at(2 * SHARDS - 2);
-    set_faults(long, Fault::LongBody, 1.0);
+    set_faults(long, Fault::LongBody(LONG_PART_BYTES), 1.0);
     set_faults(hanging, Fault::Hang, 1.0);
     for _ in 0..ROUNDS {
         harness.query_concurrently(CONCURRENT_QUERIES).await;
