Do not avoid a replica for lack of memory at this daemon

Callers saw: while other answers used up the memory for answers, each further answer failed and its replica was then avoided like one that cannot be reached, so that requests with short answers lost their replicas too.

Cause: an answer without memory was reported with the failure of an endless one.

Change: it has a failure of its own (`no_memory` in the log), which says nothing about the replica. The request is handled as before.

Evidence: `a_replica_is_not_avoided_for_lack_of_memory_at_this_daemon` failed before (another replica was chosen for the next request).

--- a/crates/berylpin_core/src/direct/attempts.rs
+++ b/crates/berylpin_core/src/direct/attempts.rs
@@ -276,6 +276,7 @@
             Outcome::Unreachable(_) | Outcome::Broken(_, Failure::TooLong) => {
                 self.replicas.record_unreachable(id, now);
             }
+            Outcome::Broken(_, Failure::NoMemory) => {}
             Outcome::Broken(..) => self.replicas.record_broken(id, now),
         }
     }
--- a/crates/berylpin_core/src/direct/dispatcher/tests.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests.rs
@@ -318,3 +318,26 @@
     dispatcher.handle(Event::Wake, now + pause, &mut actions);
     assert_eq!(sent_attempts(&actions).len(), 4);
 }
+
+/// Replicas were avoided like unreachable ones since callers of other answers held the memory.
+#[test]
+fn a_replica_is_not_avoided_for_lack_of_memory_at_this_daemon() {
+    let next_replica_after = |failure| {
+        let (mut dispatcher, mut actions, now) = start_request(CHARGE_PREFIX);
+        let (attempt, first) = sent_attempts(&actions)[0];
+        actions.clear();
+        let outcome = Outcome::Broken(Verdict::MayHaveRun, failure);
+        dispatcher.handle(Event::AttemptEnded(attempt, outcome), now, &mut actions);
+        let request = Request {
+            host: "a.example".to_owned(),
+            path: format!("{CHARGE_PREFIX}x"),
+            time_left: Some(Duration::from_secs(1)),
+        };
+        dispatcher.handle(Event::Request(Ticket(2), request), now, &mut actions);
+        (first, sent_attempts(&actions)[0].1)
+    };
+    let (first, next) = next_replica_after(Failure::TooLong);
+    assert_ne!(first, next);
+    let (first, next) = next_replica_after(Failure::NoMemory);
+    assert_eq!(first, next);
+}
--- a/crates/berylpin_core/src/direct/event.rs
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -96,9 +96,10 @@
     ForeignAnswer,
     /// The answer has a content encoding, so its body is not the one that the replica produced.
     Encoded,
-    /// The head, the interim answers or the body exceed their limit, or all answers being read
-    /// exceed the memory for them.
+    /// The head, the interim answers or the body exceed their limit.
     TooLong,
+    /// Other answers use up the memory for answers; says nothing about the replica.
+    NoMemory,
 }
 
 impl Failure {
@@ -116,6 +117,7 @@
             Self::ForeignAnswer => "foreign_answer",
             Self::Encoded => "encoded",
             Self::TooLong => "too_long",
+            Self::NoMemory => "no_memory",
         }
     }
 }
--- a/crates/berylpin_daemon/src/direct/attempt.rs
+++ b/crates/berylpin_daemon/src/direct/attempt.rs
@@ -194,7 +194,8 @@
         let memory = traffic.answer_memory().reserve();
         let reclaim = async |bytes| traffic.deliveries.reclaim(bytes, traffic.now()).await;
         read_body(&mut body, limit, memory, reclaim).await.map_err(|e| match e {
-            BodyError::TooLong | BodyError::NoMemory => Failure::TooLong,
+            BodyError::TooLong => Failure::TooLong,
+            BodyError::NoMemory => Failure::NoMemory,
             BodyError::Broken if allowance.is_exceeded() => Failure::TooLong,
             BodyError::Broken => Failure::Truncated,
         })
