--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -19,7 +19,7 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -134,8 +134,18 @@
         Err(_) => return empty_response(StatusCode::REQUEST_TIMEOUT, HeaderMap::new()),
     };
     let payload = Payload { method: parts.method, uri: parts.uri, head, body };
-    let request_id = payload.head.request_id.clone();
     let time_left = payload.head.time_left.unwrap_or(limits.idle_timeout);
+    answer_request(payload, (arrived, time_left), traffic, caller).await
+}
+
+/// Answers a request that arrived at a time and whose caller waits for `time_left` from then on.
+async fn answer_request(
+    payload: Payload,
+    (arrived, time_left): (Instant, Duration),
+    traffic: Rc<Traffic>,
+    caller: CallerConnection,
+) -> Response<CallerBody> {
+    let request_id = payload.head.request_id.clone();
     let (ticket, reply) = traffic.start_request(payload);
     let mut guard = DisconnectGuard::new(traffic.clone(), ticket);
     let answer = reply.await;
