--- a/crates/berylpin_core/src/direct/event.rs
+++ b/crates/berylpin_core/src/direct/event.rs
@@ -84,13 +84,22 @@
     NoAnswer,
     /// The connection closed before the end of the answer's body, or the body is too long.
     Truncated,
+    /// The status of the answer is not that of a final answer.
+    InvalidStatus,
+    /// The answer is a success that says that the request did not run, or one without content that
+    /// states a body.
+    Contradictory,
+    /// The status of the answer promises callers that the request did not run, and the answer does
+    /// not prove it.
+    UnprovenRefusal,
     /// The answer carries the id of another request, or it is a success without an id.
     ForeignAnswer,
     /// The answer has a content encoding, so its body is not the one that the replica produced.
     Encoded,
-    /// The head, the interim answers or the body exceed their limit, or all answers being read
-    /// exceed the memory for them.
+    /// The head, the interim answers or the body exceed their limit.
     TooLong,
+    /// Other answers use up the memory for answers; says nothing about the replica.
+    NoMemory,
 }
 
 impl Failure {
@@ -102,9 +111,13 @@
             Self::ClosedBefore => "closed_before",
             Self::NoAnswer => "no_answer",
             Self::Truncated => "truncated",
+            Self::InvalidStatus => "invalid_status",
+            Self::Contradictory => "contradictory",
+            Self::UnprovenRefusal => "unproven_refusal",
             Self::ForeignAnswer => "foreign_answer",
             Self::Encoded => "encoded",
             Self::TooLong => "too_long",
+            Self::NoMemory => "no_memory",
         }
     }
 }
@@ -112,7 +125,8 @@
 /// A complete answer of a replica.
 #[derive(Clone, Debug)]
 pub struct Reply<H> {
-    /// The HTTP status code.
+    /// The HTTP status code; from 200 to 599, and none that promises callers that the request did not
+    /// run: an answer that proves it is [`Outcome::Refused`].
     pub status: u16,
     /// The replica's signature, which proves the origin of the answer.
     pub signature: Option<Box<str>>,
--- a/crates/berylpin_daemon/tests/platform/main.rs
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -3,11 +3,13 @@
 mod connections;
 mod long_bodies;
 mod odd_entries;
+mod odd_statuses;
 mod planned_stop;
 mod process;
 mod replicas_in_trouble;
 mod silent_peers;
 mod silent_store;
+mod slow_callers;
 mod soak;
 mod start;
 mod store_outage;
