Tell a silent connection from an outage when a replica's entry is removed

Callers saw: the open connections to the store went silent, and the entry of a replica was removed meanwhile.

Cause: each failed call counted as an outage of the store, after which a removed replica is kept for 2.3 s, and a settle time under 5.25 s has no room for that. The grace time also began when the daemon noticed the end of the failure, up to 3.2 s after it.

Change: `StoreContact` keeps the time between two answers and the beginning of the last failed call. An entry expires only in an outage of two heartbeats, so a shorter time without an answer is none, and the removal takes effect at once. Otherwise the grace time ends within the settle time from the beginning of the last failed call, before which the path was not back. A watch of the replicas that is 0.4 s overdue is replaced by a call on a new connection, and retries for the replicas begin at most 1.2 s apart. `StoreTimes` derives these times from the bounds. A 410 is an answer and no failure; a list older than the known revision comes from a restored store and has the grace time.

The fixture of the catalogue records the call that returned its list, as the daemon does; the tests of StoreTimes are unchanged.

--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -1,17 +1,20 @@
 //! The control thread's state: the configuration in force, the replicas and the daemons.
 
 mod replica_entries;
+mod store_contact;
 
 use super::configuration::{Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget};
 use super::fleet::Fleet;
 use super::leaving::LeavingReplicas;
 use super::peers::assign_owners;
+use super::store_times::ExpiryGrace;
 use super::view::{Distance, Peer, Replica, Route, RouteId, Service, Standing, Target, View};
 use crate::arena::Arena;
 use crate::ids::{DataCentreId, Key, MemberTag, ReplicaId, ReplicaTag, ServiceId, ServiceTag};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
+use store_contact::StoreContact;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Connections that a replica accepts if the configuration does not set a limit.
@@ -35,17 +38,6 @@
     }
 }
 
-/// What the calls for the replicas show about the store.
-#[derive(Clone, Copy, Debug)]
-enum Outage {
-    /// All calls were answered in time.
-    Never,
-    /// The last call failed.
-    Ongoing,
-    /// The first call since the last outage was answered at this time.
-    EndedAt(Instant),
-}
-
 /// The location of this daemon.
 #[derive(Clone, Debug)]
 struct Location {
@@ -65,10 +57,8 @@
     replicas_revision: Option<u64>,
     /// Sorted by name.
     replicas: Vec<KnownReplica>,
-    /// The last outage of the store.
-    outage: Outage,
-    /// How long after an outage removed replicas stay in use.
-    expiry_grace: Duration,
+    /// What the calls for the replicas show about outages of the store.
+    contact: StoreContact,
     leaving: LeavingReplicas,
     /// The names of services; the index is the id.
     services: Vec<Arc<str>>,
@@ -94,8 +84,7 @@
             configuration: None,
             replicas_revision: None,
             replicas: Vec::new(),
-            outage: Outage::Never,
-            expiry_grace: Duration::ZERO,
+            contact: StoreContact::default(),
             leaving: LeavingReplicas::default(),
             services: Vec::new(),
             services_by_name: Vec::new(),
@@ -107,10 +96,11 @@
         }
     }
 
-    /// Sets how long after an outage of the store removed replicas stay in use.
+    /// Sets when removed replicas stay in use after an outage of the store.
     #[must_use]
-    pub fn with_expiry_grace(self, expiry_grace: Duration) -> Self {
-        Self { expiry_grace, ..self }
+    pub fn with_expiry_grace(mut self, expiry_grace: ExpiryGrace) -> Self {
+        self.contact.set_grace(expiry_grace);
+        self
     }
 
     /// Replaces all daemons with the entries at a revision; returns whether the fleet changed.
--- a/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
+++ b/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
@@ -1,6 +1,6 @@
 //! The replicas of the catalogue: their entries, outages of the store, and replicas that leave.
 
-use super::{Catalogue, KnownReplica, Outage};
+use super::{Catalogue, KnownReplica};
 use crate::direct::configuration::ReplicaEntry;
 use crate::direct::store_times::StoreCall;
 use crate::ids::{Key, ReplicaId};
@@ -14,7 +14,11 @@
         revision: u64,
         now: Instant,
     ) -> bool {
-        let mut changed = self.replicas_revision.replace(revision).is_none();
+        let previous = self.replicas_revision.replace(revision);
+        if Some(revision) < previous {
+            self.contact.record_restored_store(now);
+        }
+        let mut changed = previous.is_none();
         let mut names: Vec<String> = entries.iter().map(|entry| entry.id.clone()).collect();
         names.sort();
         for entry in entries {
@@ -62,13 +66,19 @@
         }
     }
 
-    /// Records a call for the replicas; must precede the changes that the call returned.
+    /// Records that a call for the replicas begins; calls that are recorded do not overlap.
+    pub fn begin_replicas_call(&mut self, now: Instant) {
+        self.contact.begin_call(now);
+    }
+
+    /// Records the end of a call for the replicas; must precede the changes that it returned.
     pub fn record_replicas_call(&mut self, call: StoreCall, now: Instant) {
-        self.outage = match (call, self.outage) {
-            (StoreCall::Failed, _) => Outage::Ongoing,
-            (StoreCall::Late, _) | (StoreCall::InTime, Outage::Ongoing) => Outage::EndedAt(now),
-            (StoreCall::InTime, outage) => outage,
-        };
+        self.contact.record_call(call, now);
+    }
+
+    /// Records that the replicas of a peer are applied; must precede their changes.
+    pub(in crate::direct) fn record_peer_replicas(&mut self) {
+        self.contact.record_peer_state();
     }
 
     /// Removes a replica's entry; returns whether the replica was dropped, so that a new view is
@@ -78,11 +88,7 @@
     /// The replica then stays in use until running replicas are listed again.
     pub fn remove_replica(&mut self, name: &str, now: Instant) -> bool {
         let Ok(index) = self.position(name) else { return false };
-        let grace_end = match self.outage {
-            Outage::Never => now,
-            Outage::Ongoing => now + self.expiry_grace,
-            Outage::EndedAt(ended) => ended + self.expiry_grace,
-        };
+        let grace_end = self.contact.grace_end(now);
         let known = &mut self.replicas[index];
         if known.entry.draining || known.expires_at.is_none() && grace_end <= now {
             self.replicas.remove(index);
--- a/crates/berylpin_core/src/direct/catalogue/tests.rs
+++ b/crates/berylpin_core/src/direct/catalogue/tests.rs
@@ -2,6 +2,7 @@
 use crate::direct::store_times::StoreCall;
 use crate::direct::testing::{EXPIRY_GRACE, catalogue, configuration, replica_entry};
 use proptest::prelude::*;
+use std::time::Duration;
 
 fn small_catalogue() -> (Catalogue, Instant) {
     let now = Instant::now();
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -54,7 +54,7 @@
 pub use state_delta::{StateDelta, StateRevisions};
 pub use stop::{Stop, StopSchedule};
 pub use store_times::{
-    CALL_TIMEOUT, EXPIRY_CHECK_INTERVAL, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER,
-    REPLICAS_BATCH_DELAY, StoreBounds, StoreCall, StoreTimes, confirmation_delay,
+    CALL_TIMEOUT, EXPIRY_CHECK_INTERVAL, ExpiryGrace, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER,
+    OVERDUE_TIMEOUT, REPLICAS_BATCH_DELAY, StoreBounds, StoreCall, StoreTimes, confirmation_delay,
 };
 pub use view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
--- a/crates/berylpin_core/src/direct/state_delta.rs
+++ b/crates/berylpin_core/src/direct/state_delta.rs
@@ -2,7 +2,6 @@
 
 use super::catalogue::Catalogue;
 use super::configuration::{Configuration, DaemonEntry, ReplicaEntry};
-use super::store_times::StoreCall;
 use serde::{Deserialize, Serialize};
 use std::time::Instant;
 
@@ -71,7 +70,7 @@
             && Some(revision) > own.replicas
         {
             // Peers are asked only while the store is unreachable.
-            self.record_replicas_call(StoreCall::Failed, now);
+            self.record_peer_replicas();
             changed |= self.set_replicas(entries, revision, now);
         }
         if let Some((revision, entries)) = delta.daemons
--- a/crates/berylpin_core/src/direct/store_times.rs
+++ b/crates/berylpin_core/src/direct/store_times.rs
@@ -27,7 +27,7 @@
 const APPLY_TIME: Duration = Duration::from_millis(600);
 
 /// The minimum and the maximum wait of a watch; the store allows up to 30 s.
-const MIN_WAIT: Duration = Duration::from_millis(500);
+const MIN_WAIT: Duration = Duration::from_millis(250);
 const MAX_WAIT: Duration = Duration::from_secs(20);
 
 /// How long a replica stays in use after an outage of the store in which its entry may have
@@ -41,6 +41,19 @@
 /// How much later than the end of its wait an answer shows an outage of the store.
 const LATE_ANSWER: Duration = Duration::from_millis(300);
 
+/// How much later than the end of its wait a watch of the replicas is given up, and the store called
+/// on a new connection; a call that does not wait shows sooner whether the store is available.
+pub const OVERDUE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The time until the traffic thread applies a new view.
+const VIEW_TIME: Duration = Duration::from_millis(100);
+
+/// The part of the settle time that is kept for the answer after a failed call and its application.
+const RETRY_MARGIN: Duration = Duration::from_millis(300);
+
+/// The minimum timeout of a call that does not wait.
+const MIN_RETRY: Duration = Duration::from_millis(200);
+
 /// The bounds that the platform sets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreBounds {
@@ -59,8 +72,8 @@
 /// A dead connection is detected only when its call times out. The settle time starts when the
 /// connection fails, and the bound of a change when the change is made, so both may run at the same
 /// time: the wait of a watch, or the time until the configuration is confirmed without it, and all
-/// that follows must fit into each of them alone. Only the grace time of removed replicas is as long
-/// as the sum allows if the settle time is too short for it.
+/// that follows must fit into each of them alone. So must the grace time of removed replicas, which
+/// starts at a time that is only known to lie after the beginning of a call that failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreTimes {
     /// How long after its last confirmation the configuration is confirmed by a call of its own, so
@@ -70,8 +83,12 @@
     /// expire that each such outage makes a watch fail or end late, also one that begins between
     /// two watches.
     pub replicas_wait: Duration,
-    /// How long after an outage of the store removed replicas stay in use.
-    pub expiry_grace: Duration,
+    /// How long a call for the replicas that does not wait takes at most, and how long after the
+    /// beginning of a failed call the next one begins at most. The beginning of the last failed call
+    /// is the earliest time at which the store may have recovered.
+    pub replicas_retry: Duration,
+    /// When removed replicas stay in use after an outage of the store.
+    pub expiry_grace: ExpiryGrace,
 }
 
 impl StoreTimes {
@@ -80,23 +97,45 @@
         let detection = CALL_TIMEOUT + INITIAL_RETRY_BACKOFF * MAX_BACKOFF_JITTER + APPLY_TIME;
         let configuration_due = bounds.settle.min(bounds.config_apply);
         let drain_due = bounds.settle.min(bounds.drain);
-        let removal_due = bounds.settle.saturating_sub(EXPIRY_CHECK_INTERVAL + EXPIRY_GRACE);
+        let shortest_outage = bounds.heartbeat * HEARTBEATS_UNTIL_EXPIRY;
         // A watch that begins only after the batch delay must still end late.
-        let seen_outage = (bounds.heartbeat * HEARTBEATS_UNTIL_EXPIRY)
-            .saturating_sub(LATE_ANSWER + REPLICAS_BATCH_DELAY);
-        let replicas_wait = drain_due.min(removal_due).saturating_sub(detection).min(seen_outage);
+        let seen_outage = shortest_outage.saturating_sub(LATE_ANSWER + REPLICAS_BATCH_DELAY);
+        // The store may hold a watch until it recovers, and answer it then.
+        let grace = EXPIRY_GRACE + EXPIRY_CHECK_INTERVAL + VIEW_TIME;
+        let grace_due = bounds.settle.saturating_sub(grace + OVERDUE_TIMEOUT);
+        let replicas_wait = drain_due.saturating_sub(detection).min(grace_due).min(seen_outage);
         let replicas_wait = replicas_wait.clamp(MIN_WAIT, MAX_WAIT);
-        let learned = replicas_wait + detection + EXPIRY_CHECK_INTERVAL;
         Self {
             confirmation_interval: configuration_due
                 .saturating_sub(APPLY_TIME)
                 .clamp(MIN_WAIT, MAX_WAIT),
             replicas_wait,
-            expiry_grace: (bounds.settle + bounds.drain).saturating_sub(learned).min(EXPIRY_GRACE),
+            replicas_retry: (bounds.settle.saturating_sub(RETRY_MARGIN) / 2)
+                .clamp(MIN_RETRY, CALL_TIMEOUT),
+            expiry_grace: ExpiryGrace {
+                after_outage: EXPIRY_GRACE,
+                shortest_outage: shortest_outage.saturating_sub(LATE_ANSWER),
+                after_failed_call: bounds.settle.saturating_sub(EXPIRY_CHECK_INTERVAL + VIEW_TIME),
+            },
         }
     }
 }
 
+/// When a replica stays in use although its entry was removed: the entry of a running replica may
+/// expire while the store is unavailable.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ExpiryGrace {
+    /// How long after the store's first answer removed replicas stay in use.
+    pub after_outage: Duration,
+    /// The shortest time between two answers in which entries can expire.
+    pub shortest_outage: Duration,
+    /// How long after the beginning of the last failed call removed replicas stay in use at most.
+    ///
+    /// The store may have been available to others, and was available to this daemon no sooner than
+    /// that call began. So the settle time counts from then on.
+    pub after_failed_call: Duration,
+}
+
 /// Returns how long after its last confirmation a daemon confirms the configuration.
 ///
 /// `draw`, from 0 to 1, differs between daemons: most of them learn the result of the few that
--- a/crates/berylpin_core/src/direct/testing.rs
+++ b/crates/berylpin_core/src/direct/testing.rs
@@ -4,6 +4,7 @@
 use super::configuration::{
     ClientLimits, Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget,
 };
+use super::store_times::{ExpiryGrace, StoreCall};
 use std::time::{Duration, Instant};
 
 /// The data centre without replicas, in a region of its own.
@@ -83,12 +84,20 @@
     }
 }
 
+fn expiry_grace() -> ExpiryGrace {
+    ExpiryGrace {
+        after_outage: EXPIRY_GRACE,
+        shortest_outage: Duration::ZERO,
+        after_failed_call: Duration::from_mins(1),
+    }
+}
+
 /// Returns the catalogue of the daemon `own`; each data centre has two daemons.
 pub(super) fn catalogue(own: &str, data_centre: &str, shards: usize, now: Instant) -> Catalogue {
     let regions = [REPLICA_DATA_CENTRES[0], REMOTE_DATA_CENTRE, REPLICA_DATA_CENTRES[1]]
         .map(|name| (name.to_owned(), name.to_owned()));
     let mut catalogue = Catalogue::new(own.to_owned(), data_centre.to_owned(), regions.into())
-        .with_expiry_grace(EXPIRY_GRACE);
+        .with_expiry_grace(expiry_grace());
     catalogue.apply_configuration(configuration(1, shards));
     let mut entries = Vec::new();
     for data_centre in REPLICA_DATA_CENTRES {
@@ -101,6 +110,7 @@
         }
         entries.push(replica_entry(&format!("{data_centre}-ledger"), "ledger", data_centre));
     }
+    catalogue.record_replicas_call(StoreCall::InTime, now);
     catalogue.set_replicas(entries, 1, now);
     let daemons =
         [REPLICA_DATA_CENTRES[0], REMOTE_DATA_CENTRE, REPLICA_DATA_CENTRES[1]].iter().flat_map(
--- a/crates/berylpin_daemon/src/direct/control/watches.rs
+++ b/crates/berylpin_daemon/src/direct/control/watches.rs
@@ -2,8 +2,8 @@
 
 use super::Control;
 use berylpin_core::direct::{
-    Catalogue, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER, REPLICAS_BATCH_DELAY, StoreCall,
-    StoreTimes, confirmed_by,
+    Catalogue, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER, OVERDUE_TIMEOUT, REPLICAS_BATCH_DELAY,
+    StoreCall, StoreTimes, confirmed_by,
 };
 use berylpin_platform::{Change, Freshness, Object, ObjectKind, StoreError};
 use rand::Rng;
@@ -21,8 +21,7 @@
 /// daemons write their entries within 1 s.
 const DAEMONS_BATCH_DELAY: Duration = Duration::from_secs(3);
 
-/// The maximum back-off for the configuration and the replicas, which must be current soon after
-/// the store recovers.
+/// The maximum back-off for the configuration, which must be current soon after the store recovers.
 const MAX_RETRY_BACKOFF: Duration = Duration::from_secs(1);
 
 /// The maximum back-off for the daemons, which change rarely.
@@ -31,17 +30,31 @@
 /// The revision of state from an incomplete list, so that any complete state counts as newer.
 const INCOMPLETE_REVISION: u64 = 0;
 
+/// How much later than the end of its wait a call is given up.
+#[derive(Clone, Copy)]
+struct CallTimeouts {
+    /// Of a watch. It is short, because a call on a new connection replaces the watch.
+    watch: Duration,
+    /// Of a call that does not wait, which a slow store must be able to answer.
+    call: Duration,
+}
+
 /// How the objects of one kind are listed and watched.
 pub(super) struct WatchConfig {
     kind: ObjectKind,
     /// How long the store holds a watch if nothing changes.
     wait: Duration,
+    /// Timeouts that are shorter than the client's.
+    timeouts: Option<CallTimeouts>,
     watch_freshness: Freshness,
     list_freshness: Freshness,
     /// The delay after each change, which batches further changes.
     batch_delay: Duration,
     /// The maximum back-off after failed calls, before jitter.
     max_backoff: Duration,
+    /// Whether the back-off counts from the beginning of the failed call instead of its end, so that
+    /// a call that timed out is followed by the next one at once.
+    backoff_from_call: bool,
     /// Applies the complete list at a revision.
     apply_list: fn(&Control, Vec<Object>, u64),
     /// Applies changes in their order, up to a revision.
@@ -55,10 +68,12 @@
         Self {
             kind: ObjectKind::Configuration,
             wait: CONFIGURATION_WATCH_WAIT,
+            timeouts: None,
             watch_freshness: Freshness::Newest,
             list_freshness: Freshness::Newest,
             batch_delay: Duration::ZERO,
             max_backoff: MAX_RETRY_BACKOFF,
+            backoff_from_call: false,
             apply_list: Control::apply_configuration_list,
             apply_changes: Control::apply_configuration_changes,
             catalogue_revision: |_| None,
@@ -75,10 +90,12 @@
         Self {
             kind: ObjectKind::Replicas,
             wait: times.replicas_wait,
+            timeouts: Some(CallTimeouts { watch: OVERDUE_TIMEOUT, call: times.replicas_retry }),
             watch_freshness: Freshness::MaybeStale,
             list_freshness: Freshness::Newest,
             batch_delay: REPLICAS_BATCH_DELAY,
-            max_backoff: MAX_RETRY_BACKOFF,
+            max_backoff: times.replicas_retry / MAX_BACKOFF_JITTER,
+            backoff_from_call: true,
             apply_list: Control::apply_replica_list,
             apply_changes: Control::apply_replica_changes,
             catalogue_revision: |catalogue| catalogue.revisions().replicas,
@@ -89,10 +106,12 @@
         Self {
             kind: ObjectKind::Daemons,
             wait: DAEMONS_WATCH_WAIT,
+            timeouts: None,
             watch_freshness: Freshness::MaybeStale,
             list_freshness: Freshness::MaybeStale,
             batch_delay: DAEMONS_BATCH_DELAY,
             max_backoff: MAX_DAEMONS_RETRY_BACKOFF,
+            backoff_from_call: false,
             apply_list: Control::apply_daemon_list,
             apply_changes: Control::apply_daemon_changes,
             catalogue_revision: |catalogue| catalogue.revisions().daemons,
@@ -130,6 +149,9 @@
             );
             let wait = next_watch_wait(config.wait, failures == 0);
             let called_at = self.now();
+            if config.kind == ObjectKind::Replicas {
+                self.catalogue.borrow_mut().begin_replicas_call(called_at);
+            }
             let result = self.list_or_watch(&config, revision, wait).await;
             match &result {
                 Ok(_) if failures > 0 => {
@@ -152,7 +174,10 @@
                 }
                 Err(StoreError::RevisionCompacted) => revision = None,
                 Err(_) => {
-                    tokio::time::sleep(config.backoff_with_jitter(failures)).await;
+                    let elapsed = self.now().saturating_duration_since(called_at);
+                    let spent = if config.backoff_from_call { elapsed } else { Duration::ZERO };
+                    let backoff = config.backoff_with_jitter(failures);
+                    tokio::time::sleep(backoff.saturating_sub(spent)).await;
                 }
             }
         }
@@ -166,12 +191,10 @@
         since: Option<u64>,
         wait: Duration,
     ) -> Result<u64, StoreError> {
-        let WatchConfig {
-            kind, watch_freshness, list_freshness, apply_list, apply_changes, ..
-        } = config;
-        let (store, called_at) = (self.store(), self.now());
+        let WatchConfig { kind, list_freshness, apply_list, apply_changes, .. } = config;
+        let called_at = self.now();
         let Some(since) = since else {
-            let listing = store.list(*kind, *list_freshness).await;
+            let listing = self.store().list(*kind, *list_freshness).await;
             let succeeded = listing.as_ref().is_ok_and(|listing| listing.complete);
             self.record_call(*kind, succeeded, called_at, Duration::ZERO);
             let listing = listing?;
@@ -184,8 +207,9 @@
             self.record_answer(*kind, called_at, listing.revision);
             return Ok(listing.revision);
         };
-        let changes = store.watch(*kind, since, wait, *watch_freshness).await;
-        self.record_call(*kind, changes.is_ok(), called_at, wait);
+        let changes = self.watch_once(config, since, wait).await;
+        let answered = matches!(changes, Ok(_) | Err(StoreError::RevisionCompacted));
+        self.record_call(*kind, answered, called_at, wait);
         let (changes, revision) = changes?;
         let at = confirmed_by(called_at, wait, !changes.is_empty(), self.now());
         apply_changes(self, changes, revision);
@@ -193,6 +217,21 @@
         Ok(revision)
     }
 
+    /// Calls the store once for the changes since a revision.
+    async fn watch_once(
+        &self,
+        config: &WatchConfig,
+        since: u64,
+        wait: Duration,
+    ) -> Result<(Vec<Change>, u64), StoreError> {
+        let store = self.store();
+        let changes = store.watch(config.kind, since, wait, config.watch_freshness);
+        let Some(CallTimeouts { watch, call }) = config.timeouts else { return changes.await };
+        let late_by = if wait.is_zero() { call } else { watch };
+        let result = tokio::time::timeout(wait + late_by, changes).await;
+        result.unwrap_or(Err(StoreError::Overdue))
+    }
+
     /// Records an answer that shows the objects of a kind as of `at`; must follow its changes, or an
     /// older version would be reported as confirmed.
     fn record_answer(&self, kind: ObjectKind, at: Instant, revision: u64) {
@@ -202,16 +241,16 @@
     }
 
     /// Records what a call shows about the store; must precede the changes that it returned.
-    fn record_call(&self, kind: ObjectKind, succeeded: bool, called_at: Instant, wait: Duration) {
+    fn record_call(&self, kind: ObjectKind, answered: bool, called_at: Instant, wait: Duration) {
         let now = self.now();
         let elapsed = now.saturating_duration_since(called_at);
-        let call = StoreCall::classify(succeeded, elapsed, wait);
+        let call = StoreCall::classify(answered, elapsed, wait);
         if call == StoreCall::Late {
             info!(self.shared.log, "control: store answered late"; "kind" => kind.name(),
                 "elapsed_ms" => elapsed.as_millis() as u64, "wait_ms" => wait.as_millis() as u64);
         }
         match kind {
-            ObjectKind::Configuration if !succeeded => {
+            ObjectKind::Configuration if !answered => {
                 self.update_confirmation(|confirmation| confirmation.record_failure(now));
             }
             ObjectKind::Replicas => self.catalogue.borrow_mut().record_replicas_call(call, now),
--- a/crates/berylpin_daemon/tests/platform/silent_store.rs
+++ b/crates/berylpin_daemon/tests/platform/silent_store.rs
@@ -20,6 +20,10 @@
 /// How long after a change of an entry the next watch has begun.
 const WATCH_DELAY: Duration = Duration::from_millis(600);
 
+/// How long after a change of an entry is applied the next watch has just begun, so that it goes
+/// silent for nearly its whole wait.
+const NEW_WATCH_DELAY: Duration = Duration::from_millis(350);
+
 /// How long charges are sent after a limit.
 const OBSERVED_TIME: Duration = Duration::from_millis(1500);
 
@@ -64,6 +68,15 @@
         self.replicas.iter().filter(|replica| replica.service() == service).collect()
     }
 
+    /// Waits until the log of the daemon contains `text`.
+    async fn wait_for_line(&self, text: &str) {
+        let deadline = Instant::now() + SERVE_TIMEOUT;
+        while !self.process.log().contains(text) {
+            assert!(Instant::now() < deadline, "no {text}:\n{}", self.process.log());
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
     /// Sends charges until `end`.
     async fn charge_until(&self, end: std::time::Instant) {
         while std::time::Instant::now() < end {
@@ -98,6 +111,27 @@
     assert!(arrivals_after(&[staying], drained) > 0, "no request after the drain limit");
 }
 
+/// A call that failed because its connection was silent counted as an outage of the store, after
+/// which a removed replica is kept for a grace time that went beyond the settle time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replica_removed_during_a_silence_gets_nothing_after_the_settle_time() {
+    let setup = Setup::start("removed-in-silence").await;
+    let mut changed = entry(&setup.replicas[0]);
+    changed["slots"] = 5.into();
+    setup.store.put("servers", setup.replicas[0].id(), changed);
+    setup.wait_for_line("control: replica changed").await;
+    sleep(NEW_WATCH_DELAY).await;
+    setup.net.silence_connections();
+    let settled = std::time::Instant::now() + SETTLE_TIME;
+    let [leaving, staying] = setup.replicas_of("ledger")[..] else { panic!("two replicas") };
+    setup.store.remove("servers", leaving.id());
+    sleep(SETTLE_TIME).await;
+    setup.charge_until(settled + OBSERVED_TIME).await;
+    let log = setup.process.log();
+    assert_eq!(arrivals_after(&[leaving], settled), 0, "late requests:\n{log}");
+    assert!(arrivals_after(&[staying], settled) > 0, "no request after the settle time");
+}
+
 /// The time until a silent watch is given up was derived from the settle time plus the limit for a
 /// change, although both run at the same time.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
