Confirm the replicas by the store's revision

Cause: replicas were learned from a stale watch alone, whose data may be of any age. None of the stages among which `StoreTimes` divides the drain limit was the age of the data.

Change: the call that confirms the configuration confirms the replicas too. Its answer has the newest data and states the store's revision; the replicas are confirmed if all their changes up to it have been applied. If not, a stale call is made, and a fresh one if that is too old as well. The interval is derived from the drain limit as well as from the limit of the configuration. Peers report the revision of their replicas, so a daemon that exchanges parts rests on them. Answers older than the known revision are not applied.

Ruled out: fresh watches of the replicas (a full call for each daemon and change) and fresh calls for them at each interval beside those for the configuration (twice the confirming calls).

--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -213,14 +213,15 @@
 
     /// Builds a view of the state; `None` before the configuration and the replicas are known.
     pub fn view(&self) -> Option<View> {
-        let configuration =
-            self.configuration.as_ref().filter(|_| self.replicas_revision.is_some())?;
+        let (configuration, replicas_revision) =
+            self.configuration.as_ref().zip(self.replicas_revision)?;
         let mut routes: Vec<Route> =
             configuration.routes.iter().map(|route| self.build_route(route)).collect();
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         let own_tag = MemberTag::of([self.location.daemon.as_str()]);
         let mut view = View {
             version: configuration.version,
+            replicas_revision,
             routes,
             services: self.service_arena(own_tag),
             tags: self.service_tags(),
--- a/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
+++ b/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
@@ -27,7 +27,9 @@
         let known = self.replicas.iter().map(|known| known.entry.id.clone());
         let missing: Vec<_> = known.filter(|name| names.binary_search(name).is_err()).collect();
         for name in missing {
-            changed |= self.remove_replica(&name, now);
+            self.remove_replica(&name, now);
+            // Also for a replica that stays in use: peers compare the view's revision.
+            changed = true;
         }
         changed
     }
--- a/crates/berylpin_core/src/direct/confirmation.rs
+++ b/crates/berylpin_core/src/direct/confirmation.rs
@@ -1,4 +1,4 @@
-//! When the configuration in force was last known to be the newest in the store.
+//! When the configuration and the replicas in use were last known to be the newest in the store.
 
 use std::time::{Duration, Instant};
 
@@ -57,6 +57,41 @@
     }
 }
 
+/// As of when the replicas in use are known to be the newest in the store.
+///
+/// The watch that returns their changes may be silent, or read data of any age. So they are compared
+/// with the store's revision, which an answer with the newest data states whatever it was asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplicasConfirmation {
+    /// The start of the daemon before the first list.
+    confirmed_at: Instant,
+}
+
+impl ReplicasConfirmation {
+    /// Creates the state of a daemon that starts now.
+    pub fn new(now: Instant) -> Self {
+        Self { confirmed_at: now }
+    }
+
+    /// Records a list that began at `at` and replaced all replicas.
+    pub fn record_list(&mut self, at: Instant) {
+        self.confirmed_at = at;
+    }
+
+    /// Records that the store, or a peer's confirmed replicas, were at the revision `newest` at `at`,
+    /// while the replicas in use are current at `applied`.
+    pub fn record_revision(&mut self, at: Instant, newest: u64, applied: Option<u64>) {
+        if applied >= Some(newest) {
+            self.confirmed_at = self.confirmed_at.max(at);
+        }
+    }
+
+    /// Returns when the replicas were last confirmed.
+    pub fn confirmed_at(&self) -> Instant {
+        self.confirmed_at
+    }
+}
+
 /// Returns the time as of which an answer to a call confirms the configuration.
 ///
 /// The store answers a watch without changes when its wait is over. Changes are confirmed as of
--- a/crates/berylpin_core/src/direct/confirmation/tests.rs
+++ b/crates/berylpin_core/src/direct/confirmation/tests.rs
@@ -54,3 +54,26 @@
     assert_eq!(confirmed_by(called_at, 20 * SECOND, false, answered_at), answered_at);
     assert_eq!(confirmed_by(called_at, 4 * SECOND, true, answered_at), answered_at);
 }
+
+/// Any change in the store makes its revision newer, so replicas that are older are not confirmed.
+#[test]
+fn replicas_are_confirmed_only_by_a_revision_up_to_which_they_are_current() {
+    let start = Instant::now();
+    let mut confirmation = ReplicasConfirmation::new(start);
+    confirmation.record_revision(start + SECOND, 7, None);
+    confirmation.record_revision(start + SECOND, 7, Some(6));
+    assert_eq!(confirmation.confirmed_at(), start);
+    confirmation.record_revision(start + 2 * SECOND, 7, Some(7));
+    confirmation.record_revision(start + SECOND, 7, Some(9));
+    assert_eq!(confirmation.confirmed_at(), start + 2 * SECOND);
+}
+
+/// A list may be older than a call that ended before it, and replaces what that call returned.
+#[test]
+fn a_list_takes_back_a_later_confirmation_of_the_replicas() {
+    let start = Instant::now();
+    let mut confirmation = ReplicasConfirmation::new(start);
+    confirmation.record_revision(start + 2 * SECOND, 7, Some(7));
+    confirmation.record_list(start + SECOND);
+    assert_eq!(confirmation.confirmed_at(), start + SECOND);
+}
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -43,7 +43,7 @@
 pub use configuration::{
     ClientLimits, Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget,
 };
-pub use confirmation::{Confirmation, confirmed_by};
+pub use confirmation::{Confirmation, ReplicasConfirmation, confirmed_by};
 pub use dispatcher::Dispatcher;
 pub use event::{
     Action, Answer, AttemptKey, BodyLimits, Cause, DirectDecision, Event, Failure, MissingCause,
--- a/crates/berylpin_core/src/direct/store_times.rs
+++ b/crates/berylpin_core/src/direct/store_times.rs
@@ -76,8 +76,8 @@
 /// starts at a time that is only known to lie after the beginning of a call that failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreTimes {
-    /// How long after its last confirmation the configuration is confirmed by a call of its own, so
-    /// that a watch may wait longer.
+    /// How long after their last confirmation the configuration and the replicas are confirmed by
+    /// calls of their own, so that a watch may wait longer or read older data.
     pub confirmation_interval: Duration,
     /// How long a watch of the replicas waits; so much shorter than an outage in which entries can
     /// expire that each such outage makes a watch fail or end late, also one that begins between
@@ -107,6 +107,7 @@
         let replicas_wait = replicas_wait.clamp(MIN_WAIT, MAX_WAIT);
         Self {
             confirmation_interval: configuration_due
+                .min(drain_due)
                 .saturating_sub(APPLY_TIME)
                 .clamp(MIN_WAIT, MAX_WAIT),
             replicas_wait,
@@ -136,7 +137,7 @@
     pub after_failed_call: Duration,
 }
 
-/// Returns how long after its last confirmation a daemon confirms the configuration.
+/// Returns how long after the last confirmation a daemon confirms the configuration and the replicas.
 ///
 /// `draw`, from 0 to 1, differs between daemons: most of them learn the result of the few that
 /// call first.
--- a/crates/berylpin_core/src/direct/store_times/tests.rs
+++ b/crates/berylpin_core/src/direct/store_times/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::direct::catalogue::Catalogue;
+use crate::direct::confirmation::ReplicasConfirmation;
 use crate::direct::testing::catalogue;
 use proptest::prelude::*;
 use std::time::Instant;
@@ -157,6 +158,55 @@
         }
     }
 
+    /// Changes of replicas were learned from data of any age alone. Here that data never changes; other
+    /// changes in the store make its revision newer.
+    #[test]
+    fn a_change_of_a_replica_that_no_watch_returns_is_learned_within_each_bound(
+        bounds in bounds(),
+        confirmed_before in 0.0..1.0f64,
+        changed_after in millis(0..8000),
+        others_after in proptest::collection::vec(millis(0..12_000), 0..8),
+        draws in proptest::collection::vec((0.0..1.0f64, 1.0..2.0f64), 32),
+    ) {
+        let interval = StoreTimes::new(&bounds).confirmation_interval;
+        let silent_at = Instant::now() + interval;
+        let changed_at = silent_at + changed_after;
+        let newest = |now: Instant| {
+            let others = others_after.iter().filter(|after| silent_at + **after <= now);
+            others.count() as u64 + u64::from(changed_at <= now)
+        };
+        let mut applied = 0;
+        let mut confirmation = ReplicasConfirmation::new(
+            silent_at.checked_sub(interval.mul_f64(confirmed_before)).unwrap(),
+        );
+        let mut draws = draws.into_iter().cycle();
+        let learned_at = loop {
+            let (draw, jitter) = draws.next().unwrap();
+            let mut called_at = confirmation.confirmed_at() + confirmation_delay(interval, draw);
+            if called_at < silent_at {
+                called_at += CALL_TIMEOUT + INITIAL_RETRY_BACKOFF.mul_f64(jitter);
+            }
+            let called_at = called_at.max(silent_at);
+            confirmation.record_revision(called_at, newest(called_at), Some(applied));
+            if confirmation.confirmed_at() == called_at {
+                continue;
+            }
+            // The call for older data returns nothing new.
+            let called_at = called_at + WATCH_DELAY * 2;
+            if called_at >= changed_at {
+                break called_at + WATCH_DELAY + VIEW_DELAY;
+            }
+            applied = newest(called_at);
+            confirmation.record_revision(called_at, applied, Some(applied));
+        };
+        let due = (silent_at + bounds.settle.max(DETECTION))
+            .max(changed_at + bounds.drain.max(DETECTION));
+        prop_assert!(learned_at <= due, "{:?} too late", learned_at - due);
+        if changed_after >= bounds.settle {
+            prop_assert!(learned_at <= changed_at + bounds.drain);
+        }
+    }
+
     /// The watch of the replicas had the same fault: an entry that became draining while the settle
     /// time ran was learned too late.
     #[test]
--- a/crates/berylpin_core/src/direct/view.rs
+++ b/crates/berylpin_core/src/direct/view.rs
@@ -27,6 +27,8 @@
 pub struct View {
     /// The version of the configuration; never decreases within one process.
     pub version: u64,
+    /// The store's revision at which the replicas are current.
+    pub replicas_revision: u64,
     /// Sorted by host and then by prefix.
     pub routes: Vec<Route>,
     /// All services that a configuration or a replica ever named.
--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -2,6 +2,7 @@
 //! publishes views of them.
 
 mod configuration;
+mod confirmation;
 mod daemon_entries;
 mod replica_entries;
 mod state_delta;
@@ -9,7 +10,9 @@
 
 use super::peer_versions::PeerVersion;
 use super::process::Shared;
-use berylpin_core::direct::{Catalogue, Confirmation, Replica, StoreTimes, View};
+use berylpin_core::direct::{
+    Catalogue, Confirmation, Replica, ReplicasConfirmation, StoreTimes, View,
+};
 use berylpin_platform::{Object, ObjectKind, PlatformSettings, Store, StoreError};
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -30,7 +33,7 @@
     pub(super) state_requests: mpsc::Receiver<StateDeltaRequest>,
     /// Replicas that announced in an answer that they leave.
     pub(super) leaving: mpsc::Receiver<Arc<Replica>>,
-    /// When the configuration in force was last confirmed.
+    /// When the configuration in force and the replicas in use were last confirmed.
     pub(super) confirmed_at: watch::Sender<Option<Instant>>,
     /// Versions of the configuration that peers have in force.
     pub(super) peer_versions: mpsc::Receiver<PeerVersion>,
@@ -45,7 +48,8 @@
     catalogue: RefCell<Catalogue>,
     /// When the configuration was last confirmed, and since when calls for it have failed.
     confirmation: Cell<Confirmation>,
-    /// The time in `confirmation`, for the traffic thread.
+    replicas_confirmation: Cell<ReplicasConfirmation>,
+    /// The earlier time of both confirmations, for the traffic thread.
     confirmed_at: watch::Sender<Option<Instant>>,
     /// The store's revision of the last answer to a call for the configuration; `None` if it must be
     /// listed.
@@ -78,12 +82,13 @@
         store: RefCell::new(store),
         catalogue: RefCell::new(catalogue),
         confirmation: Cell::new(Confirmation::new(started)),
+        replicas_confirmation: Cell::new(ReplicasConfirmation::new(started)),
         confirmed_at,
         configuration_revision: Cell::new(None),
     });
     tokio::join!(
         control.watch_kind(WatchConfig::configuration()),
-        control.confirm_configuration(times.confirmation_interval),
+        control.confirm_state(&times),
         control.watch_kind(WatchConfig::replicas(&times)),
         control.watch_kind(WatchConfig::daemons()),
         control.maintain_own_entry(),
--- a/crates/berylpin_daemon/src/direct/control/replica_entries.rs
+++ b/crates/berylpin_daemon/src/direct/control/replica_entries.rs
@@ -30,7 +30,9 @@
                 },
                 Change::Removed(name) => {
                     info!(self.shared.log, "control: replica entry removed"; "replica" => &name);
-                    self.remove_replica(&name)
+                    self.remove_replica(&name);
+                    // Also for a replica that stays in use: peers compare the view's revision.
+                    true
                 }
             };
         }
--- a/crates/berylpin_daemon/src/direct/control/state_delta.rs
+++ b/crates/berylpin_daemon/src/direct/control/state_delta.rs
@@ -68,12 +68,9 @@
     /// Takes the confirmations that peers report, and fetches newer versions of the configuration,
     /// because this daemon's watch may be on a connection that went silent; does not return.
     pub(super) async fn follow_peer_versions(&self, mut reports: mpsc::Receiver<PeerVersion>) {
-        while let Some(PeerVersion { version, peer, confirmed_at }) = reports.recv().await {
-            if self.catalogue.borrow().version() == Some(version)
-                && let Some(at) = confirmed_at
-            {
-                self.update_confirmation(|confirmation| confirmation.record_peer(at));
-            }
+        while let Some(report) = reports.recv().await {
+            let PeerVersion { version, peer, .. } = report;
+            self.record_peer_confirmation(&report);
             if !self.catalogue.borrow().is_older_than(version) {
                 continue;
             }
@@ -95,6 +92,18 @@
         std::future::pending::<()>().await;
     }
 
+    /// Takes the confirmation of a peer that has the same configuration, and of its replicas if this
+    /// daemon's are as new.
+    fn record_peer_confirmation(&self, report: &PeerVersion) {
+        let PeerVersion { version, replicas_revision, confirmed_at, .. } = *report;
+        let known = self.catalogue.borrow().revisions();
+        let Some(at) = confirmed_at.filter(|_| known.version == Some(version)) else { return };
+        if let Some(newest) = replicas_revision {
+            self.update_replicas_confirmation(|c| c.record_revision(at, newest, known.replicas));
+        }
+        self.update_confirmation(|confirmation| confirmation.record_peer(at));
+    }
+
     fn log_failed_fetch(&self, peer: SocketAddr, cause: &StreamError) {
         debug!(self.shared.log, "control: configuration and entries not fetched from peer";
             "peer" => %peer, "cause" => %cause);
--- a/crates/berylpin_daemon/src/direct/control/watches.rs
+++ b/crates/berylpin_daemon/src/direct/control/watches.rs
@@ -55,6 +55,9 @@
     /// Whether the back-off counts from the beginning of the failed call instead of its end, so that
     /// a call that timed out is followed by the next one at once.
     backoff_from_call: bool,
+    /// Whether the calls show outages of the store in which entries of replicas expire. Such calls
+    /// do not overlap.
+    shows_outages: bool,
     /// Applies the complete list at a revision.
     apply_list: fn(&Control, Vec<Object>, u64),
     /// Applies changes in their order, up to a revision.
@@ -74,6 +77,7 @@
             batch_delay: Duration::ZERO,
             max_backoff: MAX_RETRY_BACKOFF,
             backoff_from_call: false,
+            shows_outages: false,
             apply_list: Control::apply_configuration_list,
             apply_changes: Control::apply_configuration_changes,
             catalogue_revision: |_| None,
@@ -96,12 +100,18 @@
             batch_delay: REPLICAS_BATCH_DELAY,
             max_backoff: times.replicas_retry / MAX_BACKOFF_JITTER,
             backoff_from_call: true,
+            shows_outages: true,
             apply_list: Control::apply_replica_list,
             apply_changes: Control::apply_replica_changes,
             catalogue_revision: |catalogue| catalogue.revisions().replicas,
         }
     }
 
+    /// Calls for the replicas beside the watch.
+    pub(super) fn replicas_confirmation(times: &StoreTimes, freshness: Freshness) -> Self {
+        Self { watch_freshness: freshness, shows_outages: false, ..Self::replicas(times) }
+    }
+
     pub(super) fn daemons() -> Self {
         Self {
             kind: ObjectKind::Daemons,
@@ -112,6 +122,7 @@
             batch_delay: DAEMONS_BATCH_DELAY,
             max_backoff: MAX_DAEMONS_RETRY_BACKOFF,
             backoff_from_call: false,
+            shows_outages: false,
             apply_list: Control::apply_daemon_list,
             apply_changes: Control::apply_daemon_changes,
             catalogue_revision: |catalogue| catalogue.revisions().daemons,
@@ -149,7 +160,7 @@
             );
             let wait = next_watch_wait(config.wait, failures == 0);
             let called_at = self.now();
-            if config.kind == ObjectKind::Replicas {
+            if config.shows_outages {
                 self.catalogue.borrow_mut().begin_replicas_call(called_at);
             }
             let result = self.list_or_watch(&config, revision, wait).await;
@@ -196,7 +207,7 @@
         let Some(since) = since else {
             let listing = self.store().list(*kind, *list_freshness).await;
             let succeeded = listing.as_ref().is_ok_and(|listing| listing.complete);
-            self.record_call(*kind, succeeded, called_at, Duration::ZERO);
+            self.record_call(config, succeeded, called_at, Duration::ZERO);
             let listing = listing?;
             if !listing.complete {
                 let found = listing.objects.into_iter().map(Change::Put).collect();
@@ -204,16 +215,26 @@
                 return Err(StoreError::Incomplete);
             }
             apply_list(self, listing.objects, listing.revision);
-            self.record_answer(*kind, called_at, listing.revision);
+            if *kind == ObjectKind::Replicas {
+                self.update_replicas_confirmation(|c| c.record_list(called_at));
+            } else if *list_freshness == Freshness::Newest {
+                self.record_newest_answer(*kind, called_at, listing.revision);
+            }
             return Ok(listing.revision);
         };
         let changes = self.watch_once(config, since, wait).await;
         let answered = matches!(changes, Ok(_) | Err(StoreError::RevisionCompacted));
-        self.record_call(*kind, answered, called_at, wait);
+        self.record_call(config, answered, called_at, wait);
         let (changes, revision) = changes?;
         let at = confirmed_by(called_at, wait, !changes.is_empty(), self.now());
-        apply_changes(self, changes, revision);
-        self.record_answer(*kind, at, revision);
+        // State from a peer, or from a call beside the watch, may have become newer meanwhile.
+        let is_older = (config.catalogue_revision)(&self.catalogue.borrow()) > Some(revision);
+        if !is_older {
+            apply_changes(self, changes, revision);
+        }
+        if config.watch_freshness == Freshness::Newest {
+            self.record_newest_answer(*kind, at, revision);
+        }
         Ok(revision)
     }
 
@@ -232,29 +253,20 @@
         result.unwrap_or(Err(StoreError::Overdue))
     }
 
-    /// Records an answer that shows the objects of a kind as of `at`; must follow its changes, or an
-    /// older version would be reported as confirmed.
-    fn record_answer(&self, kind: ObjectKind, at: Instant, revision: u64) {
-        if kind == ObjectKind::Configuration {
-            self.record_configuration_answer(at, revision);
-        }
-    }
-
     /// Records what a call shows about the store; must precede the changes that it returned.
-    fn record_call(&self, kind: ObjectKind, answered: bool, called_at: Instant, wait: Duration) {
-        let now = self.now();
+    fn record_call(&self, cfg: &WatchConfig, answered: bool, called_at: Instant, wait: Duration) {
+        let (kind, now) = (cfg.kind, self.now());
         let elapsed = now.saturating_duration_since(called_at);
         let call = StoreCall::classify(answered, elapsed, wait);
         if call == StoreCall::Late {
             info!(self.shared.log, "control: store answered late"; "kind" => kind.name(),
                 "elapsed_ms" => elapsed.as_millis() as u64, "wait_ms" => wait.as_millis() as u64);
         }
-        match kind {
-            ObjectKind::Configuration if !answered => {
-                self.update_confirmation(|confirmation| confirmation.record_failure(now));
-            }
-            ObjectKind::Replicas => self.catalogue.borrow_mut().record_replicas_call(call, now),
-            ObjectKind::Configuration | ObjectKind::Daemons => {}
+        if kind == ObjectKind::Configuration && !answered {
+            self.update_confirmation(|confirmation| confirmation.record_failure(now));
+        }
+        if cfg.shows_outages {
+            self.catalogue.borrow_mut().record_replicas_call(call, now);
         }
     }
 }
--- a/crates/berylpin_daemon/src/direct/peer_versions.rs
+++ b/crates/berylpin_daemon/src/direct/peer_versions.rs
@@ -1,5 +1,5 @@
 //! Headers by which daemons tell each other which version of the configuration they have in force,
-//! and how long ago it was confirmed as the newest.
+//! which replicas they use, and how long ago both were confirmed as the newest.
 //!
 //! They come with each request for parts and its reply. So a daemon whose watch went silent learns
 //! of a newer version from any peer that it exchanges parts with, and a fleet confirms a version
@@ -14,7 +14,10 @@
 /// The header with the version of the configuration that the sender has in force.
 const VERSION_HEADER: &str = "configuration-version";
 
-/// The header with the time since the sender's version was confirmed, in ms.
+/// The header with the store's revision at which the sender's replicas are current.
+const REPLICAS_HEADER: &str = "replicas-revision";
+
+/// The header with the time since the sender's version and replicas were confirmed, in ms.
 const AGE_HEADER: &str = "configuration-age";
 
 /// The header with the address on which the sender accepts requests of peers.
@@ -29,7 +32,9 @@
     pub(super) version: u64,
     /// The address on which the peer accepts requests.
     pub(super) peer: SocketAddr,
-    /// The version was the newest at this time, if the peer's message shows it.
+    /// The store's revision at which the peer's replicas are current, if the message states it.
+    pub(super) replicas_revision: Option<u64>,
+    /// The version and the replicas were the newest at this time, if the peer's message shows it.
     pub(super) confirmed_at: Option<Instant>,
 }
 
@@ -43,7 +48,8 @@
         let age = parse(headers, AGE_HEADER).map(Duration::from_millis);
         let confirmed_at = asked_at.zip(age).and_then(|(at, age)| at.checked_sub(age));
         let (version, peer) = (parse(headers, VERSION_HEADER)?, parse(headers, SENDER_HEADER)?);
-        Some(Self { version, peer, confirmed_at })
+        let replicas_revision = parse(headers, REPLICAS_HEADER);
+        Some(Self { version, peer, replicas_revision, confirmed_at })
     }
 }
 
@@ -55,6 +61,7 @@
         let confirmed_at = *self.confirmed_at.borrow();
         let Some(view) = self.view() else { return };
         headers.insert(VERSION_HEADER, HeaderValue::from(view.version));
+        headers.insert(REPLICAS_HEADER, HeaderValue::from(view.replicas_revision));
         if let Ok(address) = HeaderValue::try_from(self.peer_address.to_string()) {
             headers.insert(SENDER_HEADER, address);
         }
--- a/crates/berylpin_daemon/src/direct/peer_versions/tests.rs
+++ b/crates/berylpin_daemon/src/direct/peer_versions/tests.rs
@@ -2,6 +2,7 @@
 
 fn headers(version: &'static str, age: &'static str, sender: &'static str) -> HeaderMap {
     let mut headers = HeaderMap::new();
+    headers.insert(REPLICAS_HEADER, HeaderValue::from_static("31"));
     for (name, value) in [(VERSION_HEADER, version), (AGE_HEADER, age), (SENDER_HEADER, sender)] {
         headers.insert(name, HeaderValue::from_static(value));
     }
@@ -15,7 +16,8 @@
     let headers = headers("7", "1500", "10.0.0.1:7380");
     let confirmed_at = asked_at.checked_sub(Duration::from_millis(1500));
     let peer = ([10, 0, 0, 1], 7380).into();
-    let expected = PeerVersion { version: 7, peer, confirmed_at };
+    let replicas_revision = Some(31);
+    let expected = PeerVersion { version: 7, peer, replicas_revision, confirmed_at };
     assert_eq!(PeerVersion::read(&headers, Some(asked_at)), Some(expected));
     let unconfirmed = PeerVersion { confirmed_at: None, ..expected };
     assert_eq!(PeerVersion::read(&headers, None), Some(unconfirmed));
--- a/crates/berylpin_daemon/tests/platform/silent_store.rs
+++ b/crates/berylpin_daemon/tests/platform/silent_store.rs
@@ -1,10 +1,12 @@
-//! Connections to the store that go silent without a reset.
+//! Watches of the store that return nothing: on a connection that went silent without a reset, or
+//! from data that is older and older.
 
 use super::process::{FleetPorts, Process, data_centre, start_store_proxy};
 use berylpin_platform_standin::{
     Caller, Outcome, Replica, RequestKind, RunLog, Store, configuration, replica_entry,
 };
 use berylpin_standin::net::{Net, Proxy, Zone};
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -132,6 +134,37 @@
     assert!(arrivals_after(&[staying], settled) > 0, "no request after the settle time");
 }
 
+/// The replicas were read from data that may be of any age, and from nothing else.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replica_that_drains_gets_nothing_beyond_the_drain_limit_whatever_the_age_of_stale_data()
+{
+    let setup = Setup::start("stale-replicas").await;
+    setup.store.freeze_stale_reads();
+    sleep(WATCH_DELAY).await;
+    for removed in [false, true] {
+        assert!(charge(&setup.caller).await, "not served");
+        // The replica that serves the next charge as well.
+        let mut ledgers = setup.replicas_of("ledger");
+        ledgers.sort_by_key(|replica| Reverse(replica.arrivals().last().copied()));
+        let [leaving, staying] = ledgers[..] else { panic!("two replicas") };
+        if removed {
+            setup.store.remove("servers", leaving.id());
+        } else {
+            let mut draining = entry(leaving);
+            draining["state"] = "draining".into();
+            setup.store.put("servers", leaving.id(), draining);
+        }
+        let drained = std::time::Instant::now() + DRAIN_LIMIT;
+        sleep(DRAIN_LIMIT).await;
+        setup.charge_until(drained + OBSERVED_TIME).await;
+        let log = setup.process.log();
+        assert_eq!(arrivals_after(&[leaving], drained), 0, "removed: {removed}:\n{log}");
+        assert!(arrivals_after(&[staying], drained) > 0, "no request after the drain limit");
+        setup.store.put("servers", leaving.id(), entry(leaving));
+        sleep(DRAIN_LIMIT).await;
+    }
+}
+
 /// The time until a silent watch is given up was derived from the settle time plus the limit for a
 /// change, although both run at the same time.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
