--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -45,7 +45,7 @@
 pub use configuration::{
     ClientLimits, Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget,
 };
-pub use confirmation::{Confirmation, confirmed_by};
+pub use confirmation::{Confirmation, ReplicasConfirmation, confirmed_by};
 pub use delivery::{Deliveries, Delivery, DeliveryKey};
 pub use dispatcher::Dispatcher;
 pub use event::{
@@ -58,7 +58,7 @@
 pub use state_delta::{StateDelta, StateRevisions};
 pub use stop::{Stop, StopSchedule};
 pub use store_times::{
-    CALL_TIMEOUT, EXPIRY_CHECK_INTERVAL, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER,
-    REPLICAS_BATCH_DELAY, StoreBounds, StoreCall, StoreTimes, confirmation_delay,
+    CALL_TIMEOUT, EXPIRY_CHECK_INTERVAL, ExpiryGrace, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER,
+    OVERDUE_TIMEOUT, REPLICAS_BATCH_DELAY, StoreBounds, StoreCall, StoreTimes, confirmation_delay,
 };
 pub use view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
