--- a/crates/berylpin_daemon/tests/platform/silent_store.rs
+++ b/crates/berylpin_daemon/tests/platform/silent_store.rs
@@ -3,7 +3,7 @@
 
 use super::process::{FleetPorts, Process, data_centre, start_store_proxy};
 use berylpin_platform_standin::{
-    Caller, Outcome, Replica, RequestKind, RunLog, Store, configuration, replica_entry,
+    Caller, Outcome, Replica, RequestKind, RunLog, Store, StoreFault, configuration, replica_entry,
 };
 use berylpin_standin::net::{Net, Proxy, Zone};
 use std::cmp::Reverse;
@@ -26,6 +26,11 @@
 /// silent for nearly its whole wait.
 const NEW_WATCH_DELAY: Duration = Duration::from_millis(350);
 
+/// An outage of the store in which entries expire, and the time from when the daemon learns that until
+/// they are written again.
+const OUTAGE: Duration = Duration::from_secs(4);
+const REWRITE_TIME: Duration = Duration::from_millis(700);
+
 /// How long charges are sent after a limit.
 const OBSERVED_TIME: Duration = Duration::from_millis(1500);
 
@@ -134,6 +139,32 @@
     assert!(arrivals_after(&[staying], settled) > 0, "no request after the settle time");
 }
 
+/// Entries expire in an outage of the store, and are written again after it; the grace time that a
+/// silent connection must not lengthen has to cover this.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn running_replicas_serve_until_they_are_listed_again_after_an_outage() {
+    let setup = Setup::start("expired-entries").await;
+    setup.store.set_fault(StoreFault::Unresponsive);
+    sleep(OUTAGE).await;
+    let ledgers = setup.replicas_of("ledger");
+    for replica in &ledgers {
+        setup.store.remove("servers", replica.id());
+    }
+    setup.store.set_fault(StoreFault::None);
+    setup.wait_for_line("control: replica entry removed").await;
+    let written_at = Instant::now() + REWRITE_TIME;
+    while Instant::now() < written_at {
+        assert!(charge(&setup.caller).await, "not served:\n{}", setup.process.log());
+    }
+    for replica in &ledgers {
+        setup.store.put("servers", replica.id(), entry(replica));
+    }
+    let end = Instant::now() + SETTLE_TIME;
+    while Instant::now() < end {
+        assert!(charge(&setup.caller).await, "not served:\n{}", setup.process.log());
+    }
+}
+
 /// The replicas were read from data that may be of any age, and from nothing else.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_replica_that_drains_gets_nothing_beyond_the_drain_limit_whatever_the_age_of_stale_data()
