--- a/crates/berylpin_daemon/tests/platform/odd_entries.rs
+++ b/crates/berylpin_daemon/tests/platform/odd_entries.rs
@@ -2,7 +2,7 @@
 
 use super::process::{FleetPorts, Process, data_centre};
 use berylpin_platform_standin::{
-    Caller, Outcome, Replica, RequestKind, RunLog, Store, configuration, replica_entry,
+    Caller, Outcome, Replica, RequestKind, RunLog, Store, UNREADABLE, configuration, replica_entry,
 };
 use berylpin_standin::net::Zone;
 use serde_json::json;
@@ -34,11 +34,8 @@
     }
 }
 
-/// The name of the last entry of a page was sent without encoding, so the list was cut short or did
-/// not get past the entry, and daemons that started served nothing.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn an_entry_with_an_odd_name_does_not_hide_the_replicas_on_later_pages() {
-    let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
+/// Starts a replica of each service, with its entry, and stores the configuration.
+async fn start_replicas(store: &Store) -> Vec<Replica> {
     let run_log = Arc::<RunLog>::default();
     let mut replicas = Vec::new();
     for service in SHARDS.into_iter().chain(["ledger"]) {
@@ -48,17 +45,43 @@
         store.put("servers", &id, entry);
         replicas.push(replica);
     }
+    store.put("config", "main", configuration(1, &SHARDS.map(str::to_owned), "ledger"));
+    replicas
+}
+
+/// Starts a daemon twice; it has to serve each time.
+async fn restart_and_serve(mut process: Process) {
+    for _ in 0..2 {
+        process.start();
+        wait_until_serves(&process).await;
+        process.kill();
+    }
+}
+
+/// The name of the last entry of a page was sent without encoding, so the list was cut short or did
+/// not get past the entry, and daemons that started served nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_with_an_odd_name_does_not_hide_the_replicas_on_later_pages() {
+    let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
+    let _replicas = start_replicas(&store).await;
     for kind in ["config", "servers", "daemons"] {
         for name in ODD_NAMES {
             store.put(kind, name, json!({"note": "of another writer"}));
         }
     }
-    store.put("config", "main", configuration(1, &SHARDS.map(str::to_owned), "ledger"));
     store.set_page_size(1);
-    let mut process = Process::new(Zone(0), &ports, store.address(), "odd-names");
-    for _ in 0..2 {
-        process.start();
-        wait_until_serves(&process).await;
-        process.kill();
+    restart_and_serve(Process::new(Zone(0), &ports, store.address(), "odd-names")).await;
+}
+
+/// One byte that JSON does not allow made the whole list of its kind unreadable, so that daemons that
+/// started served nothing, and running ones followed no change.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unreadable_entry_hides_no_other() {
+    let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
+    let _replicas = start_replicas(&store).await;
+    for kind in ["config", "servers", "daemons"] {
+        store.put(kind, "i-odd", json!({"version": UNREADABLE, UNREADABLE: 1}));
+        store.put(kind, &format!("i-odd{UNREADABLE}"), json!({"version": "v1"}));
     }
+    restart_and_serve(Process::new(Zone(0), &ports, store.address(), "unreadable")).await;
 }
