Use no replica whose name a request cannot carry

Callers saw: an entry of another writer, whose name has a control character, was used as a replica.

Cause: `attempt_headers` left the header out if it could not hold the name, and no decoder checked names.

Allowed are 1 to 253 of the unreserved characters of URLs, which mean themselves in a URL, a header and a log line; `.` and `..` mean another path. Entries are checked where they are decoded and again in the catalogue, which also gets them from peers: besides the name the service and the data centre (not empty, at most 253 bytes, no control characters) and the address (unicast, not port 0). A request for parts names replicas by a hash, which only selects among the replicas of the view. An entry under another name at the address of a live replica stays usable: that replica answers 421.

--- a/crates/berylpin_core/src/direct/attempts.rs
+++ b/crates/berylpin_core/src/direct/attempts.rs
@@ -81,7 +81,7 @@
                 request.ticket,
                 DirectDecision::ExtraAttempt {
                     cause,
-                    replica: choice.replica.name.clone(),
+                    replica: choice.replica.name.text().clone(),
                     waited: now.saturating_duration_since(request.arrived),
                     budget_left: self.budgets.remaining(part.service, service.standing, now),
                 },
@@ -92,7 +92,7 @@
             part: index,
             replica: choice.replica.id,
             service: part.service,
-            replica_name: choice.replica.name.clone(),
+            replica_name: choice.replica.name.text().clone(),
             route: route.id,
             target_latency: route.target_latency,
             sent: now,
--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -3,6 +3,7 @@
 mod replica_entries;
 
 use super::configuration::{Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget};
+use super::entry_check::ReplicaName;
 use super::fleet::Fleet;
 use super::leaving::LeavingReplicas;
 use super::peers::assign_owners;
@@ -21,6 +22,8 @@
 #[derive(Debug)]
 struct KnownReplica {
     entry: ReplicaEntry,
+    /// The id of the entry.
+    name: ReplicaName,
     id: ReplicaId,
     /// When the replica is removed; set if its entry was removed during or after an outage of the
     /// store, and not while it drained.
@@ -297,7 +300,7 @@
             services[self.service_id(&entry.service)].replicas.push(Arc::new(Replica {
                 id: known.id,
                 tag: ReplicaTag::of([entry.id.as_str()]),
-                name: Arc::from(&*entry.id),
+                name: known.name.clone(),
                 address: entry.address,
                 data_centre: self.data_centre_id(&entry.data_centre),
                 distance: self.location.distance(&entry.data_centre),
--- a/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
+++ b/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
@@ -2,19 +2,23 @@
 
 use super::{Catalogue, KnownReplica, Outage};
 use crate::direct::configuration::ReplicaEntry;
+use crate::direct::entry_check::ReplicaName;
 use crate::direct::store_times::StoreCall;
 use crate::ids::{Key, ReplicaId};
 use std::time::Instant;
 
 impl Catalogue {
     /// Replaces all replicas with the entries at a revision; returns whether a new view is needed.
+    ///
+    /// An unusable entry, which a peer may send too, counts as missing.
     pub fn set_replicas(
         &mut self,
-        entries: Vec<ReplicaEntry>,
+        mut entries: Vec<ReplicaEntry>,
         revision: u64,
         now: Instant,
     ) -> bool {
         let mut changed = self.replicas_revision.replace(revision).is_none();
+        entries.retain(|entry| entry.check().is_ok());
         let mut names: Vec<String> = entries.iter().map(|entry| entry.id.clone()).collect();
         names.sort();
         for entry in entries {
@@ -30,8 +34,11 @@
 
     /// Adds or updates a replica; returns whether a new view is needed.
     ///
-    /// A replica that restarted or moved gets a new id, so that its statistics are not reused.
+    /// Ignores an unusable entry. A replica that restarted or moved gets a new id, so that its statistics are not reused.
     pub fn put_replica(&mut self, entry: ReplicaEntry) -> bool {
+        let Ok(name) = entry.check().and_then(|()| ReplicaName::new(&entry.id)) else {
+            return false;
+        };
         self.add_service(&entry.service);
         self.add_data_centre(&entry.data_centre);
         let leaving = self.leaving.contains(&entry.id, entry.started_ms);
@@ -56,7 +63,8 @@
             Err(index) => {
                 let id = ReplicaId::from_index(self.next_replica);
                 self.next_replica += 1;
-                self.replicas.insert(index, KnownReplica { entry, id, expires_at: None, leaving });
+                let known = KnownReplica { entry, name, id, expires_at: None, leaving };
+                self.replicas.insert(index, known);
                 true
             }
         }
--- a/crates/berylpin_core/src/direct/dispatcher/tests/simulation.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests/simulation.rs
@@ -393,7 +393,7 @@
         self.next_behaviour += 1;
         let service = service_of(&replica.name).to_owned();
         self.daemons[daemon].attempts.insert(attempt, (ticket, replica.clone(), index));
-        let signature = format!("{}-{}", replica.name, self.next_behaviour);
+        let signature = format!("{}-{}", &*replica.name, self.next_behaviour);
         let reply = |status| {
             Outcome::Answered(Reply {
                 status,
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -20,6 +20,7 @@
 mod confirmation;
 mod delegation;
 mod dispatcher;
+mod entry_check;
 mod event;
 mod fleet;
 mod in_flight;
@@ -45,6 +46,7 @@
 };
 pub use confirmation::{Confirmation, confirmed_by};
 pub use dispatcher::Dispatcher;
+pub use entry_check::{ReplicaName, UnusableEntry};
 pub use event::{
     Action, Answer, AttemptKey, BodyLimits, Cause, DirectDecision, Event, Failure, MissingCause,
     MissingPart, Outcome, RefusalReason, Reply, Request, Ticket,
--- a/crates/berylpin_core/src/direct/view.rs
+++ b/crates/berylpin_core/src/direct/view.rs
@@ -1,6 +1,7 @@
 //! Immutable snapshots of the control state, read by traffic threads.
 
 use super::configuration::ClientLimits;
+use super::entry_check::ReplicaName;
 use crate::arena::Arena;
 use crate::ids::{DataCentreId, MemberTag, PeerId, ReplicaId, ReplicaTag, ServiceId, ServiceTag};
 use std::net::SocketAddr;
@@ -122,7 +123,7 @@
     /// The same on every daemon: a hash of the name.
     pub tag: ReplicaTag,
     /// The name, which identifies the replica; its address may be reused by another replica.
-    pub name: Arc<str>,
+    pub name: ReplicaName,
     /// The address on which the replica listens.
     pub address: SocketAddr,
     /// The data centre in which it runs.
