Count and call only daemons that can be called

Callers saw: nothing yet; found while looking at what an entry of another writer can do. Budgets and connections are shared by the number of daemons, so odd entries lower every daemon's share.

Cause: any entry with an address and a data centre counted as a daemon and was called, also one with port 0, a multicast address or the address of the daemon itself. A watch kept a daemon whose entry became unreadable, while a list left it out; a daemon whose own entry was overwritten so did not restore it until its next renewal, 10 minutes later.

Change: the catalogue takes no entry of a daemon whose name, data centre or address is odd, from the store or from a peer, and none of another name at its own address. An unreadable entry removes the daemon in a watch too.

--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -54,6 +54,8 @@
 struct Location {
     /// The name of this daemon's VM.
     daemon: String,
+    /// The address on which this daemon accepts requests of peers, if it is known.
+    address: Option<SocketAddr>,
     data_centre: String,
     /// The region of each data centre, sorted by data centre.
     regions: Vec<(String, String)>,
@@ -93,7 +95,7 @@
     pub fn new(daemon: String, data_centre: String, regions: Vec<(String, String)>) -> Self {
         let own_data_centre = data_centre.clone();
         Self {
-            location: Location { daemon, data_centre, regions },
+            location: Location { daemon, address: None, data_centre, regions },
             configuration: None,
             replicas_revision: None,
             replicas: Vec::new(),
@@ -116,8 +118,23 @@
         Self { expiry_grace, ..self }
     }
 
+    /// Sets the address on which this daemon accepts requests of peers.
+    #[must_use]
+    pub fn with_peer_address(mut self, address: SocketAddr) -> Self {
+        self.location.address = Some(address);
+        self
+    }
+
     /// Replaces all daemons with the entries at a revision; returns whether the fleet changed.
-    pub fn set_daemons(&mut self, entries: Vec<DaemonEntry>, revision: u64, now: Instant) -> bool {
+    ///
+    /// An entry that names no daemon to call, which a peer may send too, counts as missing.
+    pub fn set_daemons(
+        &mut self,
+        mut entries: Vec<DaemonEntry>,
+        revision: u64,
+        now: Instant,
+    ) -> bool {
+        entries.retain(|entry| self.location.names_daemon(entry));
         for entry in &entries {
             self.add_data_centre(&entry.data_centre);
         }
@@ -125,7 +142,12 @@
     }
 
     /// Adds or updates a daemon's entry; returns false if the entry is only a renewal.
+    ///
+    /// An entry that names no daemon to call removes the one of its name, as a list does.
     pub fn put_daemon(&mut self, entry: DaemonEntry, now: Instant) -> bool {
+        if !self.location.names_daemon(&entry) {
+            return self.remove_daemon(&entry.name);
+        }
         self.add_data_centre(&entry.data_centre);
         self.fleet.put(entry, now)
     }
@@ -376,6 +398,15 @@
 }
 
 impl Location {
+    /// Returns whether an entry names this daemon or one that can be called.
+    ///
+    /// An entry of another name at the address of this daemon is out of date or of another writer;
+    /// calls to it would reach this daemon itself.
+    fn names_daemon(&self, entry: &DaemonEntry) -> bool {
+        let is_own_address = self.address == Some(entry.address);
+        entry.name == self.daemon || entry.check().is_ok() && !is_own_address
+    }
+
     fn distance(&self, data_centre: &str) -> Distance {
         if self.data_centre == data_centre {
             return Distance::DataCentre;
--- a/crates/berylpin_core/src/direct/catalogue/tests.rs
+++ b/crates/berylpin_core/src/direct/catalogue/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
+use crate::direct::StateDelta;
 use crate::direct::store_times::StoreCall;
-use crate::direct::testing::{EXPIRY_GRACE, catalogue, configuration, replica_entry};
+use crate::direct::testing::{EXPIRY_GRACE, catalogue, configuration, daemon_entry, replica_entry};
 use proptest::prelude::*;
 
 fn small_catalogue() -> (Catalogue, Instant) {
@@ -26,6 +27,46 @@
     assert!(catalogue.view().is_some());
 }
 
+/// Odd entries counted in the size of the fleet, by which budgets and connections are shared, and
+/// were called; a daemon called itself through an entry of another name.
+#[test]
+fn only_daemons_that_can_be_called_count() {
+    let (now, own_address) = (Instant::now(), SocketAddr::from(([10, 0, 0, 1], 7380)));
+    let new_catalogue = || {
+        Catalogue::new("own".into(), "palermo".into(), Vec::new()).with_peer_address(own_address)
+    };
+    let entry = |name: &str, address: &str| DaemonEntry {
+        address: address.parse().unwrap(),
+        ..daemon_entry(name, "palermo")
+    };
+    let sound = entry("sound", "10.0.0.2:7380");
+    for odd in [
+        entry("copy", "10.0.0.1:7380"),
+        entry("port", "10.0.0.3:0"),
+        entry("any", "0.0.0.0:7380"),
+        entry("group", "224.0.0.1:7380"),
+        entry("odd\u{1}", "10.0.0.3:7380"),
+        entry("", "10.0.0.3:7380"),
+        DaemonEntry { data_centre: String::new(), ..entry("centre", "10.0.0.3:7380") },
+    ] {
+        let entries = vec![entry("own", "10.0.0.1:7380"), sound.clone(), odd.clone()];
+        let mut listed = new_catalogue();
+        listed.set_daemons(entries.clone(), 1, now);
+        let mut from_peer = new_catalogue();
+        let delta = StateDelta { daemons: Some((1, entries.clone())), ..StateDelta::default() };
+        from_peer.apply_delta(delta, now);
+        let mut watched = new_catalogue();
+        watched.set_daemons(vec![DaemonEntry { name: odd.name.clone(), ..sound.clone() }], 1, now);
+        for entry in entries {
+            watched.put_daemon(entry, now);
+        }
+        for catalogue in [listed, from_peer, watched] {
+            assert_eq!(catalogue.peer_addresses(), [sound.address], "{odd:?}");
+            assert_eq!(catalogue.fleet_size(), 2, "{odd:?}");
+        }
+    }
+}
+
 #[test]
 fn an_older_configuration_is_ignored() {
     let (mut catalogue, _) = small_catalogue();
--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -67,7 +67,8 @@
         let settings = settings.borrow();
         let (data_centre, regions) = (settings.data_centre.clone(), settings.regions.clone());
         let times = StoreTimes::new(&settings.store_bounds);
-        let catalogue = Catalogue::new(settings.name.clone(), data_centre, regions);
+        let catalogue = Catalogue::new(settings.name.clone(), data_centre, regions)
+            .with_peer_address((settings.ip, settings.peer_ports.0).into());
         (catalogue.with_expiry_grace(times.expiry_grace), times)
     };
     let started = shared.clock.now();
--- a/crates/berylpin_daemon/src/direct/control/daemon_entries.rs
+++ b/crates/berylpin_daemon/src/direct/control/daemon_entries.rs
@@ -26,9 +26,11 @@
         for change in changes {
             let mut catalogue = self.catalogue.borrow_mut();
             fleet_changed |= match change {
-                Change::Put(object) => self
-                    .decode_daemon_entry(&object)
-                    .is_some_and(|entry| catalogue.put_daemon(entry, self.now())),
+                // An unreadable entry names no daemon, as in a list.
+                Change::Put(object) => match self.decode_daemon_entry(&object) {
+                    Some(entry) => catalogue.put_daemon(entry, self.now()),
+                    None => catalogue.remove_daemon(&object.name),
+                },
                 Change::Removed(name) => catalogue.remove_daemon(&name),
             };
         }
@@ -108,7 +110,11 @@
 
     fn decode_daemon_entry(&self, object: &Object) -> Option<DaemonEntry> {
         let decoded = decode_daemon_entry(object);
-        decoded.inspect_err(|e| self.log_ignored_entry(object, e)).ok()
+        let entry = decoded.inspect_err(|e| self.log_ignored_entry(object, e)).ok()?;
+        if let Err(e) = entry.check() {
+            self.log_ignored_entry(object, &e);
+        }
+        Some(entry)
     }
 
     fn handle_fleet_change(&self) {
--- a/crates/berylpin_daemon/tests/platform/odd_entries.rs
+++ b/crates/berylpin_daemon/tests/platform/odd_entries.rs
@@ -58,6 +58,44 @@
     }
 }
 
+/// Waits until the last change of daemons in the log counts `daemons`.
+async fn wait_until_counts(process: &Process, daemons: usize) {
+    let deadline = Instant::now() + SERVE_TIMEOUT;
+    let expected = format!("\"daemons\":{daemons}");
+    loop {
+        let log = process.log();
+        let last = log.lines().rfind(|line| line.contains("control: daemons changed"));
+        if last.is_some_and(|line| line.contains(&expected)) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "{last:?}, expected {daemons}:\n{log}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// A daemon whose entry was replaced by another writer was kept by daemons that watched, and left
+/// out by those that listed; odd entries counted in the size of the fleet and were called.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn only_entries_of_daemons_that_can_be_called_count() {
+    let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
+    let mut process = Process::new(Zone(0), &ports, store.address(), "odd-daemons");
+    let entry = |address: &str| json!({"address": address, "data_centre": data_centre(Zone(0))});
+    for (name, address) in [
+        ("sound", "127.0.0.9:7380"),
+        ("port", "127.0.0.8:0"),
+        ("any", "0.0.0.0:7380"),
+        ("group", "224.0.0.1:7380"),
+        ("odd\u{1}", "127.0.0.7:7380"),
+        ("copy", &process.peer_address().to_string()),
+    ] {
+        store.put("daemons", name, entry(address));
+    }
+    process.start();
+    wait_until_counts(&process, 2).await;
+    store.put("daemons", "sound", json!({"address": UNREADABLE}));
+    wait_until_counts(&process, 1).await;
+}
+
 /// The name of the last entry of a page was sent without encoding, so the list was cut short or did
 /// not get past the entry, and daemons that started served nothing.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
