Let one odd signature cost its own part only

Callers saw: nothing yet; found while looking at text from outside in headers. An answer to a query is wrong as a whole if one entry in its list of signatures is no signature (rule MIXED).

Cause: the signature of a replica went into the list as it was. One with a comma or a blank, or an empty one, became other entries; for one that no header can hold, which a peer could send, the list was left out of a success.

Change: an answer whose signature cannot stand in the list counts as unsigned, so the part is attempted again. A reply of a peer with such a signature counts as a failed call, because its records cannot be told from the others. Answers that are relayed keep their signature as it is. If a header cannot hold the list after all, the caller gets 502.

Evidence: without the check `an_odd_signature_costs_its_own_part_only` and `a_reply_with_an_odd_signature_counts_as_a_failed_call` fail. Fixtures of the delegation tests had blanks and commas in their signatures, and have none now.

--- a/crates/berylpin_core/src/direct/attempts.rs
+++ b/crates/berylpin_core/src/direct/attempts.rs
@@ -28,6 +28,10 @@
 /// The maximum size of an answer of unknown length that is relayed, in bytes.
 const MAX_UNDECLARED_BYTES: usize = 1 << 20;
 
+/// The maximum length of a part's signature, so that the signatures of some hundred parts fit into
+/// the head of an answer.
+const MAX_SIGNATURE_BYTES: usize = 128;
+
 impl<H> Dispatcher<H> {
     /// Sends an attempt at a part; if that is impossible, queues the part or marks it as failed.
     pub(super) fn attempt_or_fail(
@@ -191,7 +195,9 @@
             part.record_not_run(attempt.replica);
         }
         let outcome = match outcome {
-            Outcome::Answered(reply) if is_final(&reply) => {
+            Outcome::Answered(reply)
+                if is_final(&request.view.routes[request.route_index], &reply) =>
+            {
                 part.state = if is_usable(&request.view.routes[request.route_index], &reply) {
                     PartState::Answered(reply)
                 } else {
@@ -323,15 +329,28 @@
 /// answer.
 fn is_usable<H>(route: &Route, reply: &Reply<H>) -> bool {
     match route.target {
-        Target::Shards { .. } => reply.is_success() && reply.signature.is_some(),
+        Target::Shards { .. } => reply.is_success() && is_signed(route, reply),
         Target::Split(_) => true,
     }
 }
 
 /// Returns whether an answer ends its part: it is signed, or it is an error that every replica
 /// would return.
-fn is_final<H>(reply: &Reply<H>) -> bool {
-    if reply.is_success() { reply.signature.is_some() } else { reply.status < 500 }
+fn is_final<H>(route: &Route, reply: &Reply<H>) -> bool {
+    if reply.is_success() { is_signed(route, reply) } else { reply.status < 500 }
+}
+
+/// Returns whether an answer has a signature that can be sent to the caller.
+fn is_signed<H>(route: &Route, reply: &Reply<H>) -> bool {
+    let is_part = matches!(route.target, Target::Shards { .. });
+    reply.signature.as_ref().is_some_and(|signature| !is_part || is_listable(signature))
+}
+
+/// Returns whether a signature can stand in a list of signatures, where an odd one would make the
+/// other parts unusable too.
+pub(super) fn is_listable(signature: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_graphic() && byte != b',';
+    (1..=MAX_SIGNATURE_BYTES).contains(&signature.len()) && signature.bytes().all(allowed)
 }
 
 /// Returns the verdict of an outcome, and its name in the log if it is not a final answer.
--- a/crates/berylpin_core/src/direct/delegation.rs
+++ b/crates/berylpin_core/src/direct/delegation.rs
@@ -1,5 +1,6 @@
 //! Calls between daemons: the entry delegates parts of a query, and the peer fetches them.
 
+use super::attempts::is_listable;
 use super::dispatcher::{Dispatcher, MAX_IN_FLIGHT, Timer};
 use super::event::{Action, Cause, DirectDecision, Ticket};
 use super::in_flight::{InFlightRequest, Origin, Part, PartState, RequestKey};
@@ -114,6 +115,9 @@
     }
 
     /// Stores parts that a peer fetched.
+    ///
+    /// If one signature is odd, the records of its part cannot be told from the others, so the whole
+    /// reply counts as a failed call.
     pub(super) fn handle_parts_reply(
         &mut self,
         key: CallKey,
@@ -122,6 +126,10 @@
         now: Instant,
         actions: &mut Vec<Action<H>>,
     ) {
+        if reply.parts.iter().any(|(_, signature)| !is_listable(signature)) {
+            actions.push(Action::CancelCall(key));
+            return self.handle_call_failure(key, Verdict::MayHaveRun, now, actions);
+        }
         let Some(call) = self.calls.get_mut(key) else { return };
         let (request_key, parts) = (call.request, call.parts.clone());
         self.peers.record_reply(call, last, now);
--- a/crates/berylpin_core/src/direct/dispatcher/tests.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests.rs
@@ -94,6 +94,39 @@
     })
 }
 
+/// One signature with a comma, a blank or nothing in it made the list of signatures, and thus the
+/// answer, wrong as a whole; one with other odd bytes left the list out.
+#[test]
+fn an_odd_signature_costs_its_own_part_only() {
+    let long = "a".repeat(4096);
+    for odd in ["", "a,b", "a b", "a\tb", "\u{fc}", &long] {
+        let (mut dispatcher, mut actions, now) = start_request(QUERY_PREFIX);
+        let attempts = sent_attempts(&actions);
+        actions.clear();
+        for (index, (attempt, _)) in attempts.iter().enumerate() {
+            let signature = if index == 0 { odd.to_owned() } else { format!("s.{index}") };
+            dispatcher.handle(
+                Event::AttemptEnded(*attempt, answered(&signature)),
+                now,
+                &mut actions,
+            );
+        }
+        // The part is attempted again, on the other replica of its service.
+        let [(again, replica)] = sent_attempts(&actions)[..] else { panic!("{odd:?}") };
+        assert_ne!(replica, attempts[0].1);
+        assert_eq!(answers(&actions), []);
+        dispatcher.handle(Event::AttemptEnded(again, answered("s.0")), now, &mut actions);
+        let merged = actions.iter().find_map(|action| match action {
+            Action::Answer(_, Answer::Merged { signatures, missing, .. }) => {
+                Some((signatures.clone(), *missing))
+            }
+            _ => None,
+        });
+        let expected = ["s.0", "s.1", "s.2", "s.3"].map(Box::from);
+        assert_eq!(merged, Some((expected.to_vec(), 0)), "{odd:?}");
+    }
+}
+
 #[test]
 fn a_daemon_without_configuration_refuses_as_not_run() {
     let (mut dispatcher, mut actions) = (Dispatcher::<()>::new(LIMITS, 1), Vec::new());
--- a/crates/berylpin_core/src/direct/dispatcher/tests/delegation.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests/delegation.rs
@@ -3,6 +3,11 @@
 use super::*;
 use crate::direct::peers::{CallKey, PartsReply, PartsRequest};
 
+/// Returns the signature of a part, unique for the part and the call.
+fn signature(call: CallKey, part: u16) -> Box<str> {
+    format!("{call:?}-{part}").replace([' ', ','], "").into_boxed_str()
+}
+
 #[test]
 fn parts_fetched_by_a_peer_are_not_attempted_again() {
     let now = Instant::now();
@@ -31,7 +36,7 @@
     assert_eq!(calls.iter().map(|(_, parts)| parts).sum::<u16>(), 4);
     actions.clear();
     for (call, parts) in calls {
-        let parts = (0..parts).map(|part| (part, format!("{call:?}-{part}").into_boxed_str()));
+        let parts = (0..parts).map(|part| (part, signature(call, part)));
         let reply =
             PartsReply { parts: parts.collect(), missing: Vec::new(), records: Bytes::new() };
         dispatcher.handle(Event::PartsReply(call, reply, true), now, &mut actions);
@@ -64,10 +69,25 @@
 }
 
 fn complete_reply(call: CallKey, parts: u16) -> PartsReply {
-    let parts = (0..parts).map(|part| (part, format!("{call:?}-{part}").into_boxed_str()));
+    let parts = (0..parts).map(|part| (part, signature(call, part)));
     PartsReply { parts: parts.collect(), missing: Vec::new(), records: Bytes::new() }
 }
 
+/// An odd signature from a peer made the merged answer wrong as a whole.
+#[test]
+fn a_reply_with_an_odd_signature_counts_as_a_failed_call() {
+    for odd in ["", "a,b", "a b", "a\u{1}"] {
+        let (mut dispatcher, calls, now) = start_delegated_query();
+        let mut actions = Vec::new();
+        let (call, parts) = calls[0];
+        let mut reply = complete_reply(call, parts);
+        reply.parts[0].1 = odd.into();
+        dispatcher.handle(Event::PartsReply(call, reply, true), now, &mut actions);
+        assert_eq!(sent_attempts(&actions).len(), usize::from(parts), "{odd:?}");
+        assert!(actions.iter().any(|action| matches!(action, Action::CancelCall(_))), "{odd:?}");
+    }
+}
+
 fn is_disconnect(action: &Action<()>) -> bool {
     matches!(action, Action::Disconnect(_))
 }
@@ -199,7 +219,7 @@
     for (call, parts) in &calls {
         let fetched = rest.min(*parts);
         rest -= fetched;
-        let fetched = (0..fetched).map(|part| (part, format!("{call:?}{part}").into_boxed_str()));
+        let fetched = (0..fetched).map(|part| (part, signature(*call, part)));
         let event = Event::PartsReply(*call, with_parts(fetched.collect()), false);
         dispatcher.handle(event, now + Duration::from_millis(600), &mut actions);
     }
--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -146,8 +146,11 @@
             response
         }
         Answer::Merged { signatures, missing, records } => {
+            let Some(headers) = merged_headers(signatures.iter().map(|s| &**s), missing) else {
+                return empty_response(StatusCode::BAD_GATEWAY, HeaderMap::new());
+            };
             let mut response = Response::new(Full::new(records));
-            *response.headers_mut() = merged_headers(signatures.iter().map(|s| &**s), missing);
+            *response.headers_mut() = headers;
             response
         }
         Answer::Refused { reason, verdict, retry_after } => {
