Encode names in URLs of berylpin's own interface

Callers saw: nothing yet; found as the same cause as a list that continued after a name without encoding.

Cause: names of documents and of targets stood in URLs as they were. On the command line, a name with `?`, `#` or `/..` meant another document. The client of the platform did the same, but no change reached another document that way: a change is preceded by a read that compares the name (`a_deletion_of_an_odd_name_deletes_no_other_document` passes before and after). A service or shard could be named `..`, which means another path at the platform and at upstreams.

Change: the command line and the client of the platform encode names. Documents with names `.` and `..` are rejected, and a deletion of such a name is answered with 404.

Evidence: `calls_for_one_object_encode_its_name` (client of the platform), `the_path_of_a_document_encodes_its_name` and the document `dot-names.toml` fail without the change. The 404 has no test.

--- a/crates/berylpin/src/client.rs
+++ b/crates/berylpin/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::args::CommandError;
 use berylpin_wire::admin::{Accepted, Conflict, EDITOR, NotStored, Problem, Rejected};
+use berylpin_wire::url::encode_segment;
 use pico_args::Arguments;
 use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
 use serde::de::DeserializeOwned;
@@ -170,7 +171,7 @@
 
 /// Returns the URL path of a document.
 pub(crate) fn document_path(name: &str) -> String {
-    format!("/v1/documents/{name}")
+    format!("/v1/documents/{}", encode_segment(name))
 }
 
 /// Returns an error with the problems of a rejected document, one per line.
@@ -225,3 +226,6 @@
 {
     response.json().await.map_err(|e| CommandError::Failed(format!("malformed response: {e}")))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin/src/commands/status.rs
+++ b/crates/berylpin/src/commands/status.rs
@@ -3,6 +3,7 @@
 use crate::args::{Command, CommandError, reject_remaining};
 use crate::client::{AdminClient, admin_options, block_on, print_json};
 use berylpin_wire::admin::{InForce, MemberList, Routing};
+use berylpin_wire::url::encode_segment;
 use comfy_table::Table;
 use pico_args::Arguments;
 
@@ -76,7 +77,7 @@
 }
 
 async fn show_routing(client: &AdminClient, target: &str, json: bool) -> Result<(), CommandError> {
-    let routing: Routing = client.get(&format!("/v1/routing/{target}")).await?;
+    let routing: Routing = client.get(&format!("/v1/routing/{}", encode_segment(target))).await?;
     if json {
         print_json(&routing);
         return Ok(());
--- a/crates/berylpin_core/src/config/service/document.rs
+++ b/crates/berylpin_core/src/config/service/document.rs
@@ -214,6 +214,13 @@
 
 fn check_name(key: &str, name: Located<String>, problems: &mut Problems) -> Option<String> {
     let Located { value, line } = name;
+    if matches!(&*value, "." | "..") {
+        let problem = format!(
+            "`{value}` is not a name, because it means another path in a URL; add a letter or digit"
+        );
+        problems.add(line, key, problem);
+        return None;
+    }
     let valid = (1..=MAX_NAME_BYTES).contains(&value.len())
         && value.chars().all(|c| c.is_alphanumeric() || matches!(c, '-' | '_' | '.'));
     if valid {
--- a/crates/berylpin_daemon/src/http/admin/documents.rs
+++ b/crates/berylpin_daemon/src/http/admin/documents.rs
@@ -72,6 +72,10 @@
         let message = "a deletion needs `If-Match` with the version of the document";
         return Err(problem_error(StatusCode::BAD_REQUEST, message));
     }
+    // No document has such a name, and its URL at the platform would mean another object.
+    if matches!(&*name, "." | "..") {
+        return Err(problem_error(StatusCode::NOT_FOUND, format!("no document is named `{name}`")));
+    }
     let (text, editor) = (String::new(), editor(headers));
     let change = Change { kind: EditKind::Delete, name, condition, text, editor };
     Ok(change_response(apply(&state.platform, &change).await, &change))
--- a/crates/berylpin_daemon/src/platform.rs
+++ b/crates/berylpin_daemon/src/platform.rs
@@ -2,6 +2,7 @@
 
 use crate::metrics::count_platform_call;
 use berylpin_wire::platform::{ObjectList, SERVICE_PREFIX, Stored, Vm};
+use berylpin_wire::url::encode_segment;
 use reqwest::{Client, RequestBuilder, StatusCode};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
@@ -77,7 +78,7 @@
 
     /// Returns the documents whose names start with `prefix`, without waiting.
     pub(crate) async fn list_documents(&self, prefix: &str) -> Result<ObjectList, PlatformError> {
-        let path = format!("objects?prefix={prefix}");
+        let path = format!("objects?prefix={}", encode_segment(prefix));
         self.get(&path, CALL_TIMEOUT).await
     }
 
@@ -93,7 +94,7 @@
         condition: Condition,
         value: String,
     ) -> Result<Stored, PlatformError> {
-        let request = self.client.put(self.url(&format!("objects/{name}"))).body(value);
+        let request = self.client.put(self.object_url(name)).body(value);
         send(with_condition(request, condition).timeout(CALL_TIMEOUT)).await
     }
 
@@ -103,7 +104,7 @@
         name: &str,
         condition: Condition,
     ) -> Result<Stored, PlatformError> {
-        let request = self.client.delete(self.url(&format!("objects/{name}")));
+        let request = self.client.delete(self.object_url(name));
         send(with_condition(request, condition).timeout(CALL_TIMEOUT)).await
     }
 
@@ -114,6 +115,12 @@
         send(self.client.get(self.url(path)).timeout(timeout)).await
     }
 
+    fn object_url(&self, name: &str) -> String {
+        // All names have a prefix that ends with a slash; the rest is one segment.
+        let (prefix, rest) = name.split_at(name.find('/').map_or(0, |slash| slash + 1));
+        self.url(&format!("objects/{prefix}{}", encode_segment(rest)))
+    }
+
     fn url(&self, path: &str) -> String {
         format!("http://{}/v1/{path}", self.address)
     }
@@ -161,3 +168,6 @@
     }
     serde_json::from_slice(&body).map_err(PlatformError::Malformed)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_daemon/tests/admin.rs
+++ b/crates/berylpin_daemon/tests/admin.rs
@@ -92,6 +92,25 @@
     fleet.stop().await;
 }
 
+/// A name with characters of a URL reached the platform without encoding and meant another document,
+/// which was deleted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_deletion_of_an_odd_name_deletes_no_other_document() {
+    let fleet = Fleet::start(1).await;
+    let version = accepted_version(put(&fleet, None, &document(SERVICE, 2)).await).await;
+    wait_in_force(&fleet, version).await;
+    for odd in [format!("x%2F..%2F{SERVICE}"), format!("{SERVICE}%3Fx"), format!("{SERVICE}%23x")] {
+        let path = format!("/v1/documents/{odd}");
+        let response = send(&fleet, Method::DELETE, &path, Some(version), String::new()).await;
+        assert!(response.status().is_client_error(), "{odd}: {}", response.status());
+        let kept: Document = get(&fleet, &format!("/v1/documents/{SERVICE}")).await;
+        assert_eq!(kept.version, version, "{odd}");
+    }
+    let path = format!("/v1/documents/{SERVICE}");
+    let response = send(&fleet, Method::DELETE, &path, Some(version), String::new()).await;
+    assert_eq!(response.status(), StatusCode::OK);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn changes_are_reported_as_stored_or_not_while_the_platform_fails() {
     let fleet = Fleet::start(2).await;
--- a/crates/berylpin_wire/src/lib.rs
+++ b/crates/berylpin_wire/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod parts;
 pub mod platform;
 pub mod upstream;
+pub mod url;
