Bound the values of odd configurations and requests of peers

Callers saw: nothing yet; found by a property test. A frame of a peer, either a request for parts or a configuration, with a time near the maximum of a duration would have ended the traffic thread, and with it the daemon. A configuration from the store could not: its decoder rejects times of 1e21 ms (tried up to 1e300 ms).

Cause: times from frames were added to points in time without a bound, and `top_k` was multiplied without one, which overflows only in debug builds.

The product of `top_k` saturates. Routes of a view are built in a file of their own.

`odd_numbers_are_decoded_or_rejected` found nothing in the decoder.

--- a/crates/berylpin_core/src/direct/attempts.rs
+++ b/crates/berylpin_core/src/direct/attempts.rs
@@ -369,7 +369,7 @@
 fn body_limits(target: &Target) -> BodyLimits {
     match target {
         Target::Shards { limit, .. } => {
-            let bytes = (limit * RECORD_BYTES * MAX_PART_FACTOR).max(MIN_PART_LIMIT);
+            let bytes = limit.saturating_mul(RECORD_BYTES * MAX_PART_FACTOR).max(MIN_PART_LIMIT);
             BodyLimits { declared: bytes, undeclared: bytes }
         }
         Target::Split(_) => {
--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -1,15 +1,19 @@
 //! The control thread's state: the configuration in force, the replicas and the daemons.
 
 mod replica_entries;
+mod routes;
 
-use super::configuration::{Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget};
+pub(super) use routes::MAX_CONFIGURED_TIME;
+
+use super::configuration::{Configuration, DaemonEntry, ReplicaEntry, RouteTarget};
 use super::entry_check::ReplicaName;
 use super::fleet::Fleet;
 use super::leaving::LeavingReplicas;
 use super::peers::assign_owners;
-use super::view::{Distance, Peer, Replica, Route, RouteId, Service, Standing, Target, View};
+use super::view::{Distance, Peer, Replica, Route, RouteId, Service, Standing, View};
 use crate::arena::Arena;
 use crate::ids::{DataCentreId, Key, MemberTag, ReplicaId, ReplicaTag, ServiceId, ServiceTag};
+use routes::bounded_limits;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -262,39 +266,12 @@
             own_tag,
             own_data_centre: self.data_centre_id(&self.location.data_centre),
             peers: self.peers(),
-            limits: configuration.limits,
+            limits: bounded_limits(configuration.limits),
         };
         assign_owners(&mut view);
         Some(view)
     }
 
-    fn build_route(&self, route: &RouteConfig) -> Route {
-        let target = match &route.target {
-            RouteTarget::Split(parts) => {
-                Target::Split(parts.iter().map(|(name, w)| (self.service_id(name), *w)).collect())
-            }
-            RouteTarget::Shards { services, limit, min_coverage } => {
-                let services: Vec<_> = services.iter().map(|name| self.service_id(name)).collect();
-                let min_parts = min_parts(services.len(), *min_coverage);
-                Target::Shards { services, limit: *limit, min_parts }
-            }
-        };
-        let position = self.routes.binary_search_by(|(name, _)| (**name).cmp(&*route.name));
-        let (name, id) = &self.routes[position.expect("every configured route has an id")];
-        Route {
-            id: *id,
-            name: name.clone(),
-            host: Arc::from(&*route.host),
-            prefix: Arc::from(&*route.prefix),
-            target,
-            idempotent: route.idempotent,
-            timeout: route.timeout,
-            target_latency: route.target_latency,
-            max_attempts: route.max_attempts.max(1),
-            priority_index: route.priority_index,
-        }
-    }
-
     fn service_arena(&self, own_tag: MemberTag) -> Arena<ServiceId, Service> {
         let mut services = Arena::default();
         let fleet_size = self.fleet_size();
@@ -431,13 +408,5 @@
     xxh3_64(&bytes) as f64 / u64::MAX as f64
 }
 
-/// Returns how many of `count` shards are needed for a coverage of at least `min_coverage`.
-fn min_parts(count: usize, min_coverage: f64) -> usize {
-    /// Prevents a product such as 0.95 x 20 from being rounded up because of its rounding error.
-    const ROUNDING_TOLERANCE: f64 = 1e-9;
-    let needed = (count as f64 * min_coverage - ROUNDING_TOLERANCE).ceil().max(1.0);
-    (needed as usize).min(count.max(1))
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/berylpin_core/src/direct/catalogue/tests.rs
+++ b/crates/berylpin_core/src/direct/catalogue/tests.rs
@@ -1,7 +1,8 @@
+use super::routes::min_parts;
 use super::*;
-use crate::direct::StateDelta;
 use crate::direct::store_times::StoreCall;
 use crate::direct::testing::{EXPIRY_GRACE, catalogue, configuration, daemon_entry, replica_entry};
+use crate::direct::{RouteConfig, StateDelta};
 use proptest::prelude::*;
 
 fn small_catalogue() -> (Catalogue, Instant) {
--- a/crates/berylpin_core/src/direct/delegation.rs
+++ b/crates/berylpin_core/src/direct/delegation.rs
@@ -1,6 +1,7 @@
 //! Calls between daemons: the entry delegates parts of a query, and the peer fetches them.
 
 use super::attempts::is_listable;
+use super::catalogue::MAX_CONFIGURED_TIME;
 use super::dispatcher::{Dispatcher, MAX_IN_FLIGHT, Timer};
 use super::event::{Action, Cause, DirectDecision, Ticket};
 use super::in_flight::{InFlightRequest, Origin, Part, PartState, RequestKey};
@@ -325,12 +326,14 @@
             return actions.push(Action::SendParts(ticket, reply, true));
         };
         let count = parts.len();
+        let time_left = request.time_left.min(MAX_CONFIGURED_TIME);
+        let answer_in = request.answer_in.min(MAX_CONFIGURED_TIME);
         let key = self.insert(InFlightRequest {
             ticket,
             route_index,
             arrived: now,
-            deadline: now + request.time_left,
-            answer_by: now + request.answer_in,
+            deadline: now + time_left,
+            answer_by: now + answer_in,
             parts,
             attempts: 0,
             origin: Origin::Peer { limit: request.limit as usize },
@@ -338,10 +341,9 @@
             peer_records: Vec::new(),
             view,
         });
-        self.timers.set(now + request.answer_in, Timer::AnswerBy(key));
-        self.timers.set(now + request.time_left, Timer::Deadline(key));
-        self.timers
-            .set(now + request.answer_in.mul_f64(FIRST_REPLY_FRACTION), Timer::FirstReply(key));
+        self.timers.set(now + answer_in, Timer::AnswerBy(key));
+        self.timers.set(now + time_left, Timer::Deadline(key));
+        self.timers.set(now + answer_in.mul_f64(FIRST_REPLY_FRACTION), Timer::FirstReply(key));
         self.send_first(key, 0..count, now, actions);
         self.try_complete(key, now, actions);
     }
--- a/crates/berylpin_core/src/direct/dispatcher/tests.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 mod delegation;
+mod odd_input;
 mod simulation;
 mod stop;
 
