Bound the text of entries in log lines

Callers saw: nothing yet. A log line about an ignored entry held its whole name, and a cause that quotes the entry, each as long as another writer makes them, at each list.

Change: log lines hold the first 256 characters of both.

Evidence: `a_long_text_is_cut_between_characters`. `text_from_outside_stays_in_its_field` shows that control characters and quotes neither end a line of the JSON log nor forge a field; it found nothing.

--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -3,6 +3,7 @@
 
 mod configuration;
 mod daemon_entries;
+mod excerpt;
 mod replica_entries;
 mod state_delta;
 mod watches;
@@ -11,6 +12,7 @@
 use super::process::Shared;
 use berylpin_core::direct::{Catalogue, Confirmation, Replica, StoreTimes, View};
 use berylpin_platform::{Object, ObjectKind, PlatformSettings, Store, StoreError};
+use excerpt::excerpt;
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -99,8 +101,8 @@
 
 impl Control {
     fn log_ignored_entry(&self, object: &Object, cause: &dyn std::error::Error) {
-        warn!(self.shared.log, "control: entry ignored"; "entry" => &object.name,
-            "cause" => %cause);
+        warn!(self.shared.log, "control: entry ignored";
+            "entry" => excerpt(&object.name), "cause" => excerpt(&cause.to_string()));
     }
 
     /// Returns the client of the store, after replacing it if the settings have a new address.
--- a/crates/berylpin_daemon/src/direct/control/replica_entries.rs
+++ b/crates/berylpin_daemon/src/direct/control/replica_entries.rs
@@ -1,6 +1,7 @@
 //! The entries of replicas in the store, and replicas that announce that they leave.
 
 use super::Control;
+use super::excerpt::excerpt;
 use berylpin_core::direct::{EXPIRY_CHECK_INTERVAL, Replica, ReplicaEntry};
 use berylpin_platform::{Change, Object, decode_replica_entry};
 use slog::{info, warn};
@@ -29,7 +30,8 @@
                     None => self.remove_replica(&object.name),
                 },
                 Change::Removed(name) => {
-                    info!(self.shared.log, "control: replica entry removed"; "replica" => &name);
+                    info!(self.shared.log, "control: replica entry removed";
+                        "replica" => excerpt(&name));
                     self.remove_replica(&name)
                 }
             };
--- a/crates/berylpin_daemon/src/logging.rs
+++ b/crates/berylpin_daemon/src/logging.rs
@@ -165,3 +165,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
