--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -1,16 +1,21 @@
 //! The control thread's state: the configuration in force, the replicas and the daemons.
 
 mod replica_entries;
+mod routes;
 mod store_contact;
 
-use super::configuration::{Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget};
+pub(super) use routes::MAX_CONFIGURED_TIME;
+
+use super::configuration::{Configuration, DaemonEntry, ReplicaEntry, RouteTarget};
+use super::entry_check::ReplicaName;
 use super::fleet::Fleet;
 use super::leaving::LeavingReplicas;
 use super::peers::assign_owners;
 use super::store_times::ExpiryGrace;
-use super::view::{Distance, Peer, Replica, Route, RouteId, Service, Standing, Target, View};
+use super::view::{Distance, Peer, Replica, Route, RouteId, Service, Standing, View};
 use crate::arena::Arena;
 use crate::ids::{DataCentreId, Key, MemberTag, ReplicaId, ReplicaTag, ServiceId, ServiceTag};
+use routes::bounded_limits;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -24,6 +29,8 @@
 #[derive(Debug)]
 struct KnownReplica {
     entry: ReplicaEntry,
+    /// The id of the entry.
+    name: ReplicaName,
     id: ReplicaId,
     /// When the replica is removed; set if its entry was removed during or after an outage of the
     /// store, and not while it drained.
@@ -43,6 +50,8 @@
 struct Location {
     /// The name of this daemon's VM.
     daemon: String,
+    /// The address on which this daemon accepts requests of peers, if it is known.
+    address: Option<SocketAddr>,
     data_centre: String,
     /// The region of each data centre, sorted by data centre.
     regions: Vec<(String, String)>,
@@ -80,7 +89,7 @@
     pub fn new(daemon: String, data_centre: String, regions: Vec<(String, String)>) -> Self {
         let own_data_centre = data_centre.clone();
         Self {
-            location: Location { daemon, data_centre, regions },
+            location: Location { daemon, address: None, data_centre, regions },
             configuration: None,
             replicas_revision: None,
             replicas: Vec::new(),
@@ -103,8 +112,23 @@
         self
     }
 
+    /// Sets the address on which this daemon accepts requests of peers.
+    #[must_use]
+    pub fn with_peer_address(mut self, address: SocketAddr) -> Self {
+        self.location.address = Some(address);
+        self
+    }
+
     /// Replaces all daemons with the entries at a revision; returns whether the fleet changed.
-    pub fn set_daemons(&mut self, entries: Vec<DaemonEntry>, revision: u64, now: Instant) -> bool {
+    ///
+    /// An entry that names no daemon to call, which a peer may send too, counts as missing.
+    pub fn set_daemons(
+        &mut self,
+        mut entries: Vec<DaemonEntry>,
+        revision: u64,
+        now: Instant,
+    ) -> bool {
+        entries.retain(|entry| self.location.names_daemon(entry));
         for entry in &entries {
             self.add_data_centre(&entry.data_centre);
         }
@@ -112,7 +136,12 @@
     }
 
     /// Adds or updates a daemon's entry; returns false if the entry is only a renewal.
+    ///
+    /// An entry that names no daemon to call removes the one of its name, as a list does.
     pub fn put_daemon(&mut self, entry: DaemonEntry, now: Instant) -> bool {
+        if !self.location.names_daemon(&entry) {
+            return self.remove_daemon(&entry.name);
+        }
         self.add_data_centre(&entry.data_centre);
         self.fleet.put(entry, now)
     }
@@ -228,39 +257,12 @@
             own_tag,
             own_data_centre: self.data_centre_id(&self.location.data_centre),
             peers: self.peers(),
-            limits: configuration.limits,
+            limits: bounded_limits(configuration.limits),
         };
         assign_owners(&mut view);
         Some(view)
     }
 
-    fn build_route(&self, route: &RouteConfig) -> Route {
-        let target = match &route.target {
-            RouteTarget::Split(parts) => {
-                Target::Split(parts.iter().map(|(name, w)| (self.service_id(name), *w)).collect())
-            }
-            RouteTarget::Shards { services, limit, min_coverage } => {
-                let services: Vec<_> = services.iter().map(|name| self.service_id(name)).collect();
-                let min_parts = min_parts(services.len(), *min_coverage);
-                Target::Shards { services, limit: *limit, min_parts }
-            }
-        };
-        let position = self.routes.binary_search_by(|(name, _)| (**name).cmp(&*route.name));
-        let (name, id) = &self.routes[position.expect("every configured route has an id")];
-        Route {
-            id: *id,
-            name: name.clone(),
-            host: Arc::from(&*route.host),
-            prefix: Arc::from(&*route.prefix),
-            target,
-            idempotent: route.idempotent,
-            timeout: route.timeout,
-            target_latency: route.target_latency,
-            max_attempts: route.max_attempts.max(1),
-            priority_index: route.priority_index,
-        }
-    }
-
     fn service_arena(&self, own_tag: MemberTag) -> Arena<ServiceId, Service> {
         let mut services = Arena::default();
         let fleet_size = self.fleet_size();
@@ -288,7 +290,7 @@
             services[self.service_id(&entry.service)].replicas.push(Arc::new(Replica {
                 id: known.id,
                 tag: ReplicaTag::of([entry.id.as_str()]),
-                name: Arc::from(&*entry.id),
+                name: known.name.clone(),
                 address: entry.address,
                 data_centre: self.data_centre_id(&entry.data_centre),
                 distance: self.location.distance(&entry.data_centre),
@@ -364,6 +366,15 @@
 }
 
 impl Location {
+    /// Returns whether an entry names this daemon or one that can be called.
+    ///
+    /// An entry of another name at the address of this daemon is out of date or of another writer;
+    /// calls to it would reach this daemon itself.
+    fn names_daemon(&self, entry: &DaemonEntry) -> bool {
+        let is_own_address = self.address == Some(entry.address);
+        entry.name == self.daemon || entry.check().is_ok() && !is_own_address
+    }
+
     fn distance(&self, data_centre: &str) -> Distance {
         if self.data_centre == data_centre {
             return Distance::DataCentre;
@@ -388,13 +399,5 @@
     xxh3_64(&bytes) as f64 / u64::MAX as f64
 }
 
-/// Returns how many of `count` shards are needed for a coverage of at least `min_coverage`.
-fn min_parts(count: usize, min_coverage: f64) -> usize {
-    /// Prevents a product such as 0.95 x 20 from being rounded up because of its rounding error.
-    const ROUNDING_TOLERANCE: f64 = 1e-9;
-    let needed = (count as f64 * min_coverage - ROUNDING_TOLERANCE).ceil().max(1.0);
-    (needed as usize).min(count.max(1))
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/berylpin_core/src/direct/delegation.rs
+++ b/crates/berylpin_core/src/direct/delegation.rs
@@ -1,5 +1,7 @@
 //! Calls between daemons: the entry delegates parts of a query, and the peer fetches them.
 
+use super::attempts::is_listable;
+use super::catalogue::MAX_CONFIGURED_TIME;
 use super::dispatcher::{Dispatcher, MAX_IN_FLIGHT, Timer};
 use super::event::{Action, Cause, DirectDecision, Ticket};
 use super::in_flight::{InFlightRequest, Origin, Part, PartState, RequestKey};
@@ -114,6 +116,9 @@
     }
 
     /// Stores parts that a peer fetched.
+    ///
+    /// If one signature is odd, the records of its part cannot be told from the others, so the whole
+    /// reply counts as a failed call.
     pub(super) fn handle_parts_reply(
         &mut self,
         key: CallKey,
@@ -122,6 +127,10 @@
         now: Instant,
         actions: &mut Vec<Action<H>>,
     ) {
+        if reply.parts.iter().any(|(_, signature)| !is_listable(signature)) {
+            actions.push(Action::CancelCall(key));
+            return self.handle_call_failure(key, Verdict::MayHaveRun, now, actions);
+        }
         let Some(call) = self.calls.get_mut(key) else { return };
         let (request_key, parts) = (call.request, call.parts.clone());
         self.peers.record_reply(call, last, now);
@@ -317,12 +326,14 @@
             return actions.push(Action::SendParts(ticket, reply, true));
         };
         let count = parts.len();
+        let time_left = request.time_left.min(MAX_CONFIGURED_TIME);
+        let answer_in = request.answer_in.min(MAX_CONFIGURED_TIME);
         let key = self.insert(InFlightRequest {
             ticket,
             route_index,
             arrived: now,
-            deadline: now + request.time_left,
-            answer_by: now + request.answer_in,
+            deadline: now + time_left,
+            answer_by: now + answer_in,
             parts,
             attempts: 0,
             origin: Origin::Peer { limit: request.limit as usize },
@@ -330,10 +341,9 @@
             peer_records: Vec::new(),
             view,
         });
-        self.timers.set(now + request.answer_in, Timer::AnswerBy(key));
-        self.timers.set(now + request.time_left, Timer::Deadline(key));
-        self.timers
-            .set(now + request.answer_in.mul_f64(FIRST_REPLY_FRACTION), Timer::FirstReply(key));
+        self.timers.set(now + answer_in, Timer::AnswerBy(key));
+        self.timers.set(now + time_left, Timer::Deadline(key));
+        self.timers.set(now + answer_in.mul_f64(FIRST_REPLY_FRACTION), Timer::FirstReply(key));
         self.send_first(key, 0..count, now, actions);
         self.try_complete(key, now, actions);
     }
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -21,6 +21,7 @@
 mod delegation;
 mod delivery;
 mod dispatcher;
+mod entry_check;
 mod event;
 mod fleet;
 mod in_flight;
@@ -48,6 +49,7 @@
 pub use confirmation::{Confirmation, ReplicasConfirmation, confirmed_by};
 pub use delivery::{Deliveries, Delivery, DeliveryKey};
 pub use dispatcher::Dispatcher;
+pub use entry_check::{ReplicaName, UnusableEntry};
 pub use event::{
     Action, Answer, AttemptKey, BodyLimits, Cause, DirectDecision, Event, Failure, MissingCause,
     MissingPart, Outcome, RefusalReason, Reply, Request, Ticket,
--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod confirmation;
 mod daemon_entries;
+mod excerpt;
 mod replica_entries;
 mod state_delta;
 mod watches;
@@ -14,6 +15,7 @@
     Catalogue, Confirmation, Replica, ReplicasConfirmation, StoreTimes, View,
 };
 use berylpin_platform::{Object, ObjectKind, PlatformSettings, Store, StoreError};
+use excerpt::excerpt;
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -71,7 +73,8 @@
         let settings = settings.borrow();
         let (data_centre, regions) = (settings.data_centre.clone(), settings.regions.clone());
         let times = StoreTimes::new(&settings.store_bounds);
-        let catalogue = Catalogue::new(settings.name.clone(), data_centre, regions);
+        let catalogue = Catalogue::new(settings.name.clone(), data_centre, regions)
+            .with_peer_address((settings.ip, settings.peer_ports.0).into());
         (catalogue.with_expiry_grace(times.expiry_grace), times)
     };
     let started = shared.clock.now();
@@ -103,8 +106,8 @@
 
 impl Control {
     fn log_ignored_entry(&self, object: &Object, cause: &dyn std::error::Error) {
-        warn!(self.shared.log, "control: entry ignored"; "entry" => &object.name,
-            "cause" => %cause);
+        warn!(self.shared.log, "control: entry ignored";
+            "entry" => excerpt(&object.name), "cause" => excerpt(&cause.to_string()));
     }
 
     /// Returns the client of the store, after replacing it if the settings have a new address.
