Keep the log after a failed write

One write that failed, for example on a full disk or a full pipe, ended the log thread with a panic, and nothing was logged from then on: a transient failure taken for final.

A failed write loses its line only.

--- a/crates/berylpin_daemon/src/logging.rs
+++ b/crates/berylpin_daemon/src/logging.rs
@@ -64,9 +64,9 @@
     let drain = match format {
         LogFormat::Text => {
             let decorator = slog_term::PlainDecorator::new(writer);
-            async_drain(slog_term::FullFormat::new(decorator).build().fuse(), capacity)
+            async_drain(slog_term::FullFormat::new(decorator).build().ignore_res(), capacity)
         }
-        LogFormat::Json => async_drain(slog_json::Json::default(writer).fuse(), capacity),
+        LogFormat::Json => async_drain(slog_json::Json::default(writer).ignore_res(), capacity),
     };
     let filter = levels.clone();
     let drain = slog::Filter::new(drain, move |record| filter.is_enabled(record));
