Pause after a failed accept in every listener

The listeners of callers and peers paused already; all do now. The test failed before with 100 ticks of processor time in 1 s.

--- a/crates/berylpin_daemon/src/daemon.rs
+++ b/crates/berylpin_daemon/src/daemon.rs
@@ -4,7 +4,7 @@
 use crate::http::{AdminState, CallerState, admin_routes, caller_routes};
 use crate::logging::Log;
 use crate::settings::DaemonSettings;
-use crate::sockets::{Socket, Sockets};
+use crate::sockets::{BackoffAcceptor, Socket, Sockets};
 use crate::traffic::{
     Mail, Mailbox, Mailboxes, PeerContext, StopBarrier, ThreadContext, run_thread, serve_peers,
 };
@@ -12,7 +12,6 @@
 use berylpin_core::control::{Controller, View};
 use berylpin_core::ids::{Key, ThreadId};
 use poem::Server;
-use poem::listener::TcpAcceptor;
 use rand::Rng;
 use slog::info;
 use std::io;
@@ -304,7 +303,7 @@
     E: poem::IntoEndpoint,
     E::Endpoint: 'static,
 {
-    let Ok(acceptor) = listener.into_std().and_then(TcpAcceptor::from_std) else { return };
+    let Ok(acceptor) = BackoffAcceptor::new(listener) else { return };
     let stop = async move {
         // An error means that the daemon was dropped; serving stops in that case, too.
         let _ = stopped.wait_for(|stopped| *stopped).await;
--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -3,8 +3,9 @@
 use super::body::{BodyError, ReservedMemory, discard_body, read_body};
 use super::delivery::{CallerBody, CallerConnection};
 use super::disconnect::DisconnectGuard;
-use super::process::{ACCEPT_BACKOFF, Shared};
+use super::process::Shared;
 use super::traffic::{Payload, Traffic};
+use crate::sockets::ACCEPT_BACKOFF;
 use berylpin_core::direct::{Answer, ClientLimits, RefusalReason, Reply};
 use berylpin_core::verdict::Verdict;
 use berylpin_platform::{merged_headers, read_request_head, refusal_headers, relayed_headers};
--- a/crates/berylpin_daemon/src/direct/peers.rs
+++ b/crates/berylpin_daemon/src/direct/peers.rs
@@ -3,10 +3,10 @@
 use super::body::ReservedMemory;
 use super::control::StateDeltaRequest;
 use super::disconnect::DisconnectGuard;
-use super::process::ACCEPT_BACKOFF;
 use super::streams::{STATE_DELTA_URI, StreamError, encode_frame, read_value};
 use super::traffic::{Payload, Traffic};
 use crate::logging::Log;
+use crate::sockets::ACCEPT_BACKOFF;
 use berylpin_core::direct::{PartsReply, PartsRequest};
 use berylpin_platform::RequestHead;
 use berylpin_wire::parts::{DelegatedReply, DelegatedRequest};
--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -24,9 +24,6 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
-/// The back-off after a failed accept, for example for lack of file descriptors.
-pub(super) const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
-
 /// The maximum number of requests for state that wait for the control thread. A peer whose request
 /// is refused asks another daemon.
 const MAX_QUEUED_STATE_REQUESTS: usize = 16;
--- a/crates/berylpin_daemon/src/direct/status.rs
+++ b/crates/berylpin_daemon/src/direct/status.rs
@@ -4,10 +4,9 @@
 use crate::daemon::StartError;
 use crate::logging::Log;
 use crate::metrics::{render_metrics, run_metrics_upkeep};
-use crate::sockets::Socket;
+use crate::sockets::{BackoffAcceptor, Socket};
 use berylpin_platform::{PlatformSettings, READY_PATH};
 use poem::http::StatusCode;
-use poem::listener::TcpAcceptor;
 use poem::{Endpoint, IntoEndpoint, Route, Server, get};
 use slog::warn;
 use std::io;
@@ -93,7 +92,7 @@
     E::Endpoint: Endpoint + 'static,
 {
     let served = async {
-        let acceptor = TcpAcceptor::from_tokio(listener)?;
+        let acceptor = BackoffAcceptor::new(listener)?;
         Server::new_with_acceptor(acceptor).run(routes).await?;
         Ok::<_, io::Error>(())
     };
--- a/crates/berylpin_daemon/src/sockets.rs
+++ b/crates/berylpin_daemon/src/sockets.rs
@@ -2,12 +2,20 @@
 
 use crate::daemon::StartError;
 use crate::settings::DaemonSettings;
+use poem::http::uri::Scheme;
+use poem::listener::{Acceptor, TcpAcceptor};
+use poem::web::{LocalAddr, RemoteAddr};
+use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 
 /// Maximum number of connections that wait to be accepted, per socket.
 const LISTEN_BACKLOG: u32 = 1024;
 
+/// The back-off after a failed accept, for example for lack of file descriptors.
+pub(crate) const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
 /// The bound sockets of a daemon.
 pub(crate) struct Sockets {
     /// One socket per traffic thread.
@@ -57,3 +65,28 @@
         inner.listen(LISTEN_BACKLOG).map_err(|source| StartError::Listen { name, address, source })
     }
 }
+
+/// Pauses after a failed accept, which the server repeats at once.
+pub(crate) struct BackoffAcceptor(TcpAcceptor);
+
+impl BackoffAcceptor {
+    pub(crate) fn new(listener: TcpListener) -> io::Result<Self> {
+        Ok(Self(TcpAcceptor::from_tokio(listener)?))
+    }
+}
+
+impl Acceptor for BackoffAcceptor {
+    type Io = <TcpAcceptor as Acceptor>::Io;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        self.0.local_addr()
+    }
+
+    async fn accept(&mut self) -> io::Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
+        let accepted = self.0.accept().await;
+        if accepted.is_err() {
+            tokio::time::sleep(ACCEPT_BACKOFF).await;
+        }
+        accepted
+    }
+}
--- a/crates/berylpin_daemon/src/traffic/peers.rs
+++ b/crates/berylpin_daemon/src/traffic/peers.rs
@@ -7,6 +7,7 @@
 use super::mailbox::Mailboxes;
 use crate::control::{ControlMail, ControlMailbox};
 use crate::settings::{DaemonSettings, Secret};
+use crate::sockets::ACCEPT_BACKOFF;
 use berylpin_core::control::View;
 use berylpin_core::ids::{MemberId, MemberTag};
 use berylpin_wire::frame::{Decoder, Frame};
@@ -58,7 +59,10 @@
 /// Accepts links from other daemons until the task is dropped.
 pub(crate) async fn serve_peers(listener: TcpListener, cx: PeerContext) {
     loop {
-        let Ok((tcp, address)) = listener.accept().await else { continue };
+        let Ok((tcp, address)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_BACKOFF).await;
+            continue;
+        };
         let cx = cx.clone();
         tokio::spawn(async move {
             let log = cx.log.clone();
--- a/crates/berylpin_daemon/tests/platform/main.rs
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! Daemons on the users' platform, run as processes against stand-ins for store and replicas.
 
 mod connections;
+mod descriptors;
 mod long_bodies;
 mod odd_entries;
 mod odd_statuses;
--- a/crates/berylpin_daemon/tests/platform/process.rs
+++ b/crates/berylpin_daemon/tests/platform/process.rs
@@ -168,6 +168,23 @@
         peak.split_whitespace().next().unwrap().parse().unwrap()
     }
 
+    /// Lowers the limit of the running process to the file descriptors that it has open.
+    pub(super) fn exhaust_descriptors(&self) {
+        let id = self.child.as_ref().unwrap().id();
+        let status =
+            Command::new("prlimit").args(["--nofile=3:", "--pid", &id.to_string()]).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Returns the processor time of the running process so far, in ticks of 10 ms.
+    pub(super) fn processor_ticks(&self) -> u64 {
+        let id = self.child.as_ref().unwrap().id();
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap();
+        let (_, fields) = stat.rsplit_once(") ").unwrap();
+        let ticks = fields.split_whitespace().skip(11).take(2);
+        ticks.map(|ticks| ticks.parse::<u64>().unwrap()).sum()
+    }
+
     /// Returns the log so far.
     pub(super) fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap()
