--- a/crates/berylpin_daemon/src/direct/lifecycle.rs
+++ b/crates/berylpin_daemon/src/direct/lifecycle.rs
@@ -49,6 +49,7 @@
                     "data_centre" => settings.data_centre, "failures" => attempts.failures(),
                     "version" => env!("CARGO_PKG_VERSION"),
                     "elapsed_ms" => elapsed.as_millis() as u64);
+                log_assumed(&threads, log);
                 return Some(threads);
             }
             Err(e) => {
@@ -86,12 +87,22 @@
         Ok(settings) => {
             if threads.update_settings(settings) {
                 info!(log, "daemon: settings changed");
+                log_assumed(threads, log);
             }
         }
         Err(e) => warn!(log, "daemon: settings not reloaded"; "cause" => %e),
     }
 }
 
+/// Logs the figures that the settings do not state.
+fn log_assumed(threads: &Threads, log: &Log) {
+    let assumed = threads.settings().assumed;
+    if !assumed.is_empty() {
+        warn!(log, "daemon: settings without some figures, defaults are in force";
+            "keys" => assumed.join(" "));
+    }
+}
+
 /// Stops accepting callers after the notice, and ends when all are answered or the time is over.
 fn stop(threads: Threads, clock: &dyn Clock, log: &Log) {
     let schedule = StopSchedule::new(threads.settings().stop_limit);
