Start the threads again when a part of a daemon fails

A traffic thread without its accept loop left a daemon that was ready and refused all callers; without its timer no deadline passed any more; a control thread left a view that never changed. Nothing but text on standard error told of it. No input is known that causes a panic.

Parts that run as long as the threads report a panic; the main thread then ends all threads and starts them again, with the back-off of a start. Panics are log lines now. Readiness is served only once callers are accepted: the traffic thread starts first.

--- a/crates/berylpin_daemon/src/direct/lifecycle.rs
+++ b/crates/berylpin_daemon/src/direct/lifecycle.rs
@@ -2,11 +2,11 @@
 
 use super::process::{RunError, Threads};
 use crate::logging::Log;
-use crate::signals::{Request, Signals};
+use crate::signals::{Request, Signals, Wake};
 use berylpin_core::clock::Clock;
 use berylpin_core::direct::{StartAttempts, StopSchedule};
 use berylpin_platform::PlatformSettings;
-use slog::{info, warn};
+use slog::{error, info, warn};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,26 +20,58 @@
 /// Runs a daemon with the platform's settings file until it receives a stop signal.
 ///
 /// A start that fails is repeated: the settings file may be about to be written, and an address
-/// about to be free.
+/// about to be free. If a part of the daemon fails, all its threads are started again.
 pub fn run_on_platform(path: &Path, clock: Arc<dyn Clock>, log: Log, mut signals: Signals) {
     info!(log, "daemon: starting"; "version" => env!("CARGO_PKG_VERSION"),
         "process" => std::process::id());
-    match start(path, &clock, &log, &mut signals) {
-        Some(threads) => {
-            run_until_stop_signal(path, &threads, &log, &mut signals);
-            stop(threads, &*clock, &log);
+    log_panics(&log);
+    let mut attempts = StartAttempts::default();
+    loop {
+        let Some(mut threads) = start(path, &clock, &log, (&mut signals, &mut attempts)) else {
+            info!(log, "daemon: stopped");
+            break;
+        };
+        match run_until_end(path, &mut threads, &log, &mut signals) {
+            End::Failure(part) => {
+                attempts.record_failure(part);
+                error!(log, "daemon: part failed, threads are started again"; "part" => part,
+                    "failures" => attempts.failures());
+            }
+            End::Signal(signal) => {
+                stop(threads, signal, &*clock, &log);
+                break;
+            }
         }
-        None => info!(log, "daemon: stopped"),
     }
     // The log thread cannot be joined.
     std::thread::sleep(LOG_FLUSH_TIME);
 }
 
+/// Logs panics in place of the message on standard error.
+fn log_panics(log: &Log) {
+    let log = log.clone();
+    std::panic::set_hook(Box::new(move |panic| {
+        let thread = std::thread::current();
+        error!(log, "daemon: panic"; "thread" => thread.name(), "cause" => %panic);
+    }));
+}
+
 /// Starts the threads, as often as it takes; `None` after a stop signal.
-fn start(path: &Path, clock: &Arc<dyn Clock>, log: &Log, signals: &mut Signals) -> Option<Threads> {
+fn start(
+    path: &Path,
+    clock: &Arc<dyn Clock>,
+    log: &Log,
+    (signals, attempts): (&mut Signals, &mut StartAttempts),
+) -> Option<Threads> {
     let started_at = clock.now();
-    let mut attempts = StartAttempts::default();
     loop {
+        // No delay before the first attempt.
+        if attempts.failures() > 0
+            && let Some(Request::Stop(signal)) = signals.wait(attempts.backoff())
+        {
+            info!(log, "daemon: stopping"; "signal" => signal);
+            return None;
+        }
         let loaded = PlatformSettings::load(path).map_err(RunError::from);
         match loaded.and_then(|settings| Threads::start(settings, clock, log)) {
             Ok(threads) => {
@@ -59,25 +91,30 @@
                 }
             }
         }
-        if let Some(Request::Stop(signal)) = signals.wait(attempts.backoff()) {
-            info!(log, "daemon: stopping"; "signal" => signal);
-            return None;
-        }
     }
 }
 
-/// Reloads the settings on SIGHUP and at intervals; returns on SIGTERM or SIGINT.
-fn run_until_stop_signal(path: &Path, threads: &Threads, log: &Log, signals: &mut Signals) {
+/// Why running threads are ended.
+enum End {
+    /// The signal of this name asks for a stop.
+    Signal(&'static str),
+    /// The part of this name failed.
+    Failure(&'static str),
+}
+
+/// Reloads the settings on SIGHUP and at intervals until the threads are to be ended.
+fn run_until_end(path: &Path, threads: &mut Threads, log: &Log, signals: &mut Signals) -> End {
     loop {
-        let request = signals.wait(SETTINGS_RELOAD_INTERVAL);
-        if request == Some(Request::Reload) {
+        let wake = signals.wait_or(SETTINGS_RELOAD_INTERVAL, threads.failure());
+        if wake == Wake::Signal(Request::Reload) {
             info!(log, "daemon: reload of settings requested");
         }
+        // A stop has to keep the grace time of the newest settings.
         reload(path, threads, log);
-        if let Some(Request::Stop(signal)) = request {
-            info!(log, "daemon: stopping"; "signal" => signal,
-                "grace_ms" => threads.settings().stop_limit.as_millis() as u64);
-            return;
+        match wake {
+            Wake::Signal(Request::Stop(signal)) => return End::Signal(signal),
+            Wake::Event(part) => return End::Failure(part),
+            Wake::Signal(Request::Reload) | Wake::Timeout => {}
         }
     }
 }
@@ -104,8 +141,10 @@
 }
 
 /// Stops accepting callers after the notice, and ends when all are answered or the time is over.
-fn stop(threads: Threads, clock: &dyn Clock, log: &Log) {
-    let schedule = StopSchedule::new(threads.settings().stop_limit);
+fn stop(threads: Threads, signal: &str, clock: &dyn Clock, log: &Log) {
+    let limit = threads.settings().stop_limit;
+    info!(log, "daemon: stopping"; "signal" => signal, "grace_ms" => limit.as_millis() as u64);
+    let schedule = StopSchedule::new(limit);
     threads.begin_stop(schedule.begin(clock.now()));
     std::thread::sleep(schedule.notice);
     threads.stop_accepting();
--- a/crates/berylpin_daemon/src/direct/mod.rs
+++ b/crates/berylpin_daemon/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod decision_log;
 mod delivery;
 mod disconnect;
+mod failure;
 mod lifecycle;
 mod links;
 mod peer_versions;
--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -2,6 +2,7 @@
 
 use super::caller::accept_callers;
 use super::control::{ControlContext, StateDeltaRequest, run_control};
+use super::failure::{FailureReporter, failure_channel};
 use super::peer_versions::PeerVersion;
 use super::peers::{PeerContext, accept_peers};
 use super::status::{StatusContext, serve_status};
@@ -21,6 +22,7 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
@@ -67,6 +69,8 @@
     pub(super) stop: watch::Receiver<Option<Stop>>,
     /// Turns true when the daemon stops accepting callers.
     pub(super) stop_accepting: watch::Receiver<bool>,
+    /// Reports the parts that fail.
+    pub(super) failures: FailureReporter,
 }
 
 /// The threads of a daemon and the channels to them.
@@ -80,6 +84,8 @@
     control: JoinHandle<()>,
     /// Receives a message, or is closed, when the traffic thread has answered all callers.
     answered: Receiver<()>,
+    /// The names of parts that failed.
+    failures: UnboundedReceiver<&'static str>,
 }
 
 impl Threads {
@@ -102,7 +108,15 @@
         let (peer_versions_tx, peer_versions) = mpsc::channel(MAX_QUEUED_PEER_VERSIONS);
         let (confirmed_at_tx, confirmed_at) = watch::channel(None);
         let (listening_tx, listening) = channel();
-        let shared = Shared { clock: clock.clone(), log: log.clone(), view, stop, stop_accepting };
+        let (reporter, failures) = failure_channel();
+        let shared = Shared {
+            clock: clock.clone(),
+            log: log.clone(),
+            view,
+            stop,
+            stop_accepting,
+            failures: reporter,
+        };
 
         // Binds before the threads start, so that an address in use leaves no thread to shut down.
         let callers = Socket::bind("caller_address", settings.caller_address)?;
@@ -117,18 +131,20 @@
             confirmed_at: confirmed_at_tx,
             peer_versions,
         };
-        let (end_control, control_end) = oneshot::channel();
-        let control = spawn_control(cx, status, shared.clone(), listening_tx.clone(), control_end)?;
         let to_control = ToControl {
             state_requests: state_requests_tx,
             leaving: leaving_tx,
             peer_versions: peer_versions_tx,
             confirmed_at,
         };
-        let answered = spawn_traffic(settings, shared, (callers, peers), to_control, listening_tx)?;
-        for _ in 0..2 {
-            listening.recv().map_err(|_| RunError::ThreadEnded)??;
-        }
+        let sockets = (callers, peers);
+        // The control thread starts last, because it answers the readiness probes.
+        let answered =
+            spawn_traffic(settings, shared.clone(), sockets, to_control, listening_tx.clone())?;
+        listening.recv().map_err(|_| RunError::ThreadEnded)??;
+        let (end_control, control_end) = oneshot::channel();
+        let control = spawn_control(cx, status, shared, listening_tx, control_end)?;
+        listening.recv().map_err(|_| RunError::ThreadEnded)??;
         Ok(Self {
             settings: settings_tx,
             stop: stop_tx,
@@ -136,9 +152,19 @@
             end_control,
             control,
             answered,
+            failures,
         })
     }
 
+    /// Waits until a part fails; returns its name.
+    pub(super) async fn failure(&mut self) -> &'static str {
+        match self.failures.recv().await {
+            Some(part) => part,
+            // All parts have ended, which none of them reported.
+            None => "threads",
+        }
+    }
+
     /// Returns the settings in force.
     pub(super) fn settings(&self) -> PlatformSettings {
         self.settings.borrow().clone()
@@ -185,6 +211,7 @@
     end: oneshot::Receiver<()>,
 ) -> io::Result<JoinHandle<()>> {
     spawn_thread("control", move |local, runtime| {
+        let _guard = shared.failures.guard("control thread");
         local.block_on(runtime, async move {
             let status = match status.listen() {
                 Ok(status) => status,
@@ -192,7 +219,7 @@
             };
             report(&listening, Ok(()));
             drop(listening);
-            tokio::task::spawn_local(serve_status(status));
+            shared.failures.spawn_local("status endpoints", serve_status(status));
             tokio::select! {
                 () = run_control(cx, shared) => {}
                 // An error means that the sender was dropped, so the process is ending.
@@ -212,6 +239,7 @@
 ) -> io::Result<Receiver<()>> {
     let (answered_tx, answered) = channel();
     let thread = spawn_thread("traffic", move |local, runtime| {
+        let _guard = shared.failures.guard("traffic thread");
         local.block_on(runtime, async {
             let listeners = callers.listen().and_then(|callers| Ok((callers, peers.listen()?)));
             let listeners = match listeners {
@@ -270,7 +298,7 @@
     };
     let traffic = Traffic::start(cx);
     let cx = PeerContext { traffic: traffic.clone(), state_requests, log: shared.log.clone() };
-    tokio::task::spawn_local(accept_peers(peers, cx));
+    shared.failures.spawn_local("listener for peers", accept_peers(peers, cx));
     accept_callers(callers, traffic, shared).await;
 }
 
--- a/crates/berylpin_daemon/src/direct/traffic.rs
+++ b/crates/berylpin_daemon/src/direct/traffic.rs
@@ -150,10 +150,11 @@
             timer_due_at: Cell::new(None),
             timer_moved: Notify::new(),
         });
-        tokio::task::spawn_local(traffic.clone().run_timer());
-        tokio::task::spawn_local(traffic.clone().apply_views());
-        tokio::task::spawn_local(traffic.clone().evict_idle_connections());
-        tokio::task::spawn_local(traffic.clone().apply_stop());
+        let failures = traffic.shared.failures.clone();
+        failures.spawn_local("timer", traffic.clone().run_timer());
+        failures.spawn_local("views", traffic.clone().apply_views());
+        failures.spawn_local("idle connections", traffic.clone().evict_idle_connections());
+        failures.spawn_local("stop", traffic.clone().apply_stop());
         traffic
     }
 
--- a/crates/berylpin_daemon/src/lib.rs
+++ b/crates/berylpin_daemon/src/lib.rs
@@ -23,4 +23,4 @@
 };
 pub use metrics::install_metrics;
 pub use settings::{DaemonSettings, DaemonSettingsBuilder, Secret, SettingsError};
-pub use signals::{Request, Signals};
+pub use signals::{Request, Signals, Wake};
--- a/crates/berylpin_daemon/src/signals.rs
+++ b/crates/berylpin_daemon/src/signals.rs
@@ -14,6 +14,17 @@
     Reload,
 }
 
+/// Why a wait ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wake<T> {
+    /// A signal arrived.
+    Signal(Request),
+    /// The event happened.
+    Event(T),
+    /// The time is over.
+    Timeout,
+}
+
 /// The handlers of the signals.
 ///
 /// A signal that arrives before its handler is installed ends the process, so this comes first in a
@@ -44,14 +55,26 @@
 
     /// Waits for a signal up to `timeout`; a request to stop comes before one to reload.
     pub fn wait(&mut self, timeout: Duration) -> Option<Request> {
+        match self.wait_or(timeout, std::future::pending::<()>()) {
+            Wake::Signal(request) => Some(request),
+            Wake::Event(()) | Wake::Timeout => None,
+        }
+    }
+
+    /// Waits for a signal or an event up to `timeout`; a request to stop comes first.
+    pub fn wait_or<F>(&mut self, timeout: Duration, event: F) -> Wake<F::Output>
+    where
+        F: Future,
+    {
         let Self { runtime, terminate, interrupt, hang_up } = self;
         runtime.block_on(async {
             tokio::select! {
                 biased;
-                _ = terminate.recv() => Some(Request::Stop("SIGTERM")),
-                _ = interrupt.recv() => Some(Request::Stop("SIGINT")),
-                _ = hang_up.recv() => Some(Request::Reload),
-                () = tokio::time::sleep(timeout) => None,
+                _ = terminate.recv() => Wake::Signal(Request::Stop("SIGTERM")),
+                _ = interrupt.recv() => Wake::Signal(Request::Stop("SIGINT")),
+                result = event => Wake::Event(result),
+                _ = hang_up.recv() => Wake::Signal(Request::Reload),
+                () = tokio::time::sleep(timeout) => Wake::Timeout,
             }
         })
     }
