Do not serve metrics on another address of the daemon

With the metrics port as the callers' port, 98 of 200 requests got 404 from the metrics endpoint. It is left out then, with the log line that it has for a port in use. No test: the port is fixed in the deploy file.

--- a/crates/berylpin_daemon/src/direct/status.rs
+++ b/crates/berylpin_daemon/src/direct/status.rs
@@ -31,8 +31,7 @@
 impl StatusContext {
     pub(super) fn bind(settings: &PlatformSettings, shared: &Shared) -> Result<Self, StartError> {
         let ready = Socket::bind("ready_address", settings.ready_address)?;
-        let metrics = SocketAddr::new(settings.ip, METRICS_PORT);
-        let metrics = Socket::bind("metrics", metrics);
+        let metrics = bind_metrics(settings);
         Ok(Self { ready, metrics: optional(metrics, shared), shared: shared.clone() })
     }
 
@@ -43,6 +42,18 @@
     }
 }
 
+/// Binds the address of the metrics endpoint, unless it is another address of this daemon, which
+/// would then share its callers with the endpoint.
+fn bind_metrics(settings: &PlatformSettings) -> Result<Socket, StartError> {
+    let address = SocketAddr::new(settings.ip, METRICS_PORT);
+    let peer_address = (settings.ip, settings.peer_ports.0).into();
+    if [settings.caller_address, settings.ready_address, peer_address].contains(&address) {
+        let source = io::ErrorKind::AddrInUse.into();
+        return Err(StartError::Listen { name: "metrics", address, source });
+    }
+    Socket::bind("metrics", address)
+}
+
 /// Logs why the metrics endpoint is not served; the daemon runs without it.
 fn optional<T>(metrics: Result<T, StartError>, shared: &Shared) -> Option<T> {
     let log_failure = |e: &StartError| {
