Close callers beyond those for which the process has memory

Bodies and answers were bounded, the connections were not.

A third of the memory is for callers' connections, at 56 KB each; further ones are closed before anything is read, so their callers can try another daemon at once.

--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -5,6 +5,7 @@
 use super::disconnect::DisconnectGuard;
 use super::process::Shared;
 use super::traffic::{Payload, Traffic};
+use crate::metrics::CALLERS_CLOSED;
 use crate::sockets::ACCEPT_BACKOFF;
 use berylpin_core::direct::{Answer, ClientLimits, RefusalReason, Reply};
 use berylpin_core::verdict::Verdict;
@@ -15,7 +16,8 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::warn;
+use metrics::counter;
+use slog::{info, warn};
 use socket2::SockRef;
 use std::convert::Infallible;
 use std::pin::pin;
@@ -40,18 +42,50 @@
     idle_timeout: Duration::from_secs(15),
 };
 
+/// The share of the process's memory, as a divisor, for the connections of callers.
+const CALLER_MEMORY_DIVISOR: usize = 3;
+
+/// The maximum memory of a caller's connection without the body of its request, in bytes.
+const CALLER_BYTES: usize = 56 << 10;
+
+/// Returns the number of callers for which a process has memory.
+pub(super) fn max_callers(memory_limit: usize) -> usize {
+    (memory_limit / CALLER_MEMORY_DIVISOR / CALLER_BYTES).max(1)
+}
+
 /// Accepts callers until `stop_accepting` is set, and then waits until all of them are answered.
-pub(super) async fn accept_callers(listener: TcpListener, traffic: Rc<Traffic>, shared: Shared) {
+///
+/// Callers beyond `max_callers` are closed at once, before anything is read from them, so that they
+/// can try another daemon.
+pub(super) async fn accept_callers(
+    listener: TcpListener,
+    traffic: Rc<Traffic>,
+    shared: Shared,
+    max_callers: usize,
+) {
     let mut stop = shared.stop_accepting.clone();
     let mut connections = JoinSet::new();
+    let mut closed = 0u64;
     loop {
         tokio::select! {
             _ = stop.wait_for(|stop| *stop) => break,
             accepted = listener.accept() => match accepted {
+                Ok(_) if connections.len() >= max_callers => {
+                    if closed == 0 {
+                        warn!(shared.log, "caller: connections closed, too many are open";
+                            "open" => connections.len());
+                    }
+                    closed += 1;
+                    counter!(CALLERS_CLOSED).increment(1);
+                }
                 Ok((stream, _)) => {
                     let serving =
                         serve_connection(stream, traffic.clone(), shared.stop_accepting.clone());
                     connections.spawn_local(serving);
+                    if closed > 0 {
+                        info!(shared.log, "caller: connections accepted again"; "closed" => closed);
+                        closed = 0;
+                    }
                 }
                 Err(e) => {
                     warn!(shared.log, "caller: connection not accepted"; "cause" => %e);
--- a/crates/berylpin_daemon/src/direct/process.rs
+++ b/crates/berylpin_daemon/src/direct/process.rs
@@ -1,6 +1,6 @@
 //! The threads of a daemon on the users' platform: one for control state and one for traffic.
 
-use super::caller::accept_callers;
+use super::caller::{accept_callers, max_callers};
 use super::control::{ControlContext, StateDeltaRequest, run_control};
 use super::failure::{FailureReporter, failure_channel};
 use super::peer_versions::PeerVersion;
@@ -299,7 +299,7 @@
     let traffic = Traffic::start(cx);
     let cx = PeerContext { traffic: traffic.clone(), state_requests, log: shared.log.clone() };
     shared.failures.spawn_local("listener for peers", accept_peers(peers, cx));
-    accept_callers(callers, traffic, shared).await;
+    accept_callers(callers, traffic, shared, max_callers(settings.memory_limit)).await;
 }
 
 fn spawn_thread<F>(name: &str, work: F) -> io::Result<JoinHandle<()>>
--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -33,6 +33,7 @@
 
 /// Duration of requests on the users' platform; the other metrics of direct routing are named where
 /// they are recorded.
+pub(crate) const CALLERS_CLOSED: &str = "berylpin_callers_closed_total";
 pub(crate) const REQUEST_DURATION: &str = "berylpin_request_duration_seconds";
 
 /// The time between two confirmations of the configuration by the store.
@@ -168,6 +169,7 @@
 }
 
 fn describe_metrics() {
+    describe_counter!(CALLERS_CLOSED, "Connections of callers that were closed for lack of memory");
     describe_histogram!(REQUEST_DURATION, "Time from a request's arrival to its end");
     describe_histogram!(QUERY_DURATION, "Time from request to answer, by rank and target");
     describe_counter!(QUERIES, "Queries by rank, target and outcome");
--- a/crates/berylpin_daemon/tests/platform/main.rs
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! Daemons on the users' platform, run as processes against stand-ins for store and replicas.
 
+mod callers;
 mod connections;
 mod descriptors;
 mod long_bodies;
