Follow a store that was restored from a copy

Cause: revisions were taken as unique for ever. After a restore they go back and are given out again, so a watch from an older revision was accepted once the new revisions had grown past it, and missed what was written under the lower ones; a replica that had drained and left was listed as ready by the copy and got requests again; a peer with higher revisions from before the restore won over newer state; an answer of a store without the version in force confirmed it.

Change: the store's answers name an era, which platform/ decodes with each answer, errors included. A position in the store is an era and a revision, ordered by era first. A higher era in any answer, or from a peer, makes all kinds be listed anew, abandons the calls that wait, and reads only fresh data for 10 s. Answers of a lower era are discarded; a list whose pages differ in era starts again. An answer without an era belongs to the era that was known when the call began.

- Configuration: applied by version as before.
An answer confirms it only if the store, in its era, holds the version in force.
- Replicas that the copy lacks stay in use for the grace time of an outage.
The control state remembers up to 4,096 processes that drained, were removed or were replaced by a later process.
One of them that a copy lists gets no requests until its sequence exceeds that of the copy, or a list after four heartbeats still has it.
A list of the copy does not replace a replica by its predecessor.
- Daemons that the copy lacks stay in the fleet, and a daemon without its own entry writes it again.
No entry is removed by a revision of an older era.
- Daemons exchange eras and sequences in a second frame, which builds without eras ignore; a message of such a build belongs to the lowest era.

--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -1,11 +1,14 @@
 //! The control thread's state: the configuration in force, the replicas and the daemons.
 
+mod eras;
 mod replica_entries;
 
 use super::configuration::{Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget};
+use super::departures::Departures;
 use super::fleet::Fleet;
 use super::leaving::LeavingReplicas;
 use super::peers::assign_owners;
+use super::store_era::{KnownEra, StoreEra, StorePosition};
 use super::view::{Distance, Peer, Replica, Route, RouteId, Service, Standing, Target, View};
 use crate::arena::Arena;
 use crate::ids::{DataCentreId, Key, MemberTag, ReplicaId, ReplicaTag, ServiceId, ServiceTag};
@@ -27,14 +30,28 @@
     expires_at: Option<Instant>,
     /// Whether the replica announced that it leaves, whatever its entry says.
     leaving: bool,
+    /// Set if the entry may come from a copy of the store from before the replica departed.
+    unproven: Option<Unproven>,
 }
 
 impl KnownReplica {
     fn accepts_work(&self) -> bool {
-        !self.entry.draining && !self.leaving
+        !self.entry.draining && !self.leaving && self.unproven.is_none()
     }
 }
 
+/// What an entry must show before its replica, which departed before the store was restored, is
+/// used again.
+#[derive(Clone, Copy, Debug)]
+struct Unproven {
+    /// The era of the sequence; another restore may bring back an older copy.
+    era: StoreEra,
+    /// A higher sequence shows that the replica wrote the entry after the restore.
+    sequence: u64,
+    /// An entry that the store still holds from then on was renewed.
+    until: Instant,
+}
+
 /// What the calls for the replicas show about the store.
 #[derive(Clone, Copy, Debug)]
 enum Outage {
@@ -61,15 +78,23 @@
 pub struct Catalogue {
     location: Location,
     configuration: Option<Configuration>,
-    /// The store's revision at which the replicas are current; `None` before they were listed.
-    replicas_revision: Option<u64>,
+    /// The newest era of the store that is known.
+    era: KnownEra,
+    /// The position in the store at which the replicas are current; `None` before they were listed.
+    replicas_position: Option<StorePosition>,
     /// Sorted by name.
     replicas: Vec<KnownReplica>,
     /// The last outage of the store.
     outage: Outage,
     /// How long after an outage removed replicas stay in use.
     expiry_grace: Duration,
+    /// The interval at which a replica renews its entry.
+    heartbeat: Duration,
     leaving: LeavingReplicas,
+    departures: Departures,
+    /// When the replicas must be listed again, because a list contained the predecessor of a replica
+    /// in use.
+    relist_at: Option<Instant>,
     /// The names of services; the index is the id.
     services: Vec<Arc<str>>,
     /// The ids of all services, sorted by name.
@@ -92,11 +117,15 @@
         Self {
             location: Location { daemon, data_centre, regions },
             configuration: None,
-            replicas_revision: None,
+            era: KnownEra::default(),
+            replicas_position: None,
             replicas: Vec::new(),
             outage: Outage::Never,
             expiry_grace: Duration::ZERO,
+            heartbeat: Duration::ZERO,
             leaving: LeavingReplicas::default(),
+            departures: Departures::default(),
+            relist_at: None,
             services: Vec::new(),
             services_by_name: Vec::new(),
             routes: Vec::new(),
@@ -113,12 +142,23 @@
         Self { expiry_grace, ..self }
     }
 
-    /// Replaces all daemons with the entries at a revision; returns whether the fleet changed.
-    pub fn set_daemons(&mut self, entries: Vec<DaemonEntry>, revision: u64, now: Instant) -> bool {
+    /// Sets the interval at which a replica renews its entry.
+    #[must_use]
+    pub fn with_heartbeat(self, heartbeat: Duration) -> Self {
+        Self { heartbeat, ..self }
+    }
+
+    /// Replaces all daemons with the entries at a position; returns whether the fleet changed.
+    pub fn set_daemons(
+        &mut self,
+        entries: Vec<DaemonEntry>,
+        position: StorePosition,
+        now: Instant,
+    ) -> bool {
         for entry in &entries {
             self.add_data_centre(&entry.data_centre);
         }
-        self.fleet.set_entries(entries, revision, now)
+        self.fleet.set_entries(entries, position, now)
     }
 
     /// Adds or updates a daemon's entry; returns false if the entry is only a renewal.
@@ -132,9 +172,9 @@
         self.fleet.remove(name)
     }
 
-    /// Records that the daemons are current at a newer revision.
-    pub fn advance_daemons_revision(&mut self, revision: u64) {
-        self.fleet.advance_revision(revision);
+    /// Records that the daemons are current at a newer position.
+    pub fn advance_daemons(&mut self, position: StorePosition) {
+        self.fleet.advance(position);
     }
 
     /// Records that the store is reachable again after an outage.
@@ -142,26 +182,12 @@
         self.fleet.store_recovered(now);
     }
 
-    /// Returns the entries of other daemons that were not renewed in time.
-    pub fn expired_daemons(&self, now: Instant) -> Vec<DaemonEntry> {
-        let mut expired = self.fleet.expired(now);
-        expired.retain(|entry| entry.name != self.location.daemon);
-        expired
-    }
-
     /// Returns the addresses of the other daemons.
     pub fn peer_addresses(&self) -> Vec<SocketAddr> {
         let others = self.fleet.daemons().filter(|(entry, _)| entry.name != self.location.daemon);
         others.map(|(entry, _)| entry.address).collect()
     }
 
-    /// Returns the entry of this daemon.
-    ///
-    /// `None` before the daemons are listed, `Some(None)` if this daemon has no entry.
-    pub fn own_entry(&self) -> Option<Option<&DaemonEntry>> {
-        self.fleet.revision().map(|_| self.fleet.entry(&self.location.daemon))
-    }
-
     /// Returns the number of daemons that share budgets and connections.
     pub fn fleet_size(&self) -> u32 {
         self.fleet.size()
@@ -224,7 +250,7 @@
     /// Builds a view of the state; `None` before the configuration and the replicas are known.
     pub fn view(&self) -> Option<View> {
         let configuration =
-            self.configuration.as_ref().filter(|_| self.replicas_revision.is_some())?;
+            self.configuration.as_ref().filter(|_| self.replicas_position.is_some())?;
         let mut routes: Vec<Route> =
             configuration.routes.iter().map(|route| self.build_route(route)).collect();
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
--- a/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
+++ b/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
@@ -1,24 +1,32 @@
 //! The replicas of the catalogue: their entries, outages of the store, and replicas that leave.
 
+use super::eras::EntrySource;
 use super::{Catalogue, KnownReplica, Outage};
 use crate::direct::configuration::ReplicaEntry;
+use crate::direct::store_era::StorePosition;
 use crate::direct::store_times::StoreCall;
 use crate::ids::{Key, ReplicaId};
 use std::time::Instant;
 
 impl Catalogue {
-    /// Replaces all replicas with the entries at a revision; returns whether a new view is needed.
+    /// Replaces all replicas with the entries at a position; returns whether a new view is needed.
     pub fn set_replicas(
         &mut self,
-        entries: Vec<ReplicaEntry>,
-        revision: u64,
+        mut entries: Vec<ReplicaEntry>,
+        position: StorePosition,
         now: Instant,
     ) -> bool {
-        let mut changed = self.replicas_revision.replace(revision).is_none();
+        let before = self.replicas_position.replace(position);
+        let mut changed = before.is_none();
+        let is_restored = before.is_some_and(|before| before.era < position.era);
+        self.relist_at = self.relist_at.filter(|at| *at > now);
+        if is_restored {
+            self.remove_predecessors(&mut entries, now);
+        }
         let mut names: Vec<String> = entries.iter().map(|entry| entry.id.clone()).collect();
         names.sort();
         for entry in entries {
-            changed |= self.put_replica(entry);
+            changed |= self.apply_entry(entry, EntrySource::List, now);
         }
         let known = self.replicas.iter().map(|known| known.entry.id.clone());
         let missing: Vec<_> = known.filter(|name| names.binary_search(name).is_err()).collect();
@@ -31,18 +39,28 @@
     /// Adds or updates a replica; returns whether a new view is needed.
     ///
     /// A replica that restarted or moved gets a new id, so that its statistics are not reused.
-    pub fn put_replica(&mut self, entry: ReplicaEntry) -> bool {
+    pub fn put_replica(&mut self, entry: ReplicaEntry, now: Instant) -> bool {
+        self.apply_entry(entry, EntrySource::Change, now)
+    }
+
+    fn apply_entry(&mut self, entry: ReplicaEntry, source: EntrySource, now: Instant) -> bool {
         self.add_service(&entry.service);
         self.add_data_centre(&entry.data_centre);
+        let unproven = self.check_departed(&entry, source, now);
         let leaving = self.leaving.contains(&entry.id, entry.started_ms);
         match self.position(&entry.id) {
             Ok(index) => {
+                let restarted = self.replicas[index].entry.started_ms != entry.started_ms;
+                if restarted {
+                    let predecessor = self.replicas[index].entry.clone();
+                    self.record_departure(&predecessor, now);
+                }
                 let known = &mut self.replicas[index];
-                let restarted = known.entry.started_ms != entry.started_ms;
                 let unchanged = known.entry.draining == entry.draining
                     && known.entry.address == entry.address
                     && known.entry.service == entry.service
                     && known.entry.slots == entry.slots
+                    && known.unproven.is_some() == unproven.is_some()
                     && !restarted;
                 if restarted || known.entry.address != entry.address {
                     known.id = ReplicaId::from_index(self.next_replica);
@@ -51,12 +69,14 @@
                 known.entry = entry;
                 known.expires_at = None;
                 known.leaving = leaving;
+                known.unproven = unproven;
                 !unchanged
             }
             Err(index) => {
                 let id = ReplicaId::from_index(self.next_replica);
                 self.next_replica += 1;
-                self.replicas.insert(index, KnownReplica { entry, id, expires_at: None, leaving });
+                let known = KnownReplica { entry, id, expires_at: None, leaving, unproven };
+                self.replicas.insert(index, known);
                 true
             }
         }
@@ -84,8 +104,10 @@
             Outage::EndedAt(ended) => ended + self.expiry_grace,
         };
         let known = &mut self.replicas[index];
-        if known.entry.draining || known.expires_at.is_none() && grace_end <= now {
-            self.replicas.remove(index);
+        let is_departed = known.entry.draining || known.unproven.is_some();
+        if is_departed || known.expires_at.is_none() && grace_end <= now {
+            let known = self.replicas.remove(index);
+            self.record_departure(&known.entry, now);
             return true;
         }
         known.expires_at.get_or_insert(grace_end);
@@ -107,13 +129,13 @@
         Some((service, remaining))
     }
 
-    /// Records that the replicas are current at a newer revision.
-    pub fn advance_replicas_revision(&mut self, revision: u64) {
-        self.replicas_revision = Some(revision);
+    /// Records that the replicas are current at a newer position.
+    pub fn advance_replicas(&mut self, position: StorePosition) {
+        self.replicas_position = Some(position);
     }
 
-    pub(in crate::direct) fn replicas_revision(&self) -> Option<u64> {
-        self.replicas_revision
+    pub(in crate::direct) fn replicas_position(&self) -> Option<StorePosition> {
+        self.replicas_position
     }
 
     /// Returns the entries of all replicas, without those that were removed.
@@ -124,14 +146,11 @@
 
     /// Removes the replicas whose grace period has ended; returns their names.
     pub fn expire_replicas(&mut self, now: Instant) -> Vec<String> {
-        let mut expired = Vec::new();
-        self.replicas.retain(|known| {
-            let keep = known.expires_at.is_none_or(|at| at > now);
-            if !keep {
-                expired.push(known.entry.id.clone());
-            }
-            keep
-        });
-        expired
+        let is_expired = |known: &mut KnownReplica| known.expires_at.is_some_and(|at| at <= now);
+        let expired: Vec<_> = self.replicas.extract_if(.., is_expired).collect();
+        for known in &expired {
+            self.record_departure(&known.entry, now);
+        }
+        expired.into_iter().map(|known| known.entry.id).collect()
     }
 }
--- a/crates/berylpin_core/src/direct/catalogue/tests.rs
+++ b/crates/berylpin_core/src/direct/catalogue/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::direct::store_times::StoreCall;
-use crate::direct::testing::{EXPIRY_GRACE, catalogue, configuration, replica_entry};
+use crate::direct::testing::{EXPIRY_GRACE, catalogue, configuration, position, replica_entry};
 use proptest::prelude::*;
 
 fn small_catalogue() -> (Catalogue, Instant) {
@@ -22,7 +22,7 @@
     assert!(catalogue.view().is_none());
     catalogue.apply_configuration(configuration(1, 2));
     assert!(catalogue.view().is_none());
-    catalogue.set_replicas(Vec::new(), 1, Instant::now());
+    catalogue.set_replicas(Vec::new(), position(1), Instant::now());
     assert!(catalogue.view().is_some());
 }
 
@@ -37,10 +37,10 @@
 
 #[test]
 fn a_draining_replica_is_removed_from_the_view_at_once() {
-    let (mut catalogue, _) = small_catalogue();
+    let (mut catalogue, now) = small_catalogue();
     let draining =
         ReplicaEntry { draining: true, ..replica_entry("palermo-0", "shard-0", "palermo") };
-    assert!(catalogue.put_replica(draining));
+    assert!(catalogue.put_replica(draining, now));
     assert!(!replica_names(&catalogue).contains(&"palermo-0".to_owned()));
 }
 
@@ -51,7 +51,7 @@
     let before = replica_names(&catalogue);
     assert!(!catalogue.remove_replica("palermo-0", now));
     assert_eq!(replica_names(&catalogue), before);
-    catalogue.put_replica(replica_entry("palermo-0", "shard-0", "palermo"));
+    catalogue.put_replica(replica_entry("palermo-0", "shard-0", "palermo"), now);
     assert!(catalogue.expire_replicas(now + EXPIRY_GRACE * 2).is_empty());
     assert_eq!(replica_names(&catalogue), before);
 }
@@ -86,7 +86,7 @@
 
 #[test]
 fn a_restarted_replica_gets_a_new_id() {
-    let (mut catalogue, _) = small_catalogue();
+    let (mut catalogue, now) = small_catalogue();
     let id = |catalogue: &Catalogue| {
         let view = catalogue.view().unwrap();
         let found = view.services.iter().flat_map(|(_, s)| s.replicas.clone());
@@ -95,14 +95,14 @@
     let before = id(&catalogue);
     let restarted =
         ReplicaEntry { started_ms: 2, ..replica_entry("palermo-0", "shard-0", "palermo") };
-    assert!(catalogue.put_replica(restarted));
+    assert!(catalogue.put_replica(restarted, now));
     assert_ne!(id(&catalogue), before);
 }
 
 #[test]
 fn an_unchanged_entry_needs_no_new_view() {
-    let (mut catalogue, _) = small_catalogue();
-    assert!(!catalogue.put_replica(replica_entry("palermo-0", "shard-0", "palermo")));
+    let (mut catalogue, now) = small_catalogue();
+    assert!(!catalogue.put_replica(replica_entry("palermo-0", "shard-0", "palermo"), now));
 }
 
 #[test]
@@ -160,13 +160,13 @@
     assert_eq!(catalogue.exclude_leaving(id, now), Some(("shard-0".to_owned(), 1)));
     assert_eq!(catalogue.exclude_leaving(id, now), None);
     assert!(!replica_names(&catalogue).contains(&name));
-    catalogue.put_replica(entry.clone());
+    catalogue.put_replica(entry.clone(), now);
     catalogue.apply_configuration(configuration(9, 2));
     assert!(!replica_names(&catalogue).contains(&name));
     catalogue.remove_replica(&name, now);
     catalogue.expire_replicas(now + EXPIRY_GRACE);
-    catalogue.put_replica(entry.clone());
+    catalogue.put_replica(entry.clone(), now);
     assert!(!replica_names(&catalogue).contains(&name));
-    catalogue.put_replica(ReplicaEntry { started_ms: entry.started_ms + 1, ..entry });
+    catalogue.put_replica(ReplicaEntry { started_ms: entry.started_ms + 1, ..entry }, now);
     assert!(replica_names(&catalogue).contains(&name));
 }
--- a/crates/berylpin_core/src/direct/configuration.rs
+++ b/crates/berylpin_core/src/direct/configuration.rs
@@ -90,6 +90,10 @@
     pub warm_up_left: Duration,
     /// The wall-clock time of the start, in ms; distinguishes two processes of the same name.
     pub started_ms: u64,
+    /// Increases with each write of the process; a write that changes nothing else causes no event.
+    /// Messages between daemons carry it apart from the entry.
+    #[serde(skip)]
+    pub sequence: u64,
 }
 
 /// The entry of a daemon in the store.
--- a/crates/berylpin_core/src/direct/confirmation.rs
+++ b/crates/berylpin_core/src/direct/confirmation.rs
@@ -31,6 +31,11 @@
         gain
     }
 
+    /// Records an answer of the store that does not confirm the configuration.
+    pub fn record_contact(&mut self) {
+        self.unreachable_since = None;
+    }
+
     /// Records that a peer with the same version has it confirmed as of `at`.
     pub fn record_peer(&mut self, at: Instant) {
         self.confirmed_at = self.confirmed_at.max(at);
--- a/crates/berylpin_core/src/direct/dispatcher/tests/simulation.rs
+++ b/crates/berylpin_core/src/direct/dispatcher/tests/simulation.rs
@@ -210,16 +210,16 @@
     fn replace(&mut self, daemon: usize, shard: usize, centre: usize) {
         let (centre, service) = (REPLICA_DATA_CENTRES[centre], shard_name(shard));
         self.replaced += 1;
+        let now = self.now;
         let target = &mut self.daemons[daemon];
         let found = target.view.services.iter().find(|(_, s)| *s.name == *service);
         let in_centre = |name: &str| name.starts_with(centre);
         let old = found.and_then(|(_, s)| s.replicas.iter().find(|r| in_centre(&r.name)));
         let Some(old) = old.map(|replica| replica.name.to_string()) else { return };
-        target
-            .catalogue
-            .put_replica(ReplicaEntry { draining: true, ..replica_entry(&old, &service, centre) });
+        let draining = ReplicaEntry { draining: true, ..replica_entry(&old, &service, centre) };
+        target.catalogue.put_replica(draining, now);
         let new = format!("{centre}-{shard}-{}", self.replaced);
-        target.catalogue.put_replica(replica_entry(&new, &service, centre));
+        target.catalogue.put_replica(replica_entry(&new, &service, centre), now);
         target.view = Arc::new(target.catalogue.view().unwrap());
         let view = target.view.clone();
         self.handle(daemon, Event::View(view));
--- a/crates/berylpin_core/src/direct/fleet/tests.rs
+++ b/crates/berylpin_core/src/direct/fleet/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::direct::testing::daemon_entry;
+use crate::direct::testing::{daemon_entry, position};
 use std::net::SocketAddr;
 
 const EXPIRY_TIME: Duration = RENEWAL_INTERVAL.saturating_mul(MAX_MISSED_RENEWALS + 1);
@@ -8,7 +8,7 @@
     let mut fleet = Fleet::default();
     assert!(fleet.set_entries(
         vec![daemon_entry("a", "palermo"), daemon_entry("b", "catania")],
-        5,
+        position(5),
         now
     ));
     fleet
@@ -61,7 +61,7 @@
     let now = Instant::now();
     let mut fleet = fleet(now);
     let again = vec![daemon_entry("a", "palermo"), daemon_entry("b", "catania")];
-    assert!(!fleet.set_entries(again, 6, now + EXPIRY_TIME));
+    assert!(!fleet.set_entries(again, position(6), now + EXPIRY_TIME));
     assert_eq!(fleet.expired(now + EXPIRY_TIME + Duration::from_secs(1)).len(), 2);
 }
 
@@ -69,6 +69,6 @@
 fn the_fleet_size_is_assumed_until_the_daemons_are_listed() {
     let mut fleet = Fleet::default();
     assert_eq!(fleet.size(), ASSUMED_SIZE);
-    fleet.set_entries(Vec::new(), 1, Instant::now());
+    fleet.set_entries(Vec::new(), position(1), Instant::now());
     assert_eq!(fleet.size(), 1);
 }
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -19,6 +19,7 @@
 mod configuration;
 mod confirmation;
 mod delegation;
+mod departures;
 mod dispatcher;
 mod event;
 mod fleet;
@@ -32,7 +33,9 @@
 mod split;
 mod state_delta;
 mod stop;
+mod store_era;
 mod store_times;
+mod stored_configuration;
 #[cfg(test)]
 mod testing;
 mod view;
@@ -53,8 +56,10 @@
 pub use peers::{CallKey, PartsReply, PartsRequest};
 pub use state_delta::{StateDelta, StateRevisions};
 pub use stop::{Stop, StopSchedule};
+pub use store_era::{AnswerUse, EraChange, KnownEra, StoreEra, StorePosition};
 pub use store_times::{
     CALL_TIMEOUT, EXPIRY_CHECK_INTERVAL, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER,
     REPLICAS_BATCH_DELAY, StoreBounds, StoreCall, StoreTimes, confirmation_delay,
 };
+pub use stored_configuration::StoredConfiguration;
 pub use view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
--- a/crates/berylpin_core/src/direct/testing.rs
+++ b/crates/berylpin_core/src/direct/testing.rs
@@ -4,6 +4,7 @@
 use super::configuration::{
     ClientLimits, Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget,
 };
+use super::store_era::{StoreEra, StorePosition};
 use std::time::{Duration, Instant};
 
 /// The data centre without replicas, in a region of its own.
@@ -21,6 +22,14 @@
 /// How long after an outage of the store the catalogue keeps removed replicas.
 pub(super) const EXPIRY_GRACE: Duration = Duration::from_millis(2300);
 
+/// The heartbeat interval of the replicas.
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(1200);
+
+/// Returns a position in the first era of the store.
+pub(super) fn position(revision: u64) -> StorePosition {
+    StorePosition { era: StoreEra::default(), revision }
+}
+
 pub(super) fn shard_name(index: usize) -> String {
     format!("shard-{index}")
 }
@@ -35,6 +44,7 @@
         draining: false,
         warm_up_left: Duration::ZERO,
         started_ms: 1,
+        sequence: 1,
     }
 }
 
@@ -88,7 +98,8 @@
     let regions = [REPLICA_DATA_CENTRES[0], REMOTE_DATA_CENTRE, REPLICA_DATA_CENTRES[1]]
         .map(|name| (name.to_owned(), name.to_owned()));
     let mut catalogue = Catalogue::new(own.to_owned(), data_centre.to_owned(), regions.into())
-        .with_expiry_grace(EXPIRY_GRACE);
+        .with_expiry_grace(EXPIRY_GRACE)
+        .with_heartbeat(HEARTBEAT);
     catalogue.apply_configuration(configuration(1, shards));
     let mut entries = Vec::new();
     for data_centre in REPLICA_DATA_CENTRES {
@@ -101,11 +112,11 @@
         }
         entries.push(replica_entry(&format!("{data_centre}-ledger"), "ledger", data_centre));
     }
-    catalogue.set_replicas(entries, 1, now);
+    catalogue.set_replicas(entries, position(1), now);
     let daemons =
         [REPLICA_DATA_CENTRES[0], REMOTE_DATA_CENTRE, REPLICA_DATA_CENTRES[1]].iter().flat_map(
             |data_centre| [1, 2].map(|n| daemon_entry(&format!("{data_centre}-{n}"), data_centre)),
         );
-    catalogue.set_daemons(daemons.collect(), 1, now);
+    catalogue.set_daemons(daemons.collect(), position(1), now);
     catalogue
 }
--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -3,13 +3,17 @@
 
 mod configuration;
 mod daemon_entries;
+mod eras;
 mod replica_entries;
 mod state_delta;
 mod watches;
 
 use super::peer_versions::PeerVersion;
 use super::process::Shared;
-use berylpin_core::direct::{Catalogue, Confirmation, Replica, StoreTimes, View};
+use berylpin_core::direct::{
+    Catalogue, Confirmation, Replica, StoreEra, StorePosition, StoreTimes, StoredConfiguration,
+    View,
+};
 use berylpin_platform::{Object, ObjectKind, PlatformSettings, Store, StoreError};
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
@@ -47,9 +51,14 @@
     confirmation: Cell<Confirmation>,
     /// The time in `confirmation`, for the traffic thread.
     confirmed_at: watch::Sender<Option<Instant>>,
-    /// The store's revision of the last answer to a call for the configuration; `None` if it must be
+    /// The store's position at the last answer to a call for the configuration; `None` if it must be
     /// listed.
-    configuration_revision: Cell<Option<u64>>,
+    configuration_position: Cell<Option<StorePosition>>,
+    stored_configuration: Cell<StoredConfiguration>,
+    /// Sends the era of the store when it was restored from a copy.
+    restores: watch::Sender<StoreEra>,
+    /// Until when only the newest data is read, after a restore.
+    fresh_until: Cell<Option<Instant>>,
 }
 
 /// Runs the tasks of the control thread; does not return.
@@ -67,8 +76,10 @@
         let settings = settings.borrow();
         let (data_centre, regions) = (settings.data_centre.clone(), settings.regions.clone());
         let times = StoreTimes::new(&settings.store_bounds);
-        let catalogue = Catalogue::new(settings.name.clone(), data_centre, regions);
-        (catalogue.with_expiry_grace(times.expiry_grace), times)
+        let catalogue = Catalogue::new(settings.name.clone(), data_centre, regions)
+            .with_expiry_grace(times.expiry_grace)
+            .with_heartbeat(settings.store_bounds.heartbeat);
+        (catalogue, times)
     };
     let started = shared.clock.now();
     let control = Rc::new(Control {
@@ -79,7 +90,10 @@
         catalogue: RefCell::new(catalogue),
         confirmation: Cell::new(Confirmation::new(started)),
         confirmed_at,
-        configuration_revision: Cell::new(None),
+        configuration_position: Cell::new(None),
+        stored_configuration: Cell::default(),
+        restores: watch::Sender::default(),
+        fresh_until: Cell::new(None),
     });
     tokio::join!(
         control.watch_kind(WatchConfig::configuration()),
--- a/crates/berylpin_daemon/src/direct/control/configuration.rs
+++ b/crates/berylpin_daemon/src/direct/control/configuration.rs
@@ -3,7 +3,7 @@
 use super::Control;
 use super::watches::WatchConfig;
 use crate::metrics::CONFIGURATION_UNCONFIRMED;
-use berylpin_core::direct::{Confirmation, confirmation_delay};
+use berylpin_core::direct::{Confirmation, StorePosition, confirmation_delay};
 use berylpin_platform::{Change, Object, StoreError, decode_configuration};
 use metrics::histogram;
 use rand::Rng;
@@ -23,12 +23,21 @@
             if failures == 0 {
                 self.wait_until_unconfirmed(interval).await;
             }
-            let since = self.configuration_revision.get();
+            let since = self.configuration_position.get();
             match self.list_or_watch(&config, since, Duration::ZERO).await {
-                Ok(_) => failures = 0,
+                Ok(position) if self.is_confirmed_by(position) => failures = 0,
+                Ok(_) => {
+                    // The operator writes again what the store lost when it was restored.
+                    failures += 1;
+                    tokio::time::sleep(config.backoff_with_jitter(failures)).await;
+                }
+                Err(StoreError::EraChanged) => {
+                    self.configuration_position.set(None);
+                    self.delay_list().await;
+                }
                 Err(e) => {
                     if matches!(e, StoreError::RevisionCompacted) {
-                        self.configuration_revision.set(None);
+                        self.configuration_position.set(None);
                     }
                     if failures == 0 {
                         let age = self.confirmation.get().age(self.now());
@@ -54,11 +63,36 @@
         }
     }
 
-    /// Records an answer that confirms the configuration as of `at`.
-    pub(super) fn record_configuration_answer(&self, at: Instant, revision: u64) {
-        let gain = self.update_confirmation(|confirmation| confirmation.record_answer(at));
-        histogram!(CONFIGURATION_UNCONFIRMED).record(gain);
-        self.configuration_revision.set(self.configuration_revision.get().max(Some(revision)));
+    /// Records an answer that shows the configuration in the store as of `at`, which confirms the one
+    /// in force if both are the same.
+    pub(super) fn record_configuration_answer(&self, at: Instant, position: StorePosition) {
+        if self.is_confirmed_by(position) {
+            let gain = self.update_confirmation(|confirmation| confirmation.record_answer(at));
+            histogram!(CONFIGURATION_UNCONFIRMED).record(gain);
+        } else {
+            self.update_confirmation(Confirmation::record_contact);
+        }
+        self.configuration_position.set(self.configuration_position.get().max(Some(position)));
+    }
+
+    /// Returns whether the store held the configuration in force at the position of an answer.
+    fn is_confirmed_by(&self, position: StorePosition) -> bool {
+        let in_force = self.catalogue.borrow().version();
+        self.stored_configuration.get().confirms(in_force, position.era)
+    }
+
+    /// Records the version in the store, which may be older than the one in force after a restore;
+    /// must follow its application.
+    fn record_stored_version(&self, position: StorePosition, version: Option<u64>) {
+        let mut stored = self.stored_configuration.get();
+        let before = stored.version();
+        stored.record(position, version);
+        self.stored_configuration.set(stored);
+        let in_force = self.catalogue.borrow().version();
+        if stored.version() != before && stored.version() < in_force {
+            warn!(self.shared.log, "control: store holds an older configuration";
+                "stored" => stored.version(), "in_force" => in_force, "era" => position.era.0);
+        }
     }
 
     /// Changes the confirmation, and publishes its time to the traffic thread.
@@ -73,24 +107,28 @@
         result
     }
 
-    pub(super) fn apply_configuration_list(&self, objects: Vec<Object>, _: u64) {
-        for object in &objects {
-            self.apply_configuration(object);
+    pub(super) fn apply_configuration_list(&self, objects: Vec<Object>, position: StorePosition) {
+        match objects.iter().find(|object| object.is_newest_configuration()) {
+            Some(object) => self.apply_configuration(object, position),
+            None => self.record_stored_version(position, None),
         }
     }
 
-    pub(super) fn apply_configuration_changes(&self, changes: Vec<Change>, _: u64) {
+    pub(super) fn apply_configuration_changes(
+        &self,
+        changes: Vec<Change>,
+        position: StorePosition,
+    ) {
         for change in changes {
-            if let Change::Put(object) = change {
-                self.apply_configuration(&object);
+            if let Change::Put(object) = change
+                && object.is_newest_configuration()
+            {
+                self.apply_configuration(&object, position);
             }
         }
     }
 
-    fn apply_configuration(&self, object: &Object) {
-        if !object.is_newest_configuration() {
-            return;
-        }
+    fn apply_configuration(&self, object: &Object, position: StorePosition) {
         match decode_configuration(&object.spec) {
             Ok(configuration) => {
                 let (version, routes) = (configuration.version, configuration.routes.len());
@@ -99,6 +137,7 @@
                         "version" => version, "routes" => routes);
                     self.publish_view();
                 }
+                self.record_stored_version(position, Some(version));
             }
             Err(e) => warn!(self.shared.log, "control: configuration ignored"; "cause" => %e),
         }
--- a/crates/berylpin_daemon/src/direct/control/daemon_entries.rs
+++ b/crates/berylpin_daemon/src/direct/control/daemon_entries.rs
@@ -2,7 +2,7 @@
 
 use super::Control;
 use super::watches::{MAX_DAEMONS_RETRY_BACKOFF, retry_backoff};
-use berylpin_core::direct::{DaemonEntry, RENEWAL_INTERVAL};
+use berylpin_core::direct::{DaemonEntry, RENEWAL_INTERVAL, StorePosition};
 use berylpin_platform::{Change, Object, ObjectKind, decode_daemon_entry};
 use rand::Rng;
 use slog::{info, warn};
@@ -13,15 +13,15 @@
 const ENTRY_CHECK_INTERVAL: Duration = Duration::from_secs(10);
 
 impl Control {
-    pub(super) fn apply_daemon_list(&self, objects: Vec<Object>, revision: u64) {
+    pub(super) fn apply_daemon_list(&self, objects: Vec<Object>, position: StorePosition) {
         let entries =
             objects.iter().filter_map(|object| self.decode_daemon_entry(object)).collect();
-        if self.catalogue.borrow_mut().set_daemons(entries, revision, self.now()) {
+        if self.catalogue.borrow_mut().set_daemons(entries, position, self.now()) {
             self.handle_fleet_change();
         }
     }
 
-    pub(super) fn apply_daemon_changes(&self, changes: Vec<Change>, revision: u64) {
+    pub(super) fn apply_daemon_changes(&self, changes: Vec<Change>, position: StorePosition) {
         let mut fleet_changed = false;
         for change in changes {
             let mut catalogue = self.catalogue.borrow_mut();
@@ -32,7 +32,7 @@
                 Change::Removed(name) => catalogue.remove_daemon(&name),
             };
         }
-        self.catalogue.borrow_mut().advance_daemons_revision(revision);
+        self.catalogue.borrow_mut().advance_daemons(position);
         if fleet_changed {
             self.handle_fleet_change();
         }
@@ -63,7 +63,9 @@
             let renewal_due = renew_at.is_none_or(|at| at <= self.now());
             if listed && (renewal_due || !is_current) {
                 let called_at = self.now();
-                match self.store().put_daemon_entry(&own, renewals).await {
+                let answer = self.store().put_daemon_entry(&own, renewals).await;
+                self.observe_answer(&answer);
+                match answer.result {
                     Ok(()) => {
                         renewals += 1;
                         failures = 0;
@@ -83,7 +85,7 @@
                 retry_backoff(failures, MAX_DAEMONS_RETRY_BACKOFF)
             };
             let jitter = rand::rng().random_range(1.0..2.0);
-            tokio::time::sleep(delay.mul_f64(jitter)).await;
+            self.sleep_unless_restored(delay.mul_f64(jitter)).await;
         }
     }
 
@@ -93,11 +95,14 @@
             // The jitter is large so that most daemons receive a removal before they attempt it.
             let jitter = rand::rng().random_range(1.0..6.0);
             tokio::time::sleep(ENTRY_CHECK_INTERVAL.mul_f64(jitter)).await;
+            self.drop_lost_daemons();
             // At most one entry per check: if the store does not show renewals to this daemon, few
             // valid entries are removed before the fault is detected.
             let expired = self.catalogue.borrow().expired_daemons(self.now()).into_iter().next();
             let Some(entry) = expired else { continue };
-            match self.store().remove_daemon_entry(&entry).await {
+            let answer = self.store().remove_daemon_entry(&entry).await;
+            self.observe_answer(&answer);
+            match answer.result {
                 Ok(()) => info!(self.shared.log, "control: expired daemon entry removed";
                     "daemon" => entry.name, "revision" => entry.revision),
                 Err(e) => warn!(self.shared.log, "control: expired daemon entry not removed";
@@ -106,6 +111,17 @@
         }
     }
 
+    /// Drops the daemons that the store lost with a restore and that did not come back.
+    fn drop_lost_daemons(&self) {
+        let dropped = self.catalogue.borrow_mut().drop_lost_daemons(self.now());
+        for name in &dropped {
+            info!(self.shared.log, "control: daemon lost by the store dropped"; "daemon" => name);
+        }
+        if !dropped.is_empty() {
+            self.handle_fleet_change();
+        }
+    }
+
     fn decode_daemon_entry(&self, object: &Object) -> Option<DaemonEntry> {
         let decoded = decode_daemon_entry(object);
         decoded.inspect_err(|e| self.log_ignored_entry(object, e)).ok()
--- a/crates/berylpin_daemon/src/direct/control/replica_entries.rs
+++ b/crates/berylpin_daemon/src/direct/control/replica_entries.rs
@@ -1,24 +1,24 @@
 //! The entries of replicas in the store, and replicas that announce that they leave.
 
 use super::Control;
-use berylpin_core::direct::{EXPIRY_CHECK_INTERVAL, Replica, ReplicaEntry};
+use berylpin_core::direct::{EXPIRY_CHECK_INTERVAL, Replica, ReplicaEntry, StorePosition};
 use berylpin_platform::{Change, Object, decode_replica_entry};
 use slog::{info, warn};
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
 impl Control {
-    pub(super) fn apply_replica_list(&self, objects: Vec<Object>, revision: u64) {
+    pub(super) fn apply_replica_list(&self, objects: Vec<Object>, position: StorePosition) {
         let entries: Vec<_> =
             objects.iter().filter_map(|object| self.decode_replica(object)).collect();
         let count = entries.len();
-        if self.catalogue.borrow_mut().set_replicas(entries, revision, self.now()) {
+        if self.catalogue.borrow_mut().set_replicas(entries, position, self.now()) {
             info!(self.shared.log, "control: replicas listed"; "count" => count);
             self.publish_view();
         }
     }
 
-    pub(super) fn apply_replica_changes(&self, changes: Vec<Change>, revision: u64) {
+    pub(super) fn apply_replica_changes(&self, changes: Vec<Change>, position: StorePosition) {
         let mut needs_view = false;
         for change in changes {
             needs_view |= match change {
@@ -34,7 +34,7 @@
                 }
             };
         }
-        self.catalogue.borrow_mut().advance_replicas_revision(revision);
+        self.catalogue.borrow_mut().advance_replicas(position);
         if needs_view {
             self.publish_view();
         }
@@ -52,7 +52,7 @@
     fn put_replica(&self, entry: ReplicaEntry) -> bool {
         let (name, service) = (entry.id.clone(), entry.service.clone());
         let draining = entry.draining;
-        let changed = self.catalogue.borrow_mut().put_replica(entry);
+        let changed = self.catalogue.borrow_mut().put_replica(entry, self.now());
         if changed {
             info!(self.shared.log, "control: replica changed"; "replica" => name,
                 "service" => service, "draining" => draining);
--- a/crates/berylpin_daemon/src/direct/control/state_delta.rs
+++ b/crates/berylpin_daemon/src/direct/control/state_delta.rs
@@ -3,11 +3,13 @@
 
 use super::super::peer_versions::PeerVersion;
 use super::super::streams::{
-    CONNECT_TIMEOUT, STATE_DELTA_URI, StreamError, connect, encode_frame, post_request, read_value,
+    CONNECT_TIMEOUT, STATE_DELTA_URI, StreamError, connect, post_request, read_frames,
 };
 use super::Control;
 use berylpin_core::direct::{StateDelta, StateRevisions};
 use berylpin_wire::frame::MAX_FRAME_BYTES;
+use berylpin_wire::state_delta::{decode_delta, encode_revisions};
+use bytes::BytesMut;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use slog::{debug, info};
@@ -42,6 +44,7 @@
     /// Answers the requests of peers until their channel closes.
     pub(super) async fn serve_state_deltas(&self, mut requests: mpsc::Receiver<StateDeltaRequest>) {
         while let Some(StateDeltaRequest { known, reply }) = requests.recv().await {
+            self.observe_peer_era(known.era);
             let delta = self.catalogue.borrow().delta_since(known);
             // An error means that the peer disconnected in the meantime.
             let _ = reply.send(delta);
@@ -110,11 +113,14 @@
     }
 
     fn apply_state_delta(&self, peer: SocketAddr, delta: StateDelta) {
+        self.observe_peer_era(delta.era);
         if self.catalogue.borrow_mut().apply_delta(delta, self.now()) {
             let revisions = self.catalogue.borrow().revisions();
+            let (replicas, daemons) = (revisions.replicas, revisions.daemons);
             info!(self.shared.log, "control: newer configuration or entries of peer applied";
                 "peer" => %peer, "version" => revisions.version,
-                "replicas_at" => revisions.replicas, "daemons_at" => revisions.daemons);
+                "replicas_at" => replicas.map(|at| at.revision),
+                "daemons_at" => daemons.map(|at| at.revision), "era" => revisions.era.0);
             self.publish_view();
         }
     }
@@ -130,9 +136,12 @@
         let mut send_request = timeout(CONNECT_TIMEOUT, send_request.ready()).await??;
         let (response, mut stream) =
             send_request.send_request(post_request(STATE_DELTA_URI), false)?;
-        stream.send_data(encode_frame(&known), true)?;
+        let mut buf = BytesMut::new();
+        encode_revisions(&known, &mut buf);
+        stream.send_data(buf.freeze(), true)?;
         let body = timeout(ANSWER_TIMEOUT, response).await??.into_body();
-        timeout(ANSWER_TIMEOUT, read_value(body, MAX_FRAME_BYTES)).await?
+        let mut frames = timeout(ANSWER_TIMEOUT, read_frames(body, MAX_FRAME_BYTES)).await??;
+        decode_delta(&mut frames)?.ok_or(StreamError::Incomplete)
     };
     tokio::select! {
         delta = exchange => delta,
--- a/crates/berylpin_daemon/src/direct/control/watches.rs
+++ b/crates/berylpin_daemon/src/direct/control/watches.rs
@@ -3,7 +3,7 @@
 use super::Control;
 use berylpin_core::direct::{
     Catalogue, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER, REPLICAS_BATCH_DELAY, StoreCall,
-    StoreTimes, confirmed_by,
+    StorePosition, StoreTimes, confirmed_by,
 };
 use berylpin_platform::{Change, Freshness, Object, ObjectKind, StoreError};
 use rand::Rng;
@@ -28,7 +28,8 @@
 /// The maximum back-off for the daemons, which change rarely.
 pub(super) const MAX_DAEMONS_RETRY_BACKOFF: Duration = Duration::from_secs(4);
 
-/// The revision of state from an incomplete list, so that any complete state counts as newer.
+/// The revision of state from an incomplete list, so that any complete state of its era counts as
+/// newer.
 const INCOMPLETE_REVISION: u64 = 0;
 
 /// How the objects of one kind are listed and watched.
@@ -42,12 +43,14 @@
     batch_delay: Duration,
     /// The maximum back-off after failed calls, before jitter.
     max_backoff: Duration,
-    /// Applies the complete list at a revision.
-    apply_list: fn(&Control, Vec<Object>, u64),
-    /// Applies changes in their order, up to a revision.
-    apply_changes: fn(&Control, Vec<Change>, u64),
-    /// Returns the catalogue's revision of the kind, which state from a peer may have advanced.
-    catalogue_revision: fn(&Catalogue) -> Option<u64>,
+    /// Applies the complete list at a position.
+    apply_list: fn(&Control, Vec<Object>, StorePosition),
+    /// Applies changes in their order, up to a position.
+    apply_changes: fn(&Control, Vec<Change>, StorePosition),
+    /// Returns the catalogue's position of the kind, which state from a peer may have advanced.
+    catalogue_position: fn(&Catalogue) -> Option<StorePosition>,
+    /// Returns whether a watch does not show all that is needed.
+    must_list: fn(&Catalogue, Instant) -> bool,
 }
 
 impl WatchConfig {
@@ -61,7 +64,8 @@
             max_backoff: MAX_RETRY_BACKOFF,
             apply_list: Control::apply_configuration_list,
             apply_changes: Control::apply_configuration_changes,
-            catalogue_revision: |_| None,
+            catalogue_position: |_| None,
+            must_list: |_, _| false,
         }
     }
 
@@ -81,7 +85,8 @@
             max_backoff: MAX_RETRY_BACKOFF,
             apply_list: Control::apply_replica_list,
             apply_changes: Control::apply_replica_changes,
-            catalogue_revision: |catalogue| catalogue.revisions().replicas,
+            catalogue_position: |catalogue| catalogue.revisions().replicas,
+            must_list: Catalogue::needs_replica_list,
         }
     }
 
@@ -95,7 +100,8 @@
             max_backoff: MAX_DAEMONS_RETRY_BACKOFF,
             apply_list: Control::apply_daemon_list,
             apply_changes: Control::apply_daemon_changes,
-            catalogue_revision: |catalogue| catalogue.revisions().daemons,
+            catalogue_position: |catalogue| catalogue.revisions().daemons,
+            must_list: |_, _| false,
         }
     }
 }
@@ -117,20 +123,16 @@
 impl Control {
     /// Lists the objects of a kind and watches them from then on; does not return.
     ///
-    /// Lists them again if the store no longer holds the changes since the last revision.
+    /// Lists them again if the store no longer holds the changes since the last position, or if it
+    /// was restored from a copy.
     pub(super) async fn watch_kind(&self, config: WatchConfig) {
-        let mut revision = None;
+        let mut position = None;
         let mut failures = 0;
         loop {
-            // State from a peer may be newer than the last watch; a watch from an older revision
-            // would revert it.
-            revision = revision.max(
-                (config.catalogue_revision)(&self.catalogue.borrow())
-                    .filter(|_| revision.is_some()),
-            );
+            position = self.next_position(&config, position);
             let wait = next_watch_wait(config.wait, failures == 0);
             let called_at = self.now();
-            let result = self.list_or_watch(&config, revision, wait).await;
+            let result = self.list_or_watch(&config, position, wait).await;
             match &result {
                 Ok(_) if failures > 0 => {
                     info!(self.shared.log, "control: store recovered";
@@ -139,70 +141,120 @@
                         self.catalogue.borrow_mut().store_recovered(self.now());
                     }
                 }
+                Err(StoreError::EraChanged) => {
+                    position = None;
+                    self.delay_list().await;
+                    continue;
+                }
                 Err(e) if failures == 0 => self.log_store_failure(config.kind, e, called_at),
                 _ => {}
             }
             failures = if result.is_ok() { 0 } else { failures + 1 };
             match result {
                 Ok(newest) => {
-                    let changed = revision.replace(newest) != Some(newest);
+                    let changed = position.replace(newest) != Some(newest);
                     if changed {
-                        tokio::time::sleep(config.batch_delay).await;
+                        self.sleep_unless_restored(config.batch_delay).await;
                     }
                 }
-                Err(StoreError::RevisionCompacted) => revision = None,
+                Err(StoreError::RevisionCompacted) => position = None,
                 Err(_) => {
-                    tokio::time::sleep(config.backoff_with_jitter(failures)).await;
+                    self.sleep_unless_restored(config.backoff_with_jitter(failures)).await;
                 }
             }
         }
     }
 
-    /// Lists the objects of a kind, or watches them from the revision `since`; returns the revision
+    /// Returns the position to watch from after the last one; `None` if the objects must be listed.
+    fn next_position(
+        &self,
+        config: &WatchConfig,
+        last: Option<StorePosition>,
+    ) -> Option<StorePosition> {
+        let catalogue = self.catalogue.borrow();
+        if (config.must_list)(&catalogue, self.now()) {
+            return None;
+        }
+        // State from a peer may be newer than the last watch; a watch from an older position would
+        // revert it.
+        let newest = last?.max((config.catalogue_position)(&catalogue).unwrap_or_default());
+        Some(newest).filter(|position| position.era == catalogue.era())
+    }
+
+    /// Lists the objects of a kind, or watches them from the position `since`; returns the position
     /// to watch from next.
     pub(super) async fn list_or_watch(
         &self,
         config: &WatchConfig,
-        since: Option<u64>,
+        since: Option<StorePosition>,
         wait: Duration,
-    ) -> Result<u64, StoreError> {
-        let WatchConfig {
-            kind, watch_freshness, list_freshness, apply_list, apply_changes, ..
-        } = config;
-        let (store, called_at) = (self.store(), self.now());
-        let Some(since) = since else {
-            let listing = store.list(*kind, *list_freshness).await;
-            let succeeded = listing.as_ref().is_ok_and(|listing| listing.complete);
-            self.record_call(*kind, succeeded, called_at, Duration::ZERO);
-            let listing = listing?;
-            if !listing.complete {
-                let found = listing.objects.into_iter().map(Change::Put).collect();
-                apply_changes(self, found, INCOMPLETE_REVISION);
-                return Err(StoreError::Incomplete);
-            }
-            apply_list(self, listing.objects, listing.revision);
-            self.record_answer(*kind, called_at, listing.revision);
-            return Ok(listing.revision);
+    ) -> Result<StorePosition, StoreError> {
+        let result = match since {
+            Some(since) => self.watch(config, since, wait).await,
+            None => self.list(config).await,
         };
-        let changes = store.watch(*kind, since, wait, *watch_freshness).await;
-        self.record_call(*kind, changes.is_ok(), called_at, wait);
-        let (changes, revision) = changes?;
+        if matches!(result, Err(StoreError::OlderEra)) {
+            self.read_fresh();
+        }
+        result
+    }
+
+    async fn list(&self, config: &WatchConfig) -> Result<StorePosition, StoreError> {
+        let WatchConfig { kind, apply_list, apply_changes, .. } = config;
+        let (store, called_at) = (self.store(), self.now());
+        let freshness = self.freshness(config.list_freshness);
+        let call = store.list(*kind, freshness);
+        let (era, listing) = self.call_store(*kind, None, Duration::ZERO, call).await?;
+        if !listing.complete {
+            self.record_call(*kind, false, called_at, Duration::ZERO);
+            let found = listing.objects.into_iter().map(Change::Put).collect();
+            apply_changes(self, found, StorePosition { era, revision: INCOMPLETE_REVISION });
+            return Err(StoreError::Incomplete);
+        }
+        let position = StorePosition { era, revision: listing.revision };
+        apply_list(self, listing.objects, position);
+        self.record_answer(*kind, called_at, position);
+        Ok(position)
+    }
+
+    async fn watch(
+        &self,
+        config: &WatchConfig,
+        since: StorePosition,
+        wait: Duration,
+    ) -> Result<StorePosition, StoreError> {
+        let WatchConfig { kind, apply_changes, .. } = config;
+        let (store, called_at) = (self.store(), self.now());
+        let freshness = self.freshness(config.watch_freshness);
+        let call = store.watch(*kind, since.revision, wait, freshness);
+        let (era, (changes, revision)) = self.call_store(*kind, Some(since), wait, call).await?;
+        let position = StorePosition { era, revision };
         let at = confirmed_by(called_at, wait, !changes.is_empty(), self.now());
-        apply_changes(self, changes, revision);
-        self.record_answer(*kind, at, revision);
-        Ok(revision)
+        apply_changes(self, changes, position);
+        self.record_answer(*kind, at, position);
+        Ok(position)
+    }
+
+    fn freshness(&self, usual: Freshness) -> Freshness {
+        if self.reads_fresh() { Freshness::Newest } else { usual }
     }
 
     /// Records an answer that shows the objects of a kind as of `at`; must follow its changes, or an
     /// older version would be reported as confirmed.
-    fn record_answer(&self, kind: ObjectKind, at: Instant, revision: u64) {
+    fn record_answer(&self, kind: ObjectKind, at: Instant, position: StorePosition) {
         if kind == ObjectKind::Configuration {
-            self.record_configuration_answer(at, revision);
+            self.record_configuration_answer(at, position);
         }
     }
 
     /// Records what a call shows about the store; must precede the changes that it returned.
-    fn record_call(&self, kind: ObjectKind, succeeded: bool, called_at: Instant, wait: Duration) {
+    pub(super) fn record_call(
+        &self,
+        kind: ObjectKind,
+        succeeded: bool,
+        called_at: Instant,
+        wait: Duration,
+    ) {
         let now = self.now();
         let elapsed = now.saturating_duration_since(called_at);
         let call = StoreCall::classify(succeeded, elapsed, wait);
--- a/crates/berylpin_daemon/src/direct/peers.rs
+++ b/crates/berylpin_daemon/src/direct/peers.rs
@@ -4,13 +4,14 @@
 use super::control::StateDeltaRequest;
 use super::disconnect::DisconnectGuard;
 use super::process::ACCEPT_BACKOFF;
-use super::streams::{STATE_DELTA_URI, StreamError, encode_frame, read_value};
+use super::streams::{STATE_DELTA_URI, StreamError, encode_frame, read_frames, read_value};
 use super::traffic::{Payload, Traffic};
 use crate::logging::Log;
 use berylpin_core::direct::{PartsReply, PartsRequest};
 use berylpin_platform::RequestHead;
 use berylpin_wire::parts::{DelegatedReply, DelegatedRequest};
-use bytes::Bytes;
+use berylpin_wire::state_delta::{decode_revisions, encode_delta};
+use bytes::{Bytes, BytesMut};
 use h2::server::SendResponse;
 use h2::{RecvStream, SendStream};
 use http::{HeaderMap, HeaderName, HeaderValue, Response};
@@ -87,14 +88,17 @@
     mut respond: SendResponse<Bytes>,
     state_requests: &mpsc::Sender<StateDeltaRequest>,
 ) -> Result<(), StreamError> {
-    let known = read_value(body, MAX_REQUEST_BYTES).await?;
+    let mut frames = read_frames(body, MAX_REQUEST_BYTES).await?;
+    let known = decode_revisions(&mut frames)?.ok_or(StreamError::Incomplete)?;
     let (reply, delta) = oneshot::channel();
     let queued = state_requests.try_send(StateDeltaRequest { known, reply });
     // An error drops the stream, so that the peer asks another daemon.
     queued.map_err(|_| StreamError::Incomplete)?;
     let delta = delta.await.map_err(|_| StreamError::Incomplete)?;
     let mut stream = respond.send_response(Response::new(()), false)?;
-    stream.send_data(encode_frame(&delta), true)?;
+    let mut buf = BytesMut::new();
+    encode_delta(delta, &mut buf);
+    stream.send_data(buf.freeze(), true)?;
     Ok(())
 }
 
--- a/crates/berylpin_daemon/src/direct/streams.rs
+++ b/crates/berylpin_daemon/src/direct/streams.rs
@@ -71,10 +71,18 @@
 }
 
 /// Reads a body that holds one value in at most `limit` bytes.
-pub(super) async fn read_value<T>(mut body: RecvStream, limit: usize) -> Result<T, StreamError>
+pub(super) async fn read_value<T>(body: RecvStream, limit: usize) -> Result<T, StreamError>
 where
     T: DeserializeOwned,
 {
+    read_frames(body, limit).await?.next_value()?.ok_or(StreamError::Incomplete)
+}
+
+/// Reads a body of at most `limit` bytes.
+pub(super) async fn read_frames(
+    mut body: RecvStream,
+    limit: usize,
+) -> Result<Decoder, StreamError> {
     let mut decoder = Decoder::default();
     let mut read = 0;
     while let Some(bytes) = body.data().await {
@@ -87,5 +95,5 @@
         }
         decoder.extend(&bytes);
     }
-    decoder.next_value()?.ok_or(StreamError::Incomplete)
+    Ok(decoder)
 }
--- a/crates/berylpin_daemon/tests/platform/main.rs
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -9,4 +9,5 @@
 mod silent_store;
 mod soak;
 mod store_outage;
+mod store_restore;
 mod truncated_heads;
--- a/crates/berylpin_wire/src/lib.rs
+++ b/crates/berylpin_wire/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod frame;
 pub mod parts;
 pub mod platform;
+pub mod state_delta;
 pub mod upstream;
