Keep replicas that a copy lacks while the store is away again

Cause: the grace time of a replica whose entry the store lost with a restore ran on when the store was away again soon after, although the replica could not write its entry meanwhile; a live replica was dropped.

Change: such a replica is kept while calls fail, and for the whole grace time after them. A later list of the same era without it, for example a peer's, ends that.

Entries that expired in an ordinary outage have the same gap and are not changed here.

--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -28,6 +28,9 @@
     /// When the replica is removed; set if its entry was removed during or after an outage of the
     /// store, and not while it drained.
     expires_at: Option<Instant>,
+    /// Whether the store lost the entry when it was restored. Such a replica is kept while the store
+    /// cannot be reached, because it cannot write its entry again.
+    lost: bool,
     /// Whether the replica announced that it leaves, whatever its entry says.
     leaving: bool,
     /// Set if the entry may come from a copy of the store from before the replica departed.
--- a/crates/berylpin_core/src/direct/catalogue/eras.rs
+++ b/crates/berylpin_core/src/direct/catalogue/eras.rs
@@ -32,6 +32,7 @@
         };
         if let EraChange::Restored(_) = change {
             self.outage = Outage::EndedAt(now);
+            self.extend_lost(now);
             self.fleet.store_recovered(now);
         }
         change
@@ -132,6 +133,23 @@
         }
     }
 
+    /// Marks a replica in its grace period as one whose entry the store lost with a restore.
+    pub(super) fn mark_lost(&mut self, name: &str) {
+        if let Ok(index) = self.position(name) {
+            self.replicas[index].lost = true;
+        }
+    }
+
+    /// Gives the replicas that the store lost the whole grace time after the end of an outage.
+    pub(super) fn extend_lost(&mut self, now: Instant) {
+        if let Outage::EndedAt(ended) = self.outage
+            && ended == now
+        {
+            let lost = self.replicas.iter_mut().filter(|known| known.lost);
+            lost.for_each(|known| known.expires_at = Some(now + self.expiry_grace));
+        }
+    }
+
     /// Returns how long an entry is stored without a renewal.
     fn removal_time(&self) -> Duration {
         self.heartbeat * HEARTBEATS_UNTIL_REMOVAL
--- a/crates/berylpin_core/src/direct/catalogue/eras/tests.rs
+++ b/crates/berylpin_core/src/direct/catalogue/eras/tests.rs
@@ -66,6 +66,33 @@
     assert_eq!(in_use(&catalogue), ["a"]);
 }
 
+/// The grace time ended although no replica could write to the store.
+#[test]
+fn a_replica_that_the_copy_lacks_is_kept_while_the_store_is_away_again() {
+    let now = Instant::now();
+    let mut catalogue = known_catalogue(now);
+    restore(&mut catalogue, vec![entry("a", 3)], now);
+    catalogue.record_replicas_call(StoreCall::Failed, now + EXPIRY_GRACE / 2);
+    assert!(catalogue.expire_replicas(now + EXPIRY_GRACE * 2).is_empty());
+    let back = now + EXPIRY_GRACE * 3;
+    catalogue.record_replicas_call(StoreCall::InTime, back);
+    assert!(catalogue.expire_replicas(back + EXPIRY_GRACE / 2).is_empty());
+    assert_eq!(catalogue.expire_replicas(back + EXPIRY_GRACE), ["b"]);
+}
+
+/// A daemon that is cut off alone learns from its peers that the replica did not come back.
+#[test]
+fn a_replica_that_the_copy_lacks_is_dropped_if_a_later_list_lacks_it_too() {
+    let now = Instant::now();
+    let mut catalogue = known_catalogue(now);
+    restore(&mut catalogue, vec![entry("a", 3)], now);
+    let later = now + EXPIRY_GRACE * 2;
+    catalogue.record_replicas_call(StoreCall::Failed, later);
+    assert!(catalogue.expire_replicas(later).is_empty());
+    catalogue.set_replicas(vec![entry("a", 3)], position(2, 60), later);
+    assert_eq!(catalogue.expire_replicas(later), ["b"]);
+}
+
 /// The copy lists the replica as ready, and it got requests again.
 #[test]
 fn a_replica_that_departed_before_the_restore_is_not_used_until_it_is_written_again() {
--- a/crates/berylpin_core/src/direct/catalogue/eras/tests/simulation.rs
+++ b/crates/berylpin_core/src/direct/catalogue/eras/tests/simulation.rs
@@ -9,6 +9,9 @@
 /// The store removes an entry after this number of heartbeat intervals without a renewal.
 const SILENT_HEARTBEATS: u32 = 3;
 
+/// The replicas write this much one after the other once the store is back.
+const WRITE_DELAY: Duration = Duration::from_millis(500);
+
 /// A replica's process in the model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ProcessState {
@@ -48,6 +51,8 @@
     Configure,
     Copy,
     Restore,
+    /// The store is away for a while, in ms: no call and no write succeeds.
+    Away(u64),
     /// Time passes, and the daemon calls the store.
     Pass(u64),
 }
@@ -61,6 +66,7 @@
         1 => Just(Step::Configure),
         2 => Just(Step::Copy),
         1 => Just(Step::Restore),
+        1 => (100u64..5000).prop_map(Step::Away),
         8 => (50u64..300).prop_map(Step::Pass),
     ]
 }
@@ -69,6 +75,8 @@
 struct Simulation {
     now: Instant,
     era: u64,
+    /// Until when the store is away.
+    away_until: Instant,
     contents: Contents,
     copy: Contents,
     processes: Vec<Process>,
@@ -93,6 +101,7 @@
         Self {
             now,
             era: 0,
+            away_until: now,
             copy: contents.clone(),
             contents,
             processes: vec![gone; REPLICAS],
@@ -113,7 +122,9 @@
             }
             Step::Leave(index) if self.processes[*index].state != ProcessState::Gone => {
                 self.processes[*index].state = ProcessState::Gone;
-                self.remove(&format!("r{index}"));
+                if !self.is_away() {
+                    self.remove(&format!("r{index}"));
+                }
             }
             Step::Crash(index) => self.processes[*index].state = ProcessState::Gone,
             Step::Configure => {
@@ -122,13 +133,18 @@
             }
             Step::Copy => self.copy = self.contents.clone(),
             Step::Restore => self.restore(),
+            Step::Away(ms) => self.away_until = self.now + Duration::from_millis(*ms),
             Step::Pass(ms) => self.pass(Duration::from_millis(*ms)),
             Step::Drain(_) | Step::Leave(_) => {}
         }
     }
 
+    fn is_away(&self) -> bool {
+        self.now < self.away_until
+    }
+
     fn start(&mut self, index: usize) {
-        if self.processes[index].state == ProcessState::Gone {
+        if self.processes[index].state == ProcessState::Gone && !self.is_away() {
             self.next_start += 1;
             let (started_ms, heartbeat_at) = (self.next_start, self.now);
             self.processes[index] =
@@ -139,6 +155,10 @@
 
     /// Writes the entry of a process; causes an event only if more than the sequence changes.
     fn write(&mut self, index: usize) {
+        if self.is_away() {
+            self.processes[index].heartbeat_at = self.away_until + WRITE_DELAY * index as u32;
+            return;
+        }
         let now = self.now;
         let process = &mut self.processes[index];
         process.sequence += 1;
@@ -185,23 +205,33 @@
 
     fn pass(&mut self, time: Duration) {
         self.now += time;
-        for index in 0..REPLICAS {
-            let process = &self.processes[index];
-            if process.state != ProcessState::Gone && process.heartbeat_at <= self.now {
-                self.write(index);
-            }
+        if self.is_away() {
+            self.write_due();
+            self.catalogue.record_replicas_call(StoreCall::Failed, self.now);
+            self.catalogue.expire_replicas(self.now);
+            return;
         }
         let silent = HEARTBEAT * SILENT_HEARTBEATS;
-        let is_silent =
-            |(_, written_at): &&(ReplicaEntry, Instant)| *written_at + silent <= self.now;
-        let names = self.contents.entries.iter().filter(is_silent);
+        let entries = self.contents.entries.iter();
+        let names = entries.filter(|(_, written_at)| *written_at + silent <= self.now);
         let names: Vec<_> = names.map(|(entry, _)| entry.id.clone()).collect();
         for name in &names {
             self.remove(name);
         }
+        self.write_due();
         self.call_store();
     }
 
+    /// Writes the entries of the processes whose heartbeat is due.
+    fn write_due(&mut self) {
+        for index in 0..REPLICAS {
+            let process = &self.processes[index];
+            if process.state != ProcessState::Gone && process.heartbeat_at <= self.now {
+                self.write(index);
+            }
+        }
+    }
+
     fn call_store(&mut self) {
         let now = self.now;
         self.catalogue.observe_era(StoreEra(self.era), now);
--- a/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
+++ b/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
@@ -32,6 +32,9 @@
         let missing: Vec<_> = known.filter(|name| names.binary_search(name).is_err()).collect();
         for name in missing {
             changed |= self.remove_replica(&name, now);
+            if is_restored {
+                self.mark_lost(&name);
+            }
         }
         changed
     }
@@ -68,6 +71,7 @@
                 }
                 known.entry = entry;
                 known.expires_at = None;
+                known.lost = false;
                 known.leaving = leaving;
                 known.unproven = unproven;
                 !unchanged
@@ -75,7 +79,8 @@
             Err(index) => {
                 let id = ReplicaId::from_index(self.next_replica);
                 self.next_replica += 1;
-                let known = KnownReplica { entry, id, expires_at: None, leaving, unproven };
+                let known =
+                    KnownReplica { entry, id, expires_at: None, lost: false, leaving, unproven };
                 self.replicas.insert(index, known);
                 true
             }
@@ -89,6 +94,7 @@
             (StoreCall::Late, _) | (StoreCall::InTime, Outage::Ongoing) => Outage::EndedAt(now),
             (StoreCall::InTime, outage) => outage,
         };
+        self.extend_lost(now);
     }
 
     /// Removes a replica's entry; returns whether the replica was dropped, so that a new view is
@@ -111,6 +117,7 @@
             return true;
         }
         known.expires_at.get_or_insert(grace_end);
+        known.lost = false;
         false
     }
 
@@ -146,7 +153,10 @@
 
     /// Removes the replicas whose grace period has ended; returns their names.
     pub fn expire_replicas(&mut self, now: Instant) -> Vec<String> {
-        let is_expired = |known: &mut KnownReplica| known.expires_at.is_some_and(|at| at <= now);
+        let is_away = matches!(self.outage, Outage::Ongoing);
+        let is_expired = |known: &mut KnownReplica| {
+            known.expires_at.is_some_and(|at| at <= now) && !(known.lost && is_away)
+        };
         let expired: Vec<_> = self.replicas.extract_if(.., is_expired).collect();
         for known in &expired {
             self.record_departure(&known.entry, now);
--- a/crates/berylpin_core/src/direct/state_delta/tests.rs
+++ b/crates/berylpin_core/src/direct/state_delta/tests.rs
@@ -78,6 +78,18 @@
     assert_eq!(before.revisions(), restored.revisions());
 }
 
+/// A daemon that knows of a restore and has not listed the entries since keeps what it has.
+#[test]
+fn state_from_before_a_known_restore_is_not_applied() {
+    let now = Instant::now();
+    let (mut peer, mut catalogue) = (new_catalogue(), new_catalogue());
+    replicas_at(&mut peer, 1, 900, &["old"], now);
+    replicas_at(&mut catalogue, 1, 800, &["known"], now);
+    catalogue.observe_era(StoreEra(2), now);
+    assert!(!catalogue.apply_delta(peer.delta_since(catalogue.revisions()), now));
+    assert_eq!(names(&catalogue), ["known"]);
+}
+
 /// A daemon that asks for the configuration alone states the highest position for entries.
 #[test]
 fn a_request_for_the_configuration_alone_names_the_known_era() {
--- a/crates/berylpin_daemon/tests/platform/store_restore.rs
+++ b/crates/berylpin_daemon/tests/platform/store_restore.rs
@@ -153,7 +153,9 @@
     }
     harness.put_configuration(2, "b");
     harness.expect_answers(&process, "b", Duration::from_secs(6)).await;
-    assert!(process.log().contains("control: store restored from a copy"), "{}", process.log());
+    for line in ["store restored from a copy", "store holds an older configuration"] {
+        assert!(process.log().contains(line), "no {line}:\n{}", process.log());
+    }
 }
 
 /// A watch from before the restore is accepted once the revisions have grown past its own, so what
