Back off when the store's era changes again and again

Cause, found by reading: a list whose pages came from two eras in turn was started again after 0.1 s on average, without end; and after a restore all daemons listed all kinds within 0.2 s.

Change: the first list after a change of era is delayed by up to 0.2 s, that of the daemons by up to 2 s; further ones back off like failed calls.

--- a/crates/berylpin_daemon/src/direct/control/configuration.rs
+++ b/crates/berylpin_daemon/src/direct/control/configuration.rs
@@ -33,7 +33,8 @@
                 }
                 Err(StoreError::EraChanged) => {
                     self.configuration_position.set(None);
-                    self.delay_list().await;
+                    failures += 1;
+                    tokio::time::sleep(config.list_delay(failures)).await;
                 }
                 Err(e) => {
                     if matches!(e, StoreError::RevisionCompacted) {
--- a/crates/berylpin_daemon/src/direct/control/eras.rs
+++ b/crates/berylpin_daemon/src/direct/control/eras.rs
@@ -3,7 +3,6 @@
 use super::Control;
 use berylpin_core::direct::{AnswerUse, EraChange, StoreEra, StorePosition};
 use berylpin_platform::{Answer, ObjectKind, StoreError};
-use rand::Rng;
 use slog::{info, warn};
 use std::time::Duration;
 
@@ -11,10 +10,6 @@
 /// before it.
 const FRESH_READS_TIME: Duration = Duration::from_secs(10);
 
-/// The maximum delay before the objects are listed after a restore, which spreads the calls of the
-/// fleet.
-const MAX_LIST_DELAY: Duration = Duration::from_millis(200);
-
 impl Control {
     /// Makes a call for the changes after `since`, or for a list; returns what it returns, with the
     /// store's era. The store holds the call for up to `wait`.
@@ -111,11 +106,6 @@
         self.fresh_until.get().is_some_and(|until| self.now() < until)
     }
 
-    /// Waits before objects are listed because the store was restored.
-    pub(super) async fn delay_list(&self) {
-        tokio::time::sleep(MAX_LIST_DELAY.mul_f64(rand::rng().random())).await;
-    }
-
     /// Sleeps, but not longer than until the store is restored from a copy.
     pub(super) async fn sleep_unless_restored(&self, duration: Duration) {
         let mut restores = self.restores.subscribe();
--- a/crates/berylpin_daemon/src/direct/control/watches.rs
+++ b/crates/berylpin_daemon/src/direct/control/watches.rs
@@ -21,6 +21,11 @@
 /// daemons write their entries within 1 s.
 const DAEMONS_BATCH_DELAY: Duration = Duration::from_secs(3);
 
+/// The maximum delays before objects are listed after a restore of the store, which spread the calls
+/// of the fleet.
+const MAX_LIST_DELAY: Duration = Duration::from_millis(200);
+const MAX_DAEMONS_LIST_DELAY: Duration = Duration::from_secs(2);
+
 /// The maximum back-off for the configuration and the replicas, which must be current soon after
 /// the store recovers.
 const MAX_RETRY_BACKOFF: Duration = Duration::from_secs(1);
@@ -43,6 +48,8 @@
     batch_delay: Duration,
     /// The maximum back-off after failed calls, before jitter.
     max_backoff: Duration,
+    /// The maximum delay of a list after a restore of the store.
+    max_list_delay: Duration,
     /// Applies the complete list at a position.
     apply_list: fn(&Control, Vec<Object>, StorePosition),
     /// Applies changes in their order, up to a position.
@@ -62,6 +69,7 @@
             list_freshness: Freshness::Newest,
             batch_delay: Duration::ZERO,
             max_backoff: MAX_RETRY_BACKOFF,
+            max_list_delay: MAX_LIST_DELAY,
             apply_list: Control::apply_configuration_list,
             apply_changes: Control::apply_configuration_changes,
             catalogue_position: |_| None,
@@ -75,6 +83,16 @@
         retry_backoff(failures, self.max_backoff).mul_f64(jitter)
     }
 
+    /// Returns the delay before objects are listed because the era changed `count` times in a row.
+    ///
+    /// Backs off after the first time, since answers may come from two eras in turn.
+    pub(super) fn list_delay(&self, count: u32) -> Duration {
+        match count {
+            0 | 1 => self.max_list_delay.mul_f64(rand::rng().random()),
+            _ => self.backoff_with_jitter(count - 1),
+        }
+    }
+
     pub(super) fn replicas(times: &StoreTimes) -> Self {
         Self {
             kind: ObjectKind::Replicas,
@@ -83,6 +101,7 @@
             list_freshness: Freshness::Newest,
             batch_delay: REPLICAS_BATCH_DELAY,
             max_backoff: MAX_RETRY_BACKOFF,
+            max_list_delay: MAX_LIST_DELAY,
             apply_list: Control::apply_replica_list,
             apply_changes: Control::apply_replica_changes,
             catalogue_position: |catalogue| catalogue.revisions().replicas,
@@ -98,6 +117,7 @@
             list_freshness: Freshness::MaybeStale,
             batch_delay: DAEMONS_BATCH_DELAY,
             max_backoff: MAX_DAEMONS_RETRY_BACKOFF,
+            max_list_delay: MAX_DAEMONS_LIST_DELAY,
             apply_list: Control::apply_daemon_list,
             apply_changes: Control::apply_daemon_changes,
             catalogue_position: |catalogue| catalogue.revisions().daemons,
@@ -128,6 +148,7 @@
     pub(super) async fn watch_kind(&self, config: WatchConfig) {
         let mut position = None;
         let mut failures = 0;
+        let mut era_changes = 0;
         loop {
             position = self.next_position(&config, position);
             let wait = next_watch_wait(config.wait, failures == 0);
@@ -143,13 +164,15 @@
                 }
                 Err(StoreError::EraChanged) => {
                     position = None;
-                    self.delay_list().await;
+                    era_changes += 1;
+                    tokio::time::sleep(config.list_delay(era_changes)).await;
                     continue;
                 }
                 Err(e) if failures == 0 => self.log_store_failure(config.kind, e, called_at),
                 _ => {}
             }
             failures = if result.is_ok() { 0 } else { failures + 1 };
+            era_changes = 0;
             match result {
                 Ok(newest) => {
                     let changed = position.replace(newest) != Some(newest);
--- a/crates/berylpin_daemon/src/direct/control/watches/tests.rs
+++ b/crates/berylpin_daemon/src/direct/control/watches/tests.rs
@@ -21,3 +21,13 @@
         assert!(MAX_RETRY_BACKOFF * MAX_BACKOFF_JITTER < settle_time);
     }
 }
+
+/// Pages of a list that come from two eras in turn made the store be called without a pause.
+#[test]
+fn lists_after_a_change_of_era_back_off_after_the_first_one() {
+    let config = WatchConfig::configuration();
+    assert!(config.list_delay(1) <= MAX_LIST_DELAY);
+    assert!(config.list_delay(2) >= INITIAL_RETRY_BACKOFF);
+    assert!(config.list_delay(9) >= MAX_RETRY_BACKOFF);
+    assert!(WatchConfig::daemons().list_delay(1) <= MAX_DAEMONS_LIST_DELAY);
+}
