Soak: copy and restore the store

A random number generator of its own draws the restores, so that each seed keeps its other faults. After up to 2 s the configuration and the entries of replicas are written again. Waiting watches go silent, are cut off or were answered before.

--- a/crates/berylpin_daemon/tests/platform/soak.rs
+++ b/crates/berylpin_daemon/tests/platform/soak.rs
@@ -6,8 +6,8 @@
 
 use super::process::{FleetPorts, Process, data_centre};
 use berylpin_platform_standin::{
-    Caller, Fault, Outcome, Replica, RequestKind, RunLog, Store, StoreFault, configuration,
-    replica_entry,
+    Caller, Fault, Outcome, Replica, RequestKind, RunLog, Store, StoreCopy, StoreFault,
+    WaitingWatches, configuration, replica_entry,
 };
 use berylpin_standin::net::{Net, Proxy, ProxyTarget, Zone};
 use rand::rngs::SmallRng;
@@ -108,6 +108,9 @@
     rng: SmallRng,
     /// Draws the troubles of replicas; apart from `rng`, so that each seed keeps its other faults.
     trouble_rng: SmallRng,
+    /// Draws the restores of the store.
+    restore_rng: SmallRng,
+    store_copy: StoreCopy,
     seed: u64,
     net: Arc<Net>,
     store: Store,
@@ -167,6 +170,8 @@
         Self {
             rng,
             trouble_rng: SmallRng::seed_from_u64(!seed),
+            restore_rng: SmallRng::seed_from_u64(seed.swap_bytes()),
+            store_copy: store.copy(),
             seed,
             net,
             store,
@@ -314,6 +319,25 @@
         }
     }
 
+    /// Copies the store, or restores it from the last copy; the operator and the replicas then write
+    /// again what they wrote before.
+    async fn restore_store(&mut self) {
+        match self.restore_rng.random_range(0..6) {
+            0 => self.store_copy = self.store.copy(),
+            1 => {
+                let before = self.store.copy();
+                let waiting_watches =
+                    [WaitingWatches::Silent, WaitingWatches::CutOff, WaitingWatches::Answered];
+                let waiting_watches = *waiting_watches.choose(&mut self.restore_rng).unwrap();
+                self.store.restore(&self.store_copy, waiting_watches);
+                sleep(Duration::from_millis(self.restore_rng.random_range(0..2000))).await;
+                self.store.write_again(&before, "config");
+                self.store.write_again(&before, "servers");
+            }
+            _ => {}
+        }
+    }
+
     /// Ends all faults and restores all entries of replicas, as those of new processes.
     fn clear_faults(&self) {
         self.store.set_fault(StoreFault::None);
@@ -423,6 +447,7 @@
     for _ in 0..steps {
         harness.inject_fault().await;
         harness.inject_replica_trouble();
+        harness.restore_store().await;
         sleep(Duration::from_millis(harness.rng.random_range(50..900))).await;
     }
     harness.clear_faults();
