Count restores of the store; test daemons that a copy lacks

`berylpin_store_restores_total` counts the restores that a daemon noticed.

A process test has two daemons whose entries the copy lacks: each must keep the other and write its entry again. It fails if lost daemons are dropped from the fleet. The test of revisions that are given out again now also shows that a silent watch is abandoned; it fails if calls are not abandoned on a restore.

--- a/crates/berylpin_daemon/src/direct/control/eras.rs
+++ b/crates/berylpin_daemon/src/direct/control/eras.rs
@@ -1,8 +1,10 @@
 //! Restores of the store from a copy: calls from before one are abandoned.
 
 use super::Control;
+use crate::metrics::STORE_RESTORES;
 use berylpin_core::direct::{AnswerUse, EraChange, StoreEra, StorePosition};
 use berylpin_platform::{Answer, ObjectKind, StoreError};
+use metrics::counter;
 use slog::{info, warn};
 use std::time::Duration;
 
@@ -89,6 +91,7 @@
             EraChange::Restored(before) => {
                 warn!(self.shared.log, "control: store restored from a copy";
                     "era" => era.0, "previous_era" => before.0);
+                counter!(STORE_RESTORES).increment(1);
                 self.read_fresh();
                 self.configuration_position.set(None);
                 self.restores.send_replace(era);
--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -38,6 +38,9 @@
 /// The time between two confirmations of the configuration by the store.
 pub(crate) const CONFIGURATION_UNCONFIRMED: &str = "berylpin_configuration_unconfirmed_seconds";
 
+/// The name of the counter of restores of the users' store from a copy.
+pub(crate) const STORE_RESTORES: &str = "berylpin_store_restores_total";
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] =
     [0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
@@ -185,6 +188,7 @@
     describe_counter!(EXECUTION_REFUSALS, "Refusals by holders of keys, by verdict and reason");
     describe_counter!(SHED_LEVEL_CHANGES, "Changes of a replica's shed level, by rank");
     describe_histogram!(QUEUE_DELAY, "Time that a new sub-query would wait at a replica");
+    describe_counter!(STORE_RESTORES, "Restores of the store from a copy that were noticed");
     describe_counter!(PLATFORM_CALLS, "Calls to the platform, by outcome");
     describe_gauge!(REVISION_IN_FORCE, "Revision of the documents in force");
     describe_gauge!(VIEW_EPOCH, "Epoch of the view in force");
--- a/crates/berylpin_daemon/tests/platform/store_restore.rs
+++ b/crates/berylpin_daemon/tests/platform/store_restore.rs
@@ -22,6 +22,10 @@
 /// How long after the restore the operator and the replicas write again what they wrote before.
 const REWRITE_DELAY: Duration = Duration::from_millis(1500);
 
+/// How long after the last change a daemon watches all kinds again; after a change of daemons it waits
+/// for 3 s.
+const WATCH_DELAY: Duration = Duration::from_millis(3500);
+
 /// Enough queries at a time that a single replica of a shard does not get all of them.
 const CONCURRENT_QUERIES: usize = 4;
 
@@ -126,13 +130,22 @@
 
 /// Waits until the log of a daemon contains `text`.
 async fn wait_for_line(process: &Process, text: &str) {
+    wait_for_lines(process, text, 1).await;
+}
+
+/// Waits until the log of a daemon contains `text` at least `count` times.
+async fn wait_for_lines(process: &Process, text: &str, count: usize) {
     let deadline = Instant::now() + SERVE_TIMEOUT;
-    while !process.log().contains(text) {
+    while process.log().matches(text).count() < count {
         assert!(Instant::now() < deadline, "no {text}:\n{}", process.log());
         sleep(Duration::from_millis(10)).await;
     }
 }
 
+fn is_failed_call_for_daemons(line: &str) -> bool {
+    line.contains("control: store call failed") && line.contains("\"kind\":\"daemons\"")
+}
+
 /// The copy lacks the configuration in force and all replicas of its shards: they were dropped as
 /// removed, and queries had no shards left until the replicas wrote their entries again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -171,7 +184,9 @@
     // A change that the daemon receives, so that it watches from this revision.
     harness.start_replica("ledger-1", "ledger").await;
     wait_for_line(&process, "\"ledger-1\"").await;
-    sleep(Duration::from_millis(500)).await;
+    // The list of daemons, and the daemon's own entry.
+    wait_for_lines(&process, "control: daemons changed", 2).await;
+    sleep(WATCH_DELAY).await;
     let revision = harness.store.revision();
     harness.store.restore(&copy, WaitingWatches::Silent);
     harness.start_replica("b0-0", "b0").await;
@@ -185,6 +200,9 @@
         assert!(Instant::now() < deadline, "no entry:\n{}", process.log());
         sleep(Duration::from_millis(50)).await;
     }
+    let log = process.log();
+    let timed_out = log.lines().find(|line| is_failed_call_for_daemons(line));
+    assert_eq!(timed_out, None, "the silent watch of the daemons was not abandoned:\n{log}");
 }
 
 /// A replica that had drained and left was listed as ready by the copy, and got requests again.
@@ -236,3 +254,34 @@
     harness.put_configuration(2, "b");
     harness.expect_answers(&restarted, "b", Duration::from_secs(3)).await;
 }
+
+/// The copy lacks the entries of all daemons, so each seemed to be alone in the fleet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn daemons_whose_entries_the_copy_lacks_stay_peers_and_write_them_again() {
+    let mut harness = Harness::start().await;
+    let copy = harness.store.copy();
+    let mut processes = [0, 1].map(|zone| harness.process(Zone(zone), "lacking-daemons"));
+    for process in &mut processes {
+        process.start();
+        harness.wait_until_serves(process, "a").await;
+        wait_for_line(process, "control: daemons changed").await;
+    }
+    for process in &processes {
+        wait_for_line(process, "\"daemons\":2").await;
+    }
+    harness.store.restore(&copy, WaitingWatches::Answered);
+    for process in &processes {
+        wait_for_line(process, "control: store restored from a copy").await;
+        harness.expect_answers(process, "a", Duration::from_secs(1)).await;
+    }
+    let deadline = Instant::now() + ENTRY_TIMEOUT;
+    for process in &processes {
+        while !harness.store.contains("daemons", process.name()) {
+            assert!(Instant::now() < deadline, "no entry:\n{}", process.log());
+            sleep(Duration::from_millis(50)).await;
+        }
+        let log = process.log();
+        let (_, after) = log.split_once("control: store restored from a copy").unwrap();
+        assert!(!after.contains("control: daemons changed"), "the fleet changed:\n{log}");
+    }
+}
