--- a/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
+++ b/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
@@ -1,61 +1,84 @@
 //! The replicas of the catalogue: their entries, outages of the store, and replicas that leave.
 
+use super::eras::EntrySource;
 use super::{Catalogue, KnownReplica};
 use crate::direct::configuration::ReplicaEntry;
 use crate::direct::entry_check::ReplicaName;
+use crate::direct::store_era::StorePosition;
 use crate::direct::store_times::StoreCall;
 use crate::ids::{Key, ReplicaId};
 use std::time::Instant;
 
 impl Catalogue {
-    /// Replaces all replicas with the entries at a revision; returns whether a new view is needed.
+    /// Replaces all replicas with the entries at a position; returns whether a new view is needed.
     ///
     /// An unusable entry, which a peer may send too, counts as missing.
     pub fn set_replicas(
         &mut self,
         mut entries: Vec<ReplicaEntry>,
-        revision: u64,
+        position: StorePosition,
         now: Instant,
     ) -> bool {
-        let previous = self.replicas_revision.replace(revision);
-        if Some(revision) < previous {
+        let before = self.replicas_position.replace(position);
+        let is_new_era = before.is_some_and(|before| before.era < position.era);
+        if !is_new_era && Some(position) < before {
             self.contact.record_restored_store(now);
         }
-        let mut changed = previous.is_none();
+        // Also for a list of a new era without other entries: peers compare the view's position.
+        let mut changed = before.is_none() || is_new_era;
+        self.relist_at = self.relist_at.filter(|at| *at > now);
         entries.retain(|entry| entry.check().is_ok());
+        if is_new_era {
+            self.remove_predecessors(&mut entries, now);
+        }
         let mut names: Vec<String> = entries.iter().map(|entry| entry.id.clone()).collect();
         names.sort();
         for entry in entries {
-            changed |= self.put_replica(entry);
+            changed |= self.apply_entry(entry, EntrySource::List, now);
         }
         let known = self.replicas.iter().map(|known| known.entry.id.clone());
         let missing: Vec<_> = known.filter(|name| names.binary_search(name).is_err()).collect();
         for name in missing {
-            self.remove_replica(&name, now);
-            // Also for a replica that stays in use: peers compare the view's revision.
+            // Also for a replica that stays in use: peers compare the view's position.
             changed = true;
+            if is_new_era {
+                self.lose_replica(&name, now);
+            } else {
+                self.remove_replica(&name, now);
+            }
         }
         changed
     }
 
     /// Adds or updates a replica; returns whether a new view is needed.
     ///
-    /// Ignores an unusable entry. A replica that restarted or moved gets a new id, so that its statistics are not reused.
-    pub fn put_replica(&mut self, entry: ReplicaEntry) -> bool {
+    /// Ignores an unusable entry. A replica that restarted or moved gets a new id, so that its
+    /// statistics are not reused.
+    pub fn put_replica(&mut self, entry: ReplicaEntry, now: Instant) -> bool {
+        self.apply_entry(entry, EntrySource::Change, now)
+    }
+
+    fn apply_entry(&mut self, entry: ReplicaEntry, source: EntrySource, now: Instant) -> bool {
         let Ok(name) = entry.check().and_then(|()| ReplicaName::new(&entry.id)) else {
             return false;
         };
         self.add_service(&entry.service);
         self.add_data_centre(&entry.data_centre);
+        let unproven = self.check_departed(&entry, source, now);
         let leaving = self.leaving.contains(&entry.id, entry.started_ms);
         match self.position(&entry.id) {
             Ok(index) => {
+                let restarted = self.replicas[index].entry.started_ms != entry.started_ms;
+                if restarted {
+                    let predecessor = self.replicas[index].entry.clone();
+                    self.record_departure(&predecessor, now);
+                }
                 let known = &mut self.replicas[index];
-                let restarted = known.entry.started_ms != entry.started_ms;
                 let unchanged = known.entry.draining == entry.draining
                     && known.entry.address == entry.address
                     && known.entry.service == entry.service
                     && known.entry.slots == entry.slots
+                    && known.unproven.is_some() == unproven.is_some()
                     && !restarted;
                 if restarted || known.entry.address != entry.address {
                     known.id = ReplicaId::from_index(self.next_replica);
@@ -63,13 +86,23 @@
                 }
                 known.entry = entry;
                 known.expires_at = None;
+                known.lost = false;
                 known.leaving = leaving;
+                known.unproven = unproven;
                 !unchanged
             }
             Err(index) => {
                 let id = ReplicaId::from_index(self.next_replica);
                 self.next_replica += 1;
-                let known = KnownReplica { entry, name, id, expires_at: None, leaving };
+                let known = KnownReplica {
+                    entry,
+                    name,
+                    id,
+                    expires_at: None,
+                    lost: false,
+                    leaving,
+                    unproven,
+                };
                 self.replicas.insert(index, known);
                 true
             }
@@ -84,6 +117,7 @@
     /// Records the end of a call for the replicas; must precede the changes that it returned.
     pub fn record_replicas_call(&mut self, call: StoreCall, now: Instant) {
         self.contact.record_call(call, now);
+        self.extend_lost(now);
     }
 
     /// Records that the replicas of a peer are applied; must precede their changes.
@@ -97,14 +131,21 @@
     /// The entry of a replica that does not drain may only have expired in an outage of the store.
     /// The replica then stays in use until running replicas are listed again.
     pub fn remove_replica(&mut self, name: &str, now: Instant) -> bool {
+        self.remove_entry(name, self.contact.grace_end(now), now)
+    }
+
+    /// Removes the entry of a replica, which stays in use until `grace_end` unless it drained.
+    pub(super) fn remove_entry(&mut self, name: &str, grace_end: Instant, now: Instant) -> bool {
         let Ok(index) = self.position(name) else { return false };
-        let grace_end = self.contact.grace_end(now);
         let known = &mut self.replicas[index];
-        if known.entry.draining || known.expires_at.is_none() && grace_end <= now {
-            self.replicas.remove(index);
+        let is_departed = known.entry.draining || known.unproven.is_some();
+        if is_departed || known.expires_at.is_none() && grace_end <= now {
+            let known = self.replicas.remove(index);
+            self.record_departure(&known.entry, now);
             return true;
         }
         known.expires_at.get_or_insert(grace_end);
+        known.lost = false;
         false
     }
 
@@ -123,13 +164,13 @@
         Some((service, remaining))
     }
 
-    /// Records that the replicas are current at a newer revision.
-    pub fn advance_replicas_revision(&mut self, revision: u64) {
-        self.replicas_revision = Some(revision);
+    /// Records that the replicas are current at a newer position.
+    pub fn advance_replicas(&mut self, position: StorePosition) {
+        self.replicas_position = Some(position);
     }
 
-    pub(in crate::direct) fn replicas_revision(&self) -> Option<u64> {
-        self.replicas_revision
+    pub(in crate::direct) fn replicas_position(&self) -> Option<StorePosition> {
+        self.replicas_position
     }
 
     /// Returns the entries of all replicas, without those that were removed.
@@ -140,14 +181,14 @@
 
     /// Removes the replicas whose grace period has ended; returns their names.
     pub fn expire_replicas(&mut self, now: Instant) -> Vec<String> {
-        let mut expired = Vec::new();
-        self.replicas.retain(|known| {
-            let keep = known.expires_at.is_none_or(|at| at > now);
-            if !keep {
-                expired.push(known.entry.id.clone());
-            }
-            keep
-        });
-        expired
+        let is_away = self.contact.is_away();
+        let is_expired = |known: &mut KnownReplica| {
+            known.expires_at.is_some_and(|at| at <= now) && !(known.lost && is_away)
+        };
+        let expired: Vec<_> = self.replicas.extract_if(.., is_expired).collect();
+        for known in &expired {
+            self.record_departure(&known.entry, now);
+        }
+        expired.into_iter().map(|known| known.entry.id).collect()
     }
 }
--- a/crates/berylpin_core/src/direct/catalogue/store_contact.rs
+++ b/crates/berylpin_core/src/direct/catalogue/store_contact.rs
@@ -20,6 +20,8 @@
     failure: Option<FailedCall>,
     /// The last outage in which entries may have expired.
     outage: Option<Outage>,
+    /// When the store was last known to have returned, from an outage of any length or from a copy.
+    returned_at: Option<Instant>,
 }
 
 /// A call that failed.
@@ -34,8 +36,8 @@
 struct Outage {
     /// When the store answered for the first time after it.
     answered_at: Instant,
-    /// The last call that failed in it, or was answered late.
-    failure: FailedCall,
+    /// The last call that failed in it, or was answered late; `None` if the store named a new era.
+    failure: Option<FailedCall>,
 }
 
 impl StoreContact {
@@ -65,27 +67,55 @@
     /// their replicas have written them again.
     pub(super) fn record_restored_store(&mut self, now: Instant) {
         let failure = FailedCall { called_at: self.called_at };
-        self.outage = Some(Outage { answered_at: now, failure });
+        self.outage = Some(Outage { answered_at: now, failure: Some(failure) });
+    }
+
+    /// Records that the store was restored from a copy, as its era shows.
+    ///
+    /// Unlike after a failed call, it is certain that entries are missing, so that the grace time
+    /// counts from now on.
+    pub(super) fn record_new_era(&mut self, now: Instant) {
+        self.outage = Some(Outage { answered_at: now, failure: None });
+        self.returned_at = Some(now);
+    }
+
+    /// Returns whether the store has not answered since a call failed.
+    pub(super) fn is_away(&self) -> bool {
+        self.failure.is_some()
+    }
+
+    /// Returns when the store was last known to have returned, from an outage or from a copy.
+    pub(super) fn returned_at(&self) -> Option<Instant> {
+        self.returned_at
+    }
+
+    /// Returns until when a replica stays in use whose entry the store lost with a restore.
+    pub(super) fn lost_grace_end(&self, now: Instant) -> Instant {
+        let returned_at = self.returned_at.filter(|_| !self.is_away());
+        returned_at.unwrap_or(now) + self.grace.after_outage
     }
 
     /// Returns until when a replica stays in use whose entry is removed now.
     pub(super) fn grace_end(&self, now: Instant) -> Instant {
         let (from, failure) = match (self.failure, self.outage) {
-            (Some(failure), _) => (now, failure),
+            (Some(failure), _) => (now, Some(failure)),
             (None, Some(Outage { answered_at, failure })) => (answered_at, failure),
             (None, None) => return now,
         };
-        let latest = failure.called_at.map_or(now, |at| at + self.grace.after_failed_call);
-        latest.min(from + self.grace.after_outage)
+        let grace_end = from + self.grace.after_outage;
+        let Some(FailedCall { called_at }) = failure else { return grace_end };
+        called_at.map_or(now, |at| at + self.grace.after_failed_call).min(grace_end)
     }
 
     fn record_answer(&mut self, failure: Option<FailedCall>, now: Instant) {
         self.failure = None;
         let unanswered = self.answered_at.replace(now).map(|at| now.saturating_duration_since(at));
         let is_outage = unanswered.is_none_or(|time| time >= self.grace.shortest_outage);
-        if let Some(failure) = failure
-            && is_outage
-        {
+        if failure.is_none() {
+            return;
+        }
+        self.returned_at = Some(now);
+        if is_outage {
             self.outage = Some(Outage { answered_at: now, failure });
         }
     }
--- a/crates/berylpin_core/src/direct/confirmation/tests.rs
+++ b/crates/berylpin_core/src/direct/confirmation/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use crate::direct::StoreEra;
+use crate::direct::testing::position;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -60,11 +62,11 @@
 fn replicas_are_confirmed_only_by_a_revision_up_to_which_they_are_current() {
     let start = Instant::now();
     let mut confirmation = ReplicasConfirmation::new(start);
-    confirmation.record_revision(start + SECOND, 7, None);
-    confirmation.record_revision(start + SECOND, 7, Some(6));
+    confirmation.record_position(start + SECOND, position(7), None);
+    confirmation.record_position(start + SECOND, position(7), Some(position(6)));
     assert_eq!(confirmation.confirmed_at(), start);
-    confirmation.record_revision(start + 2 * SECOND, 7, Some(7));
-    confirmation.record_revision(start + SECOND, 7, Some(9));
+    confirmation.record_position(start + 2 * SECOND, position(7), Some(position(7)));
+    confirmation.record_position(start + SECOND, position(7), Some(position(9)));
     assert_eq!(confirmation.confirmed_at(), start + 2 * SECOND);
 }
 
@@ -73,7 +75,25 @@
 fn a_list_takes_back_a_later_confirmation_of_the_replicas() {
     let start = Instant::now();
     let mut confirmation = ReplicasConfirmation::new(start);
-    confirmation.record_revision(start + 2 * SECOND, 7, Some(7));
+    confirmation.record_position(start + 2 * SECOND, position(7), Some(position(7)));
     confirmation.record_list(start + SECOND);
     assert_eq!(confirmation.confirmed_at(), start + SECOND);
 }
+
+/// After a restore of the store its revisions are given out again, so that a lower or a higher one of
+/// another era shows nothing.
+#[test]
+fn a_position_of_another_era_confirms_no_replicas() {
+    let start = Instant::now();
+    let mut confirmation = ReplicasConfirmation::new(start);
+    let (before, after) = (position(7), StorePosition { era: StoreEra(1), revision: 7 });
+    let older = StorePosition { revision: 6, ..after };
+    for (newest, applied) in
+        [(before, after), (after, before), (position(6), after), (older, before)]
+    {
+        confirmation.record_position(start + SECOND, newest, Some(applied));
+        assert_eq!(confirmation.confirmed_at(), start, "{newest} {applied}");
+    }
+    confirmation.record_position(start + SECOND, older, Some(after));
+    assert_eq!(confirmation.confirmed_at(), start + SECOND);
+}
--- a/crates/berylpin_core/src/direct/view.rs
+++ b/crates/berylpin_core/src/direct/view.rs
@@ -2,6 +2,7 @@
 
 use super::configuration::ClientLimits;
 use super::entry_check::ReplicaName;
+use super::store_era::StorePosition;
 use crate::arena::Arena;
 use crate::ids::{DataCentreId, MemberTag, PeerId, ReplicaId, ReplicaTag, ServiceId, ServiceTag};
 use std::net::SocketAddr;
@@ -28,8 +29,8 @@
 pub struct View {
     /// The version of the configuration; never decreases within one process.
     pub version: u64,
-    /// The store's revision at which the replicas are current.
-    pub replicas_revision: u64,
+    /// The position in the store at which the replicas are current.
+    pub replicas_position: StorePosition,
     /// Sorted by host and then by prefix.
     pub routes: Vec<Route>,
     /// All services that a configuration or a replica ever named.
--- a/crates/berylpin_daemon/src/direct/control/confirmation.rs
+++ b/crates/berylpin_daemon/src/direct/control/confirmation.rs
@@ -3,7 +3,9 @@
 use super::Control;
 use super::watches::WatchConfig;
 use crate::metrics::CONFIGURATION_UNCONFIRMED;
-use berylpin_core::direct::{Confirmation, ReplicasConfirmation, StoreTimes, confirmation_delay};
+use berylpin_core::direct::{
+    Confirmation, ReplicasConfirmation, StorePosition, StoreTimes, confirmation_delay,
+};
 use berylpin_platform::{Freshness, ObjectKind, StoreError};
 use metrics::histogram;
 use rand::Rng;
@@ -37,7 +39,16 @@
                 self.wait_until_unconfirmed(delay).await;
             }
             match self.confirm(&calls, delay).await {
-                Ok(()) => failures = 0,
+                Ok(position) if self.is_confirmed_by(position) => failures = 0,
+                Ok(_) => {
+                    // The operator writes again what the store lost when it was restored.
+                    failures += 1;
+                    tokio::time::sleep(calls.configuration.backoff_with_jitter(failures)).await;
+                }
+                Err(StoreError::EraChanged) => {
+                    failures += 1;
+                    tokio::time::sleep(calls.configuration.list_delay(failures)).await;
+                }
                 Err(e) => {
                     if failures == 0 {
                         let age = self.now().saturating_duration_since(self.confirmed_at());
@@ -51,13 +62,17 @@
         }
     }
 
-    /// Calls the store for the configuration, and for the replicas if its revision shows that they
-    /// have not been confirmed within `delay`.
-    async fn confirm(&self, calls: &ConfirmationCalls, delay: Duration) -> Result<(), StoreError> {
-        let (since, called_at) = (self.configuration_revision.get(), self.now());
+    /// Calls the store for the configuration, and for the replicas if its position shows that they
+    /// have not been confirmed within `delay`; returns the position of the configuration.
+    async fn confirm(
+        &self,
+        calls: &ConfirmationCalls,
+        delay: Duration,
+    ) -> Result<StorePosition, StoreError> {
+        let (since, called_at) = (self.configuration_position.get(), self.now());
         let result = self.list_or_watch(&calls.configuration, since, Duration::ZERO).await;
-        if let Err(StoreError::RevisionCompacted) = result {
-            self.configuration_revision.set(None);
+        if let Err(StoreError::RevisionCompacted | StoreError::EraChanged) = result {
+            self.configuration_position.set(None);
         }
         let newest = result?;
         if self.replicas_are_unconfirmed(delay) {
@@ -66,25 +81,30 @@
         if self.replicas_are_unconfirmed(delay) {
             self.fetch_newest_replicas(calls).await?;
         }
-        Ok(())
+        Ok(newest)
     }
 
     /// Confirms the replicas by older data if that is as new as `newest`, which was the store's
-    /// revision at `at`; the call costs a tenth of one for the newest data.
-    async fn compare_stale_replicas(&self, calls: &ConfirmationCalls, newest: u64, at: Instant) {
-        let known = self.catalogue.borrow().revisions().replicas;
+    /// position at `at`; the call costs a tenth of one for the newest data.
+    async fn compare_stale_replicas(
+        &self,
+        calls: &ConfirmationCalls,
+        newest: StorePosition,
+        at: Instant,
+    ) {
+        let known = self.replicas_position();
         if known.is_none() {
             return;
         }
         // After a failed call the newest data is called for.
         let _ = self.list_or_watch(&calls.stale_replicas, known, Duration::ZERO).await;
-        let applied = self.catalogue.borrow().revisions().replicas;
-        self.update_replicas_confirmation(|c| c.record_revision(at, newest, applied));
+        let applied = self.replicas_position();
+        self.update_replicas_confirmation(|c| c.record_position(at, newest, applied));
     }
 
     /// Applies the newest replicas.
     async fn fetch_newest_replicas(&self, calls: &ConfirmationCalls) -> Result<(), StoreError> {
-        let since = self.catalogue.borrow().revisions().replicas;
+        let since = self.replicas_position();
         match self.list_or_watch(&calls.newest_replicas, since, Duration::ZERO).await {
             Err(StoreError::RevisionCompacted) => {
                 self.list_or_watch(&calls.newest_replicas, None, Duration::ZERO).await?;
@@ -94,6 +114,13 @@
         Ok(())
     }
 
+    /// Returns the position up to which changes of the replicas are known; `None` if they must be
+    /// listed.
+    fn replicas_position(&self) -> Option<StorePosition> {
+        let known = self.catalogue.borrow().revisions();
+        known.replicas.filter(|position| position.era == known.era)
+    }
+
     fn replicas_are_unconfirmed(&self, delay: Duration) -> bool {
         let confirmed_at = self.replicas_confirmation.get().confirmed_at();
         self.now().saturating_duration_since(confirmed_at) >= delay
@@ -117,17 +144,28 @@
     }
 
     /// Records an answer with the newest data that shows the objects of a kind as of `at`, and the
-    /// store at a revision; must follow its changes, or an older version would be reported as
+    /// store at a position; must follow its changes, or an older version would be reported as
     /// confirmed.
-    pub(super) fn record_newest_answer(&self, kind: ObjectKind, at: Instant, revision: u64) {
+    ///
+    /// The configuration in force is confirmed only if the store holds the same one.
+    pub(super) fn record_newest_answer(
+        &self,
+        kind: ObjectKind,
+        at: Instant,
+        position: StorePosition,
+    ) {
         if kind == ObjectKind::Configuration {
-            let gain = self.update_confirmation(|confirmation| confirmation.record_answer(at));
-            histogram!(CONFIGURATION_UNCONFIRMED).record(gain);
-            let known = self.configuration_revision.get();
-            self.configuration_revision.set(known.max(Some(revision)));
+            if self.is_confirmed_by(position) {
+                let gain = self.update_confirmation(|confirmation| confirmation.record_answer(at));
+                histogram!(CONFIGURATION_UNCONFIRMED).record(gain);
+            } else {
+                self.update_confirmation(Confirmation::record_contact);
+            }
+            let known = self.configuration_position.get();
+            self.configuration_position.set(known.max(Some(position)));
         }
         let applied = self.catalogue.borrow().revisions().replicas;
-        self.update_replicas_confirmation(|c| c.record_revision(at, revision, applied));
+        self.update_replicas_confirmation(|c| c.record_position(at, position, applied));
     }
 
     /// Changes the confirmation of the configuration, and publishes the time of both.
--- a/crates/berylpin_daemon/src/direct/control/watches.rs
+++ b/crates/berylpin_daemon/src/direct/control/watches.rs
@@ -3,9 +3,9 @@
 use super::Control;
 use berylpin_core::direct::{
     Catalogue, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER, OVERDUE_TIMEOUT, REPLICAS_BATCH_DELAY,
-    StoreCall, StoreTimes, confirmed_by,
+    StoreCall, StorePosition, StoreTimes, confirmed_by,
 };
-use berylpin_platform::{Change, Freshness, Object, ObjectKind, StoreError};
+use berylpin_platform::{Answer, Change, Freshness, Object, ObjectKind, StoreError};
 use rand::Rng;
 use slog::info;
 use std::time::{Duration, Instant};
@@ -21,13 +21,19 @@
 /// daemons write their entries within 1 s.
 const DAEMONS_BATCH_DELAY: Duration = Duration::from_secs(3);
 
+/// The maximum delays before objects are listed after a restore of the store, which spread the calls
+/// of the fleet.
+const MAX_LIST_DELAY: Duration = Duration::from_millis(200);
+const MAX_DAEMONS_LIST_DELAY: Duration = Duration::from_secs(2);
+
 /// The maximum back-off for the configuration, which must be current soon after the store recovers.
 const MAX_RETRY_BACKOFF: Duration = Duration::from_secs(1);
 
 /// The maximum back-off for the daemons, which change rarely.
 pub(super) const MAX_DAEMONS_RETRY_BACKOFF: Duration = Duration::from_secs(4);
 
-/// The revision of state from an incomplete list, so that any complete state counts as newer.
+/// The revision of state from an incomplete list, so that any complete state of its era counts as
+/// newer.
 const INCOMPLETE_REVISION: u64 = 0;
 
 /// How much later than the end of its wait a call is given up.
@@ -58,12 +64,16 @@
     /// Whether the calls show outages of the store in which entries of replicas expire. Such calls
     /// do not overlap.
     shows_outages: bool,
-    /// Applies the complete list at a revision.
-    apply_list: fn(&Control, Vec<Object>, u64),
-    /// Applies changes in their order, up to a revision.
-    apply_changes: fn(&Control, Vec<Change>, u64),
-    /// Returns the catalogue's revision of the kind, which state from a peer may have advanced.
-    catalogue_revision: fn(&Catalogue) -> Option<u64>,
+    /// The maximum delay of a list after a restore of the store.
+    max_list_delay: Duration,
+    /// Applies the complete list at a position.
+    apply_list: fn(&Control, Vec<Object>, StorePosition),
+    /// Applies changes in their order, up to a position.
+    apply_changes: fn(&Control, Vec<Change>, StorePosition),
+    /// Returns the catalogue's position of the kind, which state from a peer may have advanced.
+    catalogue_position: fn(&Catalogue) -> Option<StorePosition>,
+    /// Returns whether a watch does not show all that is needed.
+    must_list: fn(&Catalogue, Instant) -> bool,
 }
 
 impl WatchConfig {
@@ -78,9 +88,11 @@
             max_backoff: MAX_RETRY_BACKOFF,
             backoff_from_call: false,
             shows_outages: false,
+            max_list_delay: MAX_LIST_DELAY,
             apply_list: Control::apply_configuration_list,
             apply_changes: Control::apply_configuration_changes,
-            catalogue_revision: |_| None,
+            catalogue_position: |_| None,
+            must_list: |_, _| false,
         }
     }
 
@@ -90,6 +102,16 @@
         retry_backoff(failures, self.max_backoff).mul_f64(jitter)
     }
 
+    /// Returns the delay before objects are listed because the era changed `count` times in a row.
+    ///
+    /// Backs off after the first time, since answers may come from two eras in turn.
+    pub(super) fn list_delay(&self, count: u32) -> Duration {
+        match count {
+            0 | 1 => self.max_list_delay.mul_f64(rand::rng().random()),
+            _ => self.backoff_with_jitter(count - 1),
+        }
+    }
+
     pub(super) fn replicas(times: &StoreTimes) -> Self {
         Self {
             kind: ObjectKind::Replicas,
@@ -101,9 +123,11 @@
             max_backoff: times.replicas_retry / MAX_BACKOFF_JITTER,
             backoff_from_call: true,
             shows_outages: true,
+            max_list_delay: MAX_LIST_DELAY,
             apply_list: Control::apply_replica_list,
             apply_changes: Control::apply_replica_changes,
-            catalogue_revision: |catalogue| catalogue.revisions().replicas,
+            catalogue_position: |catalogue| catalogue.revisions().replicas,
+            must_list: Catalogue::needs_replica_list,
         }
     }
 
@@ -123,9 +147,11 @@
             max_backoff: MAX_DAEMONS_RETRY_BACKOFF,
             backoff_from_call: false,
             shows_outages: false,
+            max_list_delay: MAX_DAEMONS_LIST_DELAY,
             apply_list: Control::apply_daemon_list,
             apply_changes: Control::apply_daemon_changes,
-            catalogue_revision: |catalogue| catalogue.revisions().daemons,
+            catalogue_position: |catalogue| catalogue.revisions().daemons,
+            must_list: |_, _| false,
         }
     }
 }
@@ -147,23 +173,20 @@
 impl Control {
     /// Lists the objects of a kind and watches them from then on; does not return.
     ///
-    /// Lists them again if the store no longer holds the changes since the last revision.
+    /// Lists them again if the store no longer holds the changes since the last position, or if it
+    /// was restored from a copy.
     pub(super) async fn watch_kind(&self, config: WatchConfig) {
-        let mut revision = None;
+        let mut position = None;
         let mut failures = 0;
+        let mut era_changes = 0;
         loop {
-            // State from a peer may be newer than the last watch; a watch from an older revision
-            // would revert it.
-            revision = revision.max(
-                (config.catalogue_revision)(&self.catalogue.borrow())
-                    .filter(|_| revision.is_some()),
-            );
+            position = self.next_position(&config, position);
             let wait = next_watch_wait(config.wait, failures == 0);
             let called_at = self.now();
             if config.shows_outages {
                 self.catalogue.borrow_mut().begin_replicas_call(called_at);
             }
-            let result = self.list_or_watch(&config, revision, wait).await;
+            let result = self.list_or_watch(&config, position, wait).await;
             match &result {
                 Ok(_) if failures > 0 => {
                     info!(self.shared.log, "control: store recovered";
@@ -172,85 +195,141 @@
                         self.catalogue.borrow_mut().store_recovered(self.now());
                     }
                 }
+                Err(StoreError::EraChanged) => {
+                    position = None;
+                    era_changes += 1;
+                    tokio::time::sleep(config.list_delay(era_changes)).await;
+                    continue;
+                }
                 Err(e) if failures == 0 => self.log_store_failure(config.kind, e, called_at),
                 _ => {}
             }
             failures = if result.is_ok() { 0 } else { failures + 1 };
+            era_changes = 0;
             match result {
                 Ok(newest) => {
-                    let changed = revision.replace(newest) != Some(newest);
+                    let changed = position.replace(newest) != Some(newest);
                     if changed {
-                        tokio::time::sleep(config.batch_delay).await;
+                        self.sleep_unless_restored(config.batch_delay).await;
                     }
                 }
-                Err(StoreError::RevisionCompacted) => revision = None,
+                Err(StoreError::RevisionCompacted) => position = None,
                 Err(_) => {
                     let elapsed = self.now().saturating_duration_since(called_at);
                     let spent = if config.backoff_from_call { elapsed } else { Duration::ZERO };
                     let backoff = config.backoff_with_jitter(failures);
-                    tokio::time::sleep(backoff.saturating_sub(spent)).await;
+                    self.sleep_unless_restored(backoff.saturating_sub(spent)).await;
                 }
             }
         }
     }
 
-    /// Lists the objects of a kind, or watches them from the revision `since`; returns the revision
+    /// Returns the position to watch from after the last one; `None` if the objects must be listed.
+    fn next_position(
+        &self,
+        config: &WatchConfig,
+        last: Option<StorePosition>,
+    ) -> Option<StorePosition> {
+        let catalogue = self.catalogue.borrow();
+        if (config.must_list)(&catalogue, self.now()) {
+            return None;
+        }
+        // State from a peer may be newer than the last watch; a watch from an older position would
+        // revert it.
+        let newest = last?.max((config.catalogue_position)(&catalogue).unwrap_or_default());
+        Some(newest).filter(|position| position.era == catalogue.era())
+    }
+
+    /// Lists the objects of a kind, or watches them from the position `since`; returns the position
     /// to watch from next.
     pub(super) async fn list_or_watch(
         &self,
         config: &WatchConfig,
-        since: Option<u64>,
+        since: Option<StorePosition>,
         wait: Duration,
-    ) -> Result<u64, StoreError> {
-        let WatchConfig { kind, list_freshness, apply_list, apply_changes, .. } = config;
-        let called_at = self.now();
-        let Some(since) = since else {
-            let listing = self.store().list(*kind, *list_freshness).await;
-            let succeeded = listing.as_ref().is_ok_and(|listing| listing.complete);
-            self.record_call(config, succeeded, called_at, Duration::ZERO);
-            let listing = listing?;
-            if !listing.complete {
-                let found = listing.objects.into_iter().map(Change::Put).collect();
-                apply_changes(self, found, INCOMPLETE_REVISION);
-                return Err(StoreError::Incomplete);
-            }
-            apply_list(self, listing.objects, listing.revision);
-            if *kind == ObjectKind::Replicas {
-                self.update_replicas_confirmation(|c| c.record_list(called_at));
-            } else if *list_freshness == Freshness::Newest {
-                self.record_newest_answer(*kind, called_at, listing.revision);
-            }
-            return Ok(listing.revision);
+    ) -> Result<StorePosition, StoreError> {
+        let result = match since {
+            Some(since) => self.watch(config, since, wait).await,
+            None => self.list(config).await,
         };
-        let changes = self.watch_once(config, since, wait).await;
-        let answered = matches!(changes, Ok(_) | Err(StoreError::RevisionCompacted));
-        self.record_call(config, answered, called_at, wait);
-        let (changes, revision) = changes?;
+        if matches!(result, Err(StoreError::OlderEra)) {
+            self.read_fresh();
+        }
+        result
+    }
+
+    async fn list(&self, config: &WatchConfig) -> Result<StorePosition, StoreError> {
+        let WatchConfig { kind, apply_list, apply_changes, .. } = config;
+        let (store, called_at) = (self.store(), self.now());
+        let freshness = self.freshness(config.list_freshness);
+        let result = self.call_store(None, store.list(*kind, freshness)).await;
+        if !matches!(result, Err(StoreError::EraChanged)) {
+            let succeeded = result.as_ref().is_ok_and(|(_, listing)| listing.complete);
+            self.record_call(config, succeeded, called_at, Duration::ZERO);
+        }
+        let (era, listing) = result?;
+        if !listing.complete {
+            let found = listing.objects.into_iter().map(Change::Put).collect();
+            apply_changes(self, found, StorePosition { era, revision: INCOMPLETE_REVISION });
+            return Err(StoreError::Incomplete);
+        }
+        let position = StorePosition { era, revision: listing.revision };
+        apply_list(self, listing.objects, position);
+        if *kind == ObjectKind::Replicas {
+            self.update_replicas_confirmation(|c| c.record_list(called_at));
+        } else if freshness == Freshness::Newest {
+            self.record_newest_answer(*kind, called_at, position);
+        }
+        Ok(position)
+    }
+
+    async fn watch(
+        &self,
+        config: &WatchConfig,
+        since: StorePosition,
+        wait: Duration,
+    ) -> Result<StorePosition, StoreError> {
+        let WatchConfig { kind, apply_changes, .. } = config;
+        let called_at = self.now();
+        let freshness = self.freshness(config.watch_freshness);
+        let call = self.watch_once(config, since, wait, freshness);
+        let result = self.call_store(Some(since), call).await;
+        if !matches!(result, Err(StoreError::EraChanged)) {
+            let answered = matches!(result, Ok(_) | Err(StoreError::RevisionCompacted));
+            self.record_call(config, answered, called_at, wait);
+        }
+        let (era, (changes, revision)) = result?;
+        let position = StorePosition { era, revision };
         let at = confirmed_by(called_at, wait, !changes.is_empty(), self.now());
         // State from a peer, or from a call beside the watch, may have become newer meanwhile.
-        let is_older = (config.catalogue_revision)(&self.catalogue.borrow()) > Some(revision);
+        let is_older = (config.catalogue_position)(&self.catalogue.borrow()) > Some(position);
         if !is_older {
-            apply_changes(self, changes, revision);
+            apply_changes(self, changes, position);
         }
-        if config.watch_freshness == Freshness::Newest {
-            self.record_newest_answer(*kind, at, revision);
+        if freshness == Freshness::Newest {
+            self.record_newest_answer(*kind, at, position);
         }
-        Ok(revision)
+        Ok(position)
     }
 
-    /// Calls the store once for the changes since a revision.
+    /// Calls the store once for the changes since a position.
     async fn watch_once(
         &self,
         config: &WatchConfig,
-        since: u64,
+        since: StorePosition,
         wait: Duration,
-    ) -> Result<(Vec<Change>, u64), StoreError> {
+        freshness: Freshness,
+    ) -> Answer<(Vec<Change>, u64)> {
         let store = self.store();
-        let changes = store.watch(config.kind, since, wait, config.watch_freshness);
+        let changes = store.watch(config.kind, since.revision, wait, freshness);
         let Some(CallTimeouts { watch, call }) = config.timeouts else { return changes.await };
         let late_by = if wait.is_zero() { call } else { watch };
-        let result = tokio::time::timeout(wait + late_by, changes).await;
-        result.unwrap_or(Err(StoreError::Overdue))
+        let answer = tokio::time::timeout(wait + late_by, changes).await;
+        answer.unwrap_or(Answer { era: None, result: Err(StoreError::Overdue) })
+    }
+
+    fn freshness(&self, usual: Freshness) -> Freshness {
+        if self.reads_fresh() { Freshness::Newest } else { usual }
     }
 
     /// Records what a call shows about the store; must precede the changes that it returned.
--- a/crates/berylpin_daemon/src/direct/peer_versions/tests.rs
+++ b/crates/berylpin_daemon/src/direct/peer_versions/tests.rs
@@ -16,8 +16,8 @@
     let headers = headers("7", "1500", "10.0.0.1:7380");
     let confirmed_at = asked_at.checked_sub(Duration::from_millis(1500));
     let peer = ([10, 0, 0, 1], 7380).into();
-    let replicas_revision = Some(31);
-    let expected = PeerVersion { version: 7, peer, replicas_revision, confirmed_at };
+    let replicas_position = Some(StorePosition { era: StoreEra::default(), revision: 31 });
+    let expected = PeerVersion { version: 7, peer, replicas_position, confirmed_at };
     assert_eq!(PeerVersion::read(&headers, Some(asked_at)), Some(expected));
     let unconfirmed = PeerVersion { confirmed_at: None, ..expected };
     assert_eq!(PeerVersion::read(&headers, None), Some(unconfirmed));
@@ -35,3 +35,14 @@
         assert_eq!(read.map(|read| (read.version, read.confirmed_at)), Some((9, None)), "{age}");
     }
 }
+
+/// Revisions are given out again after a restore of the store.
+#[test]
+fn the_revision_of_the_replicas_belongs_to_the_era_that_the_message_names() {
+    let mut headers = headers("7", "1500", "10.0.0.1:7380");
+    let position = |headers: &HeaderMap| PeerVersion::read(headers, None)?.replicas_position;
+    headers.insert(REPLICAS_ERA_HEADER, HeaderValue::from_static("2"));
+    assert_eq!(position(&headers), Some(StorePosition { era: StoreEra(2), revision: 31 }));
+    headers.insert(REPLICAS_ERA_HEADER, HeaderValue::from_static("x"));
+    assert_eq!(position(&headers), None);
+}
--- a/crates/berylpin_wire/src/lib.rs
+++ b/crates/berylpin_wire/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod frame;
 pub mod parts;
 pub mod platform;
+pub mod state_delta;
 pub mod upstream;
 pub mod url;
