Assert that replicas stay in use after a restore by a lower revision

The test asserted only that no replica expired later, which holds too if all were dropped at once: it passed on a scratch change that records no restore. It now asserts that they are in the view until the grace time ends, and fails on that change.

--- a/crates/berylpin_core/src/direct/catalogue/store_contact/tests.rs
+++ b/crates/berylpin_core/src/direct/catalogue/store_contact/tests.rs
@@ -4,7 +4,7 @@
     EXPIRY_CHECK_INTERVAL, INITIAL_RETRY_BACKOFF, OVERDUE_TIMEOUT, REPLICAS_BATCH_DELAY,
     StoreBounds, StoreTimes,
 };
-use crate::direct::testing::{catalogue, position, replica_entry};
+use crate::direct::testing::{EXPIRY_GRACE, catalogue, position, replica_entry};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -275,6 +275,11 @@
     assert_eq!(contact.grace_end(recovered + second / 2), recovered + second * 2);
 }
 
+fn replica_count(catalogue: &Catalogue) -> usize {
+    let view = catalogue.view().unwrap();
+    view.services.iter().map(|(_, service)| service.replicas.len()).sum()
+}
+
 /// Entries that were written after the copy from which the store was restored are missing until they
 /// are written again.
 #[test]
@@ -282,8 +287,11 @@
     let now = Instant::now();
     let mut catalogue = catalogue("palermo-1", "palermo", 1, now);
     catalogue.advance_replicas(position(9));
+    let count = replica_count(&catalogue);
     catalogue.set_replicas(Vec::new(), position(5), now);
     assert!(catalogue.expire_replicas(now + REWRITE_TIME).is_empty());
+    assert_eq!(replica_count(&catalogue), count);
+    assert_eq!(catalogue.expire_replicas(now + EXPIRY_GRACE).len(), count);
     let mut compacted = crate::direct::testing::catalogue("palermo-1", "palermo", 1, now);
     assert!(compacted.set_replicas(Vec::new(), position(9), now));
 }
