--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -1,5 +1,6 @@
 //! The control thread's state: the configuration in force, the replicas and the daemons.
 
+mod eras;
 mod replica_entries;
 mod routes;
 mod store_contact;
@@ -7,18 +8,21 @@
 pub(super) use routes::MAX_CONFIGURED_TIME;
 
 use super::configuration::{Configuration, DaemonEntry, ReplicaEntry, RouteTarget};
+use super::departures::Departures;
 use super::entry_check::ReplicaName;
 use super::fleet::Fleet;
 use super::leaving::LeavingReplicas;
 use super::peers::assign_owners;
+use super::store_era::{KnownEra, StorePosition};
 use super::store_times::ExpiryGrace;
 use super::view::{Distance, Peer, Replica, Route, RouteId, Service, Standing, View};
 use crate::arena::Arena;
 use crate::ids::{DataCentreId, Key, MemberTag, ReplicaId, ReplicaTag, ServiceId, ServiceTag};
+use eras::Unproven;
 use routes::bounded_limits;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use store_contact::StoreContact;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -35,13 +39,18 @@
     /// When the replica is removed; set if its entry was removed during or after an outage of the
     /// store, and not while it drained.
     expires_at: Option<Instant>,
+    /// Whether the store lost the entry when it was restored. Such a replica is kept while the store
+    /// cannot be reached, because it cannot write its entry again.
+    lost: bool,
     /// Whether the replica announced that it leaves, whatever its entry says.
     leaving: bool,
+    /// Set if the entry may come from a copy of the store from before the replica departed.
+    unproven: Option<Unproven>,
 }
 
 impl KnownReplica {
     fn accepts_work(&self) -> bool {
-        !self.entry.draining && !self.leaving
+        !self.entry.draining && !self.leaving && self.unproven.is_none()
     }
 }
 
@@ -62,13 +71,21 @@
 pub struct Catalogue {
     location: Location,
     configuration: Option<Configuration>,
-    /// The store's revision at which the replicas are current; `None` before they were listed.
-    replicas_revision: Option<u64>,
+    /// The newest era of the store that is known.
+    era: KnownEra,
+    /// The position in the store at which the replicas are current; `None` before they were listed.
+    replicas_position: Option<StorePosition>,
     /// Sorted by name.
     replicas: Vec<KnownReplica>,
     /// What the calls for the replicas show about outages of the store.
     contact: StoreContact,
+    /// The interval at which a replica renews its entry.
+    heartbeat: Duration,
     leaving: LeavingReplicas,
+    departures: Departures,
+    /// When the replicas must be listed again, because a list contained the predecessor of a replica
+    /// in use.
+    relist_at: Option<Instant>,
     /// The names of services; the index is the id.
     services: Vec<Arc<str>>,
     /// The ids of all services, sorted by name.
@@ -91,10 +108,14 @@
         Self {
             location: Location { daemon, address: None, data_centre, regions },
             configuration: None,
-            replicas_revision: None,
+            era: KnownEra::default(),
+            replicas_position: None,
             replicas: Vec::new(),
             contact: StoreContact::default(),
+            heartbeat: Duration::ZERO,
             leaving: LeavingReplicas::default(),
+            departures: Departures::default(),
+            relist_at: None,
             services: Vec::new(),
             services_by_name: Vec::new(),
             routes: Vec::new(),
@@ -119,20 +140,26 @@
         self
     }
 
-    /// Replaces all daemons with the entries at a revision; returns whether the fleet changed.
+    /// Sets the interval at which a replica renews its entry.
+    #[must_use]
+    pub fn with_heartbeat(self, heartbeat: Duration) -> Self {
+        Self { heartbeat, ..self }
+    }
+
+    /// Replaces all daemons with the entries at a position; returns whether the fleet changed.
     ///
     /// An entry that names no daemon to call, which a peer may send too, counts as missing.
     pub fn set_daemons(
         &mut self,
         mut entries: Vec<DaemonEntry>,
-        revision: u64,
+        position: StorePosition,
         now: Instant,
     ) -> bool {
         entries.retain(|entry| self.location.names_daemon(entry));
         for entry in &entries {
             self.add_data_centre(&entry.data_centre);
         }
-        self.fleet.set_entries(entries, revision, now)
+        self.fleet.set_entries(entries, position, now)
     }
 
     /// Adds or updates a daemon's entry; returns false if the entry is only a renewal.
@@ -151,9 +178,9 @@
         self.fleet.remove(name)
     }
 
-    /// Records that the daemons are current at a newer revision.
-    pub fn advance_daemons_revision(&mut self, revision: u64) {
-        self.fleet.advance_revision(revision);
+    /// Records that the daemons are current at a newer position.
+    pub fn advance_daemons(&mut self, position: StorePosition) {
+        self.fleet.advance(position);
     }
 
     /// Records that the store is reachable again after an outage.
@@ -161,26 +188,12 @@
         self.fleet.store_recovered(now);
     }
 
-    /// Returns the entries of other daemons that were not renewed in time.
-    pub fn expired_daemons(&self, now: Instant) -> Vec<DaemonEntry> {
-        let mut expired = self.fleet.expired(now);
-        expired.retain(|entry| entry.name != self.location.daemon);
-        expired
-    }
-
     /// Returns the addresses of the other daemons.
     pub fn peer_addresses(&self) -> Vec<SocketAddr> {
         let others = self.fleet.daemons().filter(|(entry, _)| entry.name != self.location.daemon);
         others.map(|(entry, _)| entry.address).collect()
     }
 
-    /// Returns the entry of this daemon.
-    ///
-    /// `None` before the daemons are listed, `Some(None)` if this daemon has no entry.
-    pub fn own_entry(&self) -> Option<Option<&DaemonEntry>> {
-        self.fleet.revision().map(|_| self.fleet.entry(&self.location.daemon))
-    }
-
     /// Returns the number of daemons that share budgets and connections.
     pub fn fleet_size(&self) -> u32 {
         self.fleet.size()
@@ -242,15 +255,15 @@
 
     /// Builds a view of the state; `None` before the configuration and the replicas are known.
     pub fn view(&self) -> Option<View> {
-        let (configuration, replicas_revision) =
-            self.configuration.as_ref().zip(self.replicas_revision)?;
+        let (configuration, replicas_position) =
+            self.configuration.as_ref().zip(self.replicas_position)?;
         let mut routes: Vec<Route> =
             configuration.routes.iter().map(|route| self.build_route(route)).collect();
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         let own_tag = MemberTag::of([self.location.daemon.as_str()]);
         let mut view = View {
             version: configuration.version,
-            replicas_revision,
+            replicas_position,
             routes,
             services: self.service_arena(own_tag),
             tags: self.service_tags(),
--- a/crates/berylpin_core/src/direct/confirmation.rs
+++ b/crates/berylpin_core/src/direct/confirmation.rs
@@ -1,5 +1,6 @@
 //! When the configuration and the replicas in use were last known to be the newest in the store.
 
+use super::store_era::StorePosition;
 use std::time::{Duration, Instant};
 
 /// Tracks the calls for the configuration, and what peers report of theirs.
@@ -31,6 +32,11 @@
         gain
     }
 
+    /// Records an answer of the store that does not confirm the configuration.
+    pub fn record_contact(&mut self) {
+        self.unreachable_since = None;
+    }
+
     /// Records that a peer with the same version has it confirmed as of `at`.
     pub fn record_peer(&mut self, at: Instant) {
         self.confirmed_at = self.confirmed_at.max(at);
@@ -60,7 +66,7 @@
 /// As of when the replicas in use are known to be the newest in the store.
 ///
 /// The watch that returns their changes may be silent, or read data of any age. So they are compared
-/// with the store's revision, which an answer with the newest data states whatever it was asked for.
+/// with the store's position, which an answer with the newest data states whatever it was asked for.
 #[derive(Clone, Copy, Debug)]
 pub struct ReplicasConfirmation {
     /// The start of the daemon before the first list.
@@ -78,10 +84,18 @@
         self.confirmed_at = at;
     }
 
-    /// Records that the store, or a peer's confirmed replicas, were at the revision `newest` at `at`,
+    /// Records that the store, or a peer's confirmed replicas, were at the position `newest` at `at`,
     /// while the replicas in use are current at `applied`.
-    pub fn record_revision(&mut self, at: Instant, newest: u64, applied: Option<u64>) {
-        if applied >= Some(newest) {
+    ///
+    /// Positions of different eras show nothing about each other: revisions are given out again after
+    /// a restore of the store.
+    pub fn record_position(
+        &mut self,
+        at: Instant,
+        newest: StorePosition,
+        applied: Option<StorePosition>,
+    ) {
+        if applied.is_some_and(|applied| applied.era == newest.era && applied >= newest) {
             self.confirmed_at = self.confirmed_at.max(at);
         }
     }
--- a/crates/berylpin_core/src/direct/entry_check/tests.rs
+++ b/crates/berylpin_core/src/direct/entry_check/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::direct::testing::{catalogue, daemon_entry, replica_entry};
-use crate::direct::{StateDelta, StateRevisions};
+use crate::direct::{StateDelta, StateRevisions, StorePosition};
 use proptest::prelude::*;
 use std::time::Instant;
 
@@ -50,11 +50,11 @@
     for odd in odd_replicas() {
         let mut known = catalogue("palermo-1", "palermo", 3, now);
         let before = known.view().unwrap();
-        assert!(!known.put_replica(odd.clone()), "{odd:?}");
-        let (revision, mut entries) =
-            known.delta_since(StateRevisions::default()).replicas.unwrap();
+        assert!(!known.put_replica(odd.clone(), now), "{odd:?}");
+        let (at, mut entries) = known.delta_since(StateRevisions::default()).replicas.unwrap();
         entries.push(odd.clone());
-        let delta = StateDelta { replicas: Some((revision + 1, entries)), ..StateDelta::default() };
+        let newer = StorePosition { revision: at.revision + 1, ..at };
+        let delta = StateDelta { replicas: Some((newer, entries)), ..StateDelta::default() };
         known.apply_delta(delta, now);
         let after = known.view().unwrap();
         for (id, service) in before.services.iter() {
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -20,6 +20,7 @@
 mod confirmation;
 mod delegation;
 mod delivery;
+mod departures;
 mod dispatcher;
 mod entry_check;
 mod event;
@@ -35,7 +36,9 @@
 mod start;
 mod state_delta;
 mod stop;
+mod store_era;
 mod store_times;
+mod stored_configuration;
 #[cfg(test)]
 mod testing;
 mod view;
@@ -59,8 +62,10 @@
 pub use start::StartAttempts;
 pub use state_delta::{StateDelta, StateRevisions};
 pub use stop::{Stop, StopSchedule};
+pub use store_era::{AnswerUse, EraChange, KnownEra, StoreEra, StorePosition};
 pub use store_times::{
     CALL_TIMEOUT, EXPIRY_CHECK_INTERVAL, ExpiryGrace, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER,
     OVERDUE_TIMEOUT, REPLICAS_BATCH_DELAY, StoreBounds, StoreCall, StoreTimes, confirmation_delay,
 };
+pub use stored_configuration::StoredConfiguration;
 pub use view::{Distance, Peer, Replica, Route, RouteId, Service, Target, View};
--- a/crates/berylpin_core/src/direct/store_times/tests.rs
+++ b/crates/berylpin_core/src/direct/store_times/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::direct::catalogue::Catalogue;
 use crate::direct::confirmation::ReplicasConfirmation;
-use crate::direct::testing::catalogue;
+use crate::direct::testing::{catalogue, position};
 use proptest::prelude::*;
 use std::time::Instant;
 
@@ -187,7 +187,8 @@
                 called_at += CALL_TIMEOUT + INITIAL_RETRY_BACKOFF.mul_f64(jitter);
             }
             let called_at = called_at.max(silent_at);
-            confirmation.record_revision(called_at, newest(called_at), Some(applied));
+            let known = Some(position(applied));
+            confirmation.record_position(called_at, position(newest(called_at)), known);
             if confirmation.confirmed_at() == called_at {
                 continue;
             }
@@ -197,7 +198,8 @@
                 break called_at + WATCH_DELAY + VIEW_DELAY;
             }
             applied = newest(called_at);
-            confirmation.record_revision(called_at, applied, Some(applied));
+            let known = position(applied);
+            confirmation.record_position(called_at, known, Some(known));
         };
         let due = (silent_at + bounds.settle.max(DETECTION))
             .max(changed_at + bounds.drain.max(DETECTION));
--- a/crates/berylpin_daemon/src/direct/control.rs
+++ b/crates/berylpin_daemon/src/direct/control.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod confirmation;
 mod daemon_entries;
+mod eras;
 mod excerpt;
 mod replica_entries;
 mod state_delta;
@@ -12,7 +13,8 @@
 use super::peer_versions::PeerVersion;
 use super::process::Shared;
 use berylpin_core::direct::{
-    Catalogue, Confirmation, Replica, ReplicasConfirmation, StoreTimes, View,
+    Catalogue, Confirmation, Replica, ReplicasConfirmation, StoreEra, StorePosition, StoreTimes,
+    StoredConfiguration, View,
 };
 use berylpin_platform::{Object, ObjectKind, PlatformSettings, Store, StoreError};
 use excerpt::excerpt;
@@ -53,9 +55,14 @@
     replicas_confirmation: Cell<ReplicasConfirmation>,
     /// The earlier time of both confirmations, for the traffic thread.
     confirmed_at: watch::Sender<Option<Instant>>,
-    /// The store's revision of the last answer to a call for the configuration; `None` if it must be
+    /// The store's position at the last answer to a call for the configuration; `None` if it must be
     /// listed.
-    configuration_revision: Cell<Option<u64>>,
+    configuration_position: Cell<Option<StorePosition>>,
+    stored_configuration: Cell<StoredConfiguration>,
+    /// Sends the era of the store when it was restored from a copy.
+    restores: watch::Sender<StoreEra>,
+    /// Until when only the newest data is read, after a restore.
+    fresh_until: Cell<Option<Instant>>,
 }
 
 /// Runs the tasks of the control thread; does not return.
@@ -74,8 +81,10 @@
         let (data_centre, regions) = (settings.data_centre.clone(), settings.regions.clone());
         let times = StoreTimes::new(&settings.store_bounds);
         let catalogue = Catalogue::new(settings.name.clone(), data_centre, regions)
-            .with_peer_address((settings.ip, settings.peer_ports.0).into());
-        (catalogue.with_expiry_grace(times.expiry_grace), times)
+            .with_peer_address((settings.ip, settings.peer_ports.0).into())
+            .with_expiry_grace(times.expiry_grace)
+            .with_heartbeat(settings.store_bounds.heartbeat);
+        (catalogue, times)
     };
     let started = shared.clock.now();
     let control = Rc::new(Control {
@@ -87,7 +96,10 @@
         confirmation: Cell::new(Confirmation::new(started)),
         replicas_confirmation: Cell::new(ReplicasConfirmation::new(started)),
         confirmed_at,
-        configuration_revision: Cell::new(None),
+        configuration_position: Cell::new(None),
+        stored_configuration: Cell::default(),
+        restores: watch::Sender::default(),
+        fresh_until: Cell::new(None),
     });
     tokio::join!(
         control.watch_kind(WatchConfig::configuration()),
--- a/crates/berylpin_daemon/src/direct/peer_versions.rs
+++ b/crates/berylpin_daemon/src/direct/peer_versions.rs
@@ -6,6 +6,7 @@
 //! with few calls to the store.
 
 use super::traffic::Traffic;
+use berylpin_core::direct::{StoreEra, StorePosition};
 use http::{HeaderMap, HeaderValue};
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -17,6 +18,9 @@
 /// The header with the store's revision at which the sender's replicas are current.
 const REPLICAS_HEADER: &str = "replicas-revision";
 
+/// The header with the era of that revision; without it, the sender's store names no era.
+const REPLICAS_ERA_HEADER: &str = "replicas-era";
+
 /// The header with the time since the sender's version and replicas were confirmed, in ms.
 const AGE_HEADER: &str = "configuration-age";
 
@@ -32,8 +36,8 @@
     pub(super) version: u64,
     /// The address on which the peer accepts requests.
     pub(super) peer: SocketAddr,
-    /// The store's revision at which the peer's replicas are current, if the message states it.
-    pub(super) replicas_revision: Option<u64>,
+    /// The position in the store at which the peer's replicas are current, if the message states it.
+    pub(super) replicas_position: Option<StorePosition>,
     /// The version and the replicas were the newest at this time, if the peer's message shows it.
     pub(super) confirmed_at: Option<Instant>,
 }
@@ -48,8 +52,8 @@
         let age = parse(headers, AGE_HEADER).map(Duration::from_millis);
         let confirmed_at = asked_at.zip(age).and_then(|(at, age)| at.checked_sub(age));
         let (version, peer) = (parse(headers, VERSION_HEADER)?, parse(headers, SENDER_HEADER)?);
-        let replicas_revision = parse(headers, REPLICAS_HEADER);
-        Some(Self { version, peer, replicas_revision, confirmed_at })
+        let replicas_position = read_replicas_position(headers);
+        Some(Self { version, peer, replicas_position, confirmed_at })
     }
 }
 
@@ -61,7 +65,9 @@
         let confirmed_at = *self.confirmed_at.borrow();
         let Some(view) = self.view() else { return };
         headers.insert(VERSION_HEADER, HeaderValue::from(view.version));
-        headers.insert(REPLICAS_HEADER, HeaderValue::from(view.replicas_revision));
+        let StorePosition { era, revision } = view.replicas_position;
+        headers.insert(REPLICAS_HEADER, HeaderValue::from(revision));
+        headers.insert(REPLICAS_ERA_HEADER, HeaderValue::from(era.0));
         if let Ok(address) = HeaderValue::try_from(self.peer_address.to_string()) {
             headers.insert(SENDER_HEADER, address);
         }
@@ -87,6 +93,18 @@
     }
 }
 
+/// Returns the position at which the sender's replicas are current; `None` if it is missing or
+/// malformed.
+fn read_replicas_position(headers: &HeaderMap) -> Option<StorePosition> {
+    let revision = parse(headers, REPLICAS_HEADER)?;
+    let era = if headers.contains_key(REPLICAS_ERA_HEADER) {
+        StoreEra(parse(headers, REPLICAS_ERA_HEADER)?)
+    } else {
+        StoreEra::default()
+    };
+    Some(StorePosition { era, revision })
+}
+
 fn parse<T>(headers: &HeaderMap, name: &str) -> Option<T>
 where
     T: FromStr,
--- a/crates/berylpin_daemon/tests/platform/main.rs
+++ b/crates/berylpin_daemon/tests/platform/main.rs
@@ -15,4 +15,5 @@
 mod soak;
 mod start;
 mod store_outage;
+mod store_restore;
 mod truncated_heads;
