Do not use an incomplete list after a restore of the store

Found by reading the merge: the objects of an incomplete list were applied as changes in the new era, so the complete list that followed was no longer the first of its era: replicas and daemons that the copy lacks got no grace time, and a departed replica could count as proven.

Such a list is left out and repeated if what is known belongs to an older era.

--- a/crates/berylpin_daemon/src/direct/control/watches.rs
+++ b/crates/berylpin_daemon/src/direct/control/watches.rs
@@ -3,7 +3,7 @@
 use super::Control;
 use berylpin_core::direct::{
     Catalogue, INITIAL_RETRY_BACKOFF, MAX_BACKOFF_JITTER, OVERDUE_TIMEOUT, REPLICAS_BATCH_DELAY,
-    StoreCall, StorePosition, StoreTimes, confirmed_by,
+    StoreCall, StoreEra, StorePosition, StoreTimes, confirmed_by,
 };
 use berylpin_platform::{Answer, Change, Freshness, Object, ObjectKind, StoreError};
 use rand::Rng;
@@ -156,6 +156,14 @@
     }
 }
 
+/// Returns whether the objects of an incomplete list are used, given the position of those that are
+/// known.
+///
+/// After a restore only a complete list shows which objects the store lost.
+fn uses_incomplete_list(known: Option<StorePosition>, era: StoreEra) -> bool {
+    known.is_none_or(|known| known.era == era)
+}
+
 /// Returns how long the next watch waits.
 ///
 /// A watch does not wait after a failed call: a store that accepts calls without answering would
@@ -269,8 +277,11 @@
         }
         let (era, listing) = result?;
         if !listing.complete {
-            let found = listing.objects.into_iter().map(Change::Put).collect();
-            apply_changes(self, found, StorePosition { era, revision: INCOMPLETE_REVISION });
+            let known = (config.catalogue_position)(&self.catalogue.borrow());
+            if uses_incomplete_list(known, era) {
+                let found = listing.objects.into_iter().map(Change::Put).collect();
+                apply_changes(self, found, StorePosition { era, revision: INCOMPLETE_REVISION });
+            }
             return Err(StoreError::Incomplete);
         }
         let position = StorePosition { era, revision: listing.revision };
--- a/crates/berylpin_daemon/src/direct/control/watches/tests.rs
+++ b/crates/berylpin_daemon/src/direct/control/watches/tests.rs
@@ -31,3 +31,13 @@
     assert!(config.list_delay(9) >= MAX_RETRY_BACKOFF);
     assert!(WatchConfig::daemons().list_delay(1) <= MAX_DAEMONS_LIST_DELAY);
 }
+
+/// The objects of an incomplete list after a restore were applied as changes, so the complete list
+/// that followed no longer told what the store had lost.
+#[test]
+fn an_incomplete_list_after_a_restore_is_not_used() {
+    let known = Some(StorePosition { era: StoreEra(3), revision: 70 });
+    assert!(uses_incomplete_list(None, StoreEra(3)), "a daemon that starts has nothing else");
+    assert!(uses_incomplete_list(known, StoreEra(3)));
+    assert!(!uses_incomplete_list(known, StoreEra(4)));
+}
