--- a/crates/berylpin_core/src/direct/departures.rs
+++ b/crates/berylpin_core/src/direct/departures.rs
@@ -1,5 +1,5 @@
-//! Replicas that drained or whose entries were removed: a copy of the store from before that lists
-//! them as ready.
+//! Replicas that have departed, by a drain or a removal of their entries. A copy of the store from
+//! before a departure still lists the replica as ready.
 
 use super::configuration::ReplicaEntry;
 use super::store_era::StoreEra;
