Send nothing to a service whose weight has become zero

Cause: the credit that a service had earned by its former weight was kept, and could be the largest once more.

Change: credits start anew when the services or weights of a route change. The test failed before, after 1 request.

--- a/crates/berylpin_core/src/direct/split.rs
+++ b/crates/berylpin_core/src/direct/split.rs
@@ -7,6 +7,8 @@
 #[derive(Debug)]
 struct RouteCredits {
     route: RouteId,
+    /// The services and weights for which the credits were earned.
+    weights: Vec<(ServiceId, f64)>,
     /// One for each service, in the order of the route; their sum is 0.
     credits: Vec<f64>,
 }
@@ -36,12 +38,14 @@
         let index = match self.routes.binary_search_by_key(&route, |entry| entry.route) {
             Ok(index) => index,
             Err(index) => {
-                self.routes.insert(index, RouteCredits { route, credits: Vec::new() });
+                let entry = RouteCredits { route, weights: Vec::new(), credits: Vec::new() };
+                self.routes.insert(index, entry);
                 index
             }
         };
-        let credits = &mut self.routes[index].credits;
-        if credits.len() != weights.len() {
+        let RouteCredits { weights: earned_by, credits, .. } = &mut self.routes[index];
+        if earned_by != weights {
+            *earned_by = weights.to_vec();
             *credits = vec![0.0; weights.len()];
         }
         for (credit, (_, weight)) in credits.iter_mut().zip(weights) {
--- a/crates/berylpin_core/src/direct/split/tests.rs
+++ b/crates/berylpin_core/src/direct/split/tests.rs
@@ -32,3 +32,22 @@
     let weighted = [(ServiceId::from_index(0), 0.0), (ServiceId::from_index(1), 0.0)];
     assert_eq!(Splits::default().choose(RouteId(1), &weighted), None);
 }
+
+/// The credit that a service had earned by its former weight was spent once more after the weight
+/// became 0, so a request was routed as only an older version of the configuration allows.
+#[test]
+fn a_service_gets_nothing_once_its_weight_is_zero() {
+    let weighted = |weights: [f64; 2]| [0, 1].map(|i| (ServiceId::from_index(i), weights[i]));
+    for (before, zero) in (1..20).flat_map(|before| [(before, 0), (before, 1)]) {
+        let mut splits = Splits::default();
+        for _ in 0..before {
+            splits.choose(RouteId(1), &weighted([2.0, 3.0]));
+        }
+        let mut weights = [1.0; 2];
+        weights[zero] = 0.0;
+        for _ in 0..3 {
+            let chosen = splits.choose(RouteId(1), &weighted(weights)).unwrap();
+            assert_ne!(chosen.index(), zero, "after {before} requests");
+        }
+    }
+}
