--- a/crates/berylpin_daemon/tests/platform/odd_entries.rs
+++ b/crates/berylpin_daemon/tests/platform/odd_entries.rs
@@ -22,12 +22,18 @@
 
 /// Waits until a daemon answers a query with all shards.
 async fn wait_until_serves(process: &Process) {
+    wait_until_misses(process, 0).await;
+}
+
+/// Waits until a daemon answers a query without a number of shards.
+async fn wait_until_misses(process: &Process, missing: usize) {
+    let missing = format!("missing {missing}");
     let caller = Caller::new(process.caller_address()).unwrap();
     let deadline = Instant::now() + SERVE_TIMEOUT;
     for number in 0.. {
         assert!(Instant::now() < deadline, "{} does not serve:\n{}", process.name(), process.log());
         let outcome = caller.send(RequestKind::Query, &format!("q-{number}"), SERVE_TIMEOUT).await;
-        if matches!(outcome, Outcome::Answered(parts) if parts.contains(&"missing 0".to_owned())) {
+        if matches!(outcome, Outcome::Answered(parts) if parts.contains(&missing)) {
             return;
         }
         sleep(Duration::from_millis(50)).await;
@@ -123,3 +129,35 @@
     }
     restart_and_serve(Process::new(Zone(0), &ports, store.address(), "unreadable")).await;
 }
+
+/// One string or bracket that does not end made each list and watch of its kind unreadable: running
+/// daemons followed no change, and daemons that started served nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_does_not_end_hides_no_change_of_another() {
+    let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
+    let replicas = start_replicas(&store).await;
+    let mut process = Process::new(Zone(0), &ports, store.address(), "unbalanced");
+    process.start();
+    wait_until_serves(&process).await;
+    for (number, bytes) in
+        [&b"\""[..], b"{", b"[{\"a\":1", b"\"a\\", b"}", b"]}"].iter().enumerate()
+    {
+        let text = format!("(odd-{number})");
+        // With its quotes, the text is the whole spec or name.
+        store.return_as(&format!("\"{text}\""), bytes);
+        for kind in ["config", "servers", "daemons"] {
+            store.put(kind, &format!("i-odd-{number}"), json!(text));
+            store.put(kind, &format!("(name-{number})"), json!({"version": "v1"}));
+        }
+        store.return_as(&format!("(name-{number})"), bytes);
+        // The entry of a replica is overwritten, and then as it was.
+        let (replica, id) = (&replicas[0], format!("i-{}", SHARDS[0]));
+        store.put("servers", &id, json!(text));
+        wait_until_misses(&process, 1).await;
+        let entry = replica_entry(SHARDS[0], replica.address(), &data_centre(Zone(0)), false);
+        store.put("servers", &id, entry);
+        wait_until_serves(&process).await;
+    }
+    process.kill();
+    restart_and_serve(process).await;
+}
