List objects again after a watch that cannot be read

What callers saw (a trial with a stand-in store whose watches do not decode): a removed replica stayed in use without end.

Cause: after a malformed or too long response the same watch was repeated from the same revision. Only a status of 410 led back to a list, and the confirmation of the replicas called for the same changes.

Change: an error after which the same watch would fail again ends it, and the objects are listed, after the usual back-off; in the watches and in the calls that confirm the configuration and the replicas.

--- a/crates/berylpin_daemon/src/direct/control/confirmation.rs
+++ b/crates/berylpin_daemon/src/direct/control/confirmation.rs
@@ -71,7 +71,7 @@
     ) -> Result<StorePosition, StoreError> {
         let (since, called_at) = (self.configuration_position.get(), self.now());
         let result = self.list_or_watch(&calls.configuration, since, Duration::ZERO).await;
-        if let Err(StoreError::RevisionCompacted | StoreError::EraChanged) = result {
+        if result.as_ref().is_err_and(|e| e.ends_watch() || matches!(e, StoreError::EraChanged)) {
             self.configuration_position.set(None);
         }
         let newest = result?;
@@ -106,7 +106,7 @@
     async fn fetch_newest_replicas(&self, calls: &ConfirmationCalls) -> Result<(), StoreError> {
         let since = self.replicas_position();
         match self.list_or_watch(&calls.newest_replicas, since, Duration::ZERO).await {
-            Err(StoreError::RevisionCompacted) => {
+            Err(e) if e.ends_watch() => {
                 self.list_or_watch(&calls.newest_replicas, None, Duration::ZERO).await?;
             }
             other => _ = other?,
--- a/crates/berylpin_daemon/src/direct/control/watches.rs
+++ b/crates/berylpin_daemon/src/direct/control/watches.rs
@@ -181,8 +181,8 @@
 impl Control {
     /// Lists the objects of a kind and watches them from then on; does not return.
     ///
-    /// Lists them again if the store no longer holds the changes since the last position, or if it
-    /// was restored from a copy.
+    /// Lists them again if the store no longer holds the changes since the last position or does not
+    /// return them in a readable response, or if it was restored from a copy.
     pub(super) async fn watch_kind(&self, config: WatchConfig) {
         let mut position = None;
         let mut failures = 0;
@@ -222,7 +222,10 @@
                     }
                 }
                 Err(StoreError::RevisionCompacted) => position = None,
-                Err(_) => {
+                Err(e) => {
+                    if e.ends_watch() {
+                        position = None;
+                    }
                     let elapsed = self.now().saturating_duration_since(called_at);
                     let spent = if config.backoff_from_call { elapsed } else { Duration::ZERO };
                     let backoff = config.backoff_with_jitter(failures);
--- a/crates/berylpin_daemon/tests/platform/odd_entries.rs
+++ b/crates/berylpin_daemon/tests/platform/odd_entries.rs
@@ -161,3 +161,16 @@
     process.kill();
     restart_and_serve(process).await;
 }
+
+/// A watch whose response could not be read was repeated from the same revision for ever.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_are_listed_while_watches_cannot_be_read() {
+    let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
+    let _replicas = start_replicas(&store).await;
+    let mut process = Process::new(Zone(0), &ports, store.address(), "unreadable-watch");
+    process.start();
+    wait_until_serves(&process).await;
+    store.return_as("\"events\"", b"\"changes\"");
+    store.remove("servers", &format!("i-{}", SHARDS[0]));
+    wait_until_misses(&process, 1).await;
+}
