Close the caller that is idle longest before a new one is turned away

What callers saw: while callers without a whole request held all connections (900 of them at a daemon with 32 MB), each new caller was closed at once.

Cause: a full table turned away the newest, although the daemon waited for those in it. Connections that had ended counted until they were reaped.

Change: `Callers` knows since when the daemon waits for each caller, and names the one to close for a new connection beyond the limit. A caller whose whole request is being answered is never closed.

--- /dev/null
+++ b/crates/berylpin_core/src/direct/callers.rs
@@ -0,0 +1,113 @@
+//! The connections of callers, and which one is closed to make room for another.
+//!
+//! Load pattern: callers open more connections than the process has memory for and send no whole
+//! request on them, by mistake, in an attack, or because they keep them for later. A new caller is
+//! about to send a request, so one that has nothing to lose is closed before it is turned away.
+
+use crate::arena::{Slab, SlabKey};
+use std::time::{Duration, Instant};
+
+/// Identifies a connection of a caller; never reused.
+pub type CallerKey = SlabKey;
+
+/// A connection of a caller; `C` is the shell's handle of it.
+#[derive(Clone, Copy, Debug)]
+struct Caller<C> {
+    connection: C,
+    /// When the daemon began to wait for the caller: for the rest of a request, or for the next one.
+    /// `None` while the caller waits for an answer.
+    idle_since: Option<Instant>,
+}
+
+/// Whether there is room for a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission<C> {
+    /// There is room.
+    Accepted(CallerKey),
+    /// There is room after the shell has closed a connection, which is removed already.
+    Replaces {
+        /// The key of the new connection.
+        key: CallerKey,
+        /// The connection to close.
+        closed: C,
+        /// How long the daemon waited for its caller.
+        idle: Duration,
+    },
+    /// Each caller waits for an answer, so the new connection is turned away.
+    Full,
+}
+
+/// The open connections of callers.
+#[derive(Debug)]
+pub struct Callers<C> {
+    /// At most `limit` connections.
+    open: Slab<Caller<C>>,
+    limit: usize,
+}
+
+impl<C> Callers<C> {
+    /// Creates a table of at most `limit` connections.
+    pub fn new(limit: usize) -> Self {
+        Self { open: Slab::default(), limit }
+    }
+
+    /// Returns the number of connections.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Returns whether there are no connections.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// Adds a new connection, if need be in the place of the one that has been idle longest.
+    pub fn admit(&mut self, connection: C, now: Instant) -> Admission<C> {
+        let replaced = if self.open.len() < self.limit { None } else { self.remove_idlest(now) };
+        if self.open.len() >= self.limit {
+            return Admission::Full;
+        }
+        let key = self.open.insert(Caller { connection, idle_since: Some(now) });
+        match replaced {
+            Some((closed, idle)) => Admission::Replaces { key, closed, idle },
+            None => Admission::Accepted(key),
+        }
+    }
+
+    /// Records that a caller has sent the head of a request.
+    pub fn record_head(&mut self, key: CallerKey, now: Instant) {
+        self.set_idle_since(key, Some(now));
+    }
+
+    /// Records that a caller has sent a whole request and waits for the answer.
+    pub fn begin_request(&mut self, key: CallerKey) {
+        self.set_idle_since(key, None);
+    }
+
+    /// Records that the answer to a caller's request was passed to its connection.
+    pub fn end_request(&mut self, key: CallerKey, now: Instant) {
+        self.set_idle_since(key, Some(now));
+    }
+
+    /// Removes a connection that has closed.
+    pub fn remove(&mut self, key: CallerKey) {
+        self.open.remove(key);
+    }
+
+    fn set_idle_since(&mut self, key: CallerKey, idle_since: Option<Instant>) {
+        if let Some(caller) = self.open.get_mut(key) {
+            caller.idle_since = idle_since;
+        }
+    }
+
+    fn remove_idlest(&mut self, now: Instant) -> Option<(C, Duration)> {
+        let open = self.open.iter();
+        let idle = open.filter_map(|(key, caller)| Some((caller.idle_since?, key)));
+        let (since, key) = idle.min()?;
+        let caller = self.open.remove(key)?;
+        Some((caller.connection, now.saturating_duration_since(since)))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/berylpin_core/src/direct/mod.rs
+++ b/crates/berylpin_core/src/direct/mod.rs
@@ -14,6 +14,7 @@
 
 mod attempts;
 mod budget;
+mod callers;
 mod catalogue;
 mod completion;
 mod configuration;
@@ -45,6 +46,7 @@
 mod wait_queue;
 
 pub use budget::ExtraLimits;
+pub use callers::{Admission, CallerKey, Callers};
 pub use catalogue::Catalogue;
 pub use configuration::{
     ClientLimits, Configuration, DaemonEntry, ReplicaEntry, RouteConfig, RouteTarget,
--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -1,11 +1,11 @@
 //! The HTTP server for callers.
 
 use super::body::{BodyError, ReservedMemory, discard_body, read_body};
-use super::delivery::{CallerBody, CallerConnection};
+use super::connections::{CallerConnections, OpenCaller};
+use super::delivery::CallerBody;
 use super::disconnect::DisconnectGuard;
 use super::process::Shared;
 use super::traffic::{Payload, Traffic};
-use crate::metrics::CALLERS_CLOSED;
 use crate::sockets::ACCEPT_BACKOFF;
 use berylpin_core::direct::{Answer, ClientLimits, RefusalReason, Reply};
 use berylpin_core::verdict::Verdict;
@@ -16,8 +16,7 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use metrics::counter;
-use slog::{info, warn};
+use slog::warn;
 use socket2::SockRef;
 use std::convert::Infallible;
 use std::pin::pin;
@@ -55,8 +54,9 @@
 
 /// Accepts callers until `stop_accepting` is set, and then waits until all of them are answered.
 ///
-/// Callers beyond `max_callers` are closed at once, before anything is read from them, so that they
-/// can try another daemon.
+/// Beyond `max_callers` the caller that is idle longest is closed for a new one. If all of them wait
+/// for answers, the new one is closed before anything is read from it, so that it can try another
+/// daemon.
 pub(super) async fn accept_callers(
     listener: TcpListener,
     traffic: Rc<Traffic>,
@@ -64,45 +64,33 @@
     max_callers: usize,
 ) {
     let mut stop = shared.stop_accepting.clone();
-    let mut connections = JoinSet::new();
-    let mut closed = 0u64;
+    let open = CallerConnections::new(max_callers, shared.log.clone(), shared.clock.clone());
+    let mut tasks = JoinSet::new();
     loop {
         tokio::select! {
             _ = stop.wait_for(|stop| *stop) => break,
             accepted = listener.accept() => match accepted {
-                Ok(_) if connections.len() >= max_callers => {
-                    if closed == 0 {
-                        warn!(shared.log, "caller: connections closed, too many are open";
-                            "open" => connections.len());
-                    }
-                    closed += 1;
-                    counter!(CALLERS_CLOSED).increment(1);
-                }
-                Ok((stream, _)) => {
-                    let serving =
-                        serve_connection(stream, traffic.clone(), shared.stop_accepting.clone());
-                    connections.spawn_local(serving);
-                    if closed > 0 {
-                        info!(shared.log, "caller: connections accepted again"; "closed" => closed);
-                        closed = 0;
-                    }
+                Ok((stream, _)) => if let Some(caller) = open.admit().await {
+                    let stop = shared.stop_accepting.clone();
+                    tasks.spawn_local(serve_connection(stream, traffic.clone(), caller, stop));
                 }
                 Err(e) => {
                     warn!(shared.log, "caller: connection not accepted"; "cause" => %e);
                     tokio::time::sleep(ACCEPT_BACKOFF).await;
                 }
             },
-            Some(_) = connections.join_next() => {}
+            Some(_) = tasks.join_next() => {}
         }
     }
     drop(listener);
-    while connections.join_next().await.is_some() {}
+    while tasks.join_next().await.is_some() {}
 }
 
 /// Serves one connection; after `stop` is set, only until the request in flight is answered.
 async fn serve_connection(
     stream: TcpStream,
     traffic: Rc<Traffic>,
+    caller: Rc<OpenCaller>,
     mut stop: watch::Receiver<bool>,
 ) {
     // Nagle's algorithm would delay a small answer until the previous one is acknowledged.
@@ -111,7 +99,6 @@
     // error leaves the default size.
     let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
     let limits = traffic.view().map_or(DEFAULT_CLIENT_LIMITS, |view| view.limits);
-    let caller = CallerConnection::default();
     let serving = caller.clone();
     let service = service_fn(move |request| {
         let (traffic, caller) = (traffic.clone(), serving.clone());
@@ -130,13 +117,13 @@
     tokio::select! {
         // Checked first: an answer that is to be cut off must not end before and let another begin.
         biased;
-        () = caller.cut_off() => return,
+        () = caller.connection.cut_off() => return,
         _ = connection.as_mut() => return,
         _ = stop.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
     }
     tokio::select! {
         biased;
-        () = caller.cut_off() => {}
+        () = caller.connection.cut_off() => {}
         _ = connection => {}
     }
 }
@@ -144,9 +131,10 @@
 async fn handle_request(
     request: Request<Incoming>,
     traffic: Rc<Traffic>,
-    caller: CallerConnection,
+    caller: Rc<OpenCaller>,
 ) -> Response<CallerBody> {
     let arrived = traffic.now();
+    caller.record_head();
     let limits = traffic.view().map_or(DEFAULT_CLIENT_LIMITS, |view| view.limits);
     let (parts, body) = request.into_parts();
     let head = read_request_head(&parts.headers);
@@ -178,26 +166,30 @@
     payload: Payload,
     (arrived, time_left): (Instant, Duration),
     traffic: Rc<Traffic>,
-    caller: CallerConnection,
+    caller: Rc<OpenCaller>,
 ) -> Response<CallerBody> {
     let request_id = payload.head.request_id.clone();
+    let connection = caller.connection.clone();
+    let awaited = caller.await_answer();
     let (ticket, reply) = traffic.start_request(payload);
     let mut guard = DisconnectGuard::new(traffic.clone(), ticket);
     let answer = reply.await;
     guard.mark_answered();
-    match answer {
+    let mut response = match answer {
         Ok(Answer::Relayed(reply)) => {
             let now = traffic.now();
             let time_left = time_left.saturating_sub(now.saturating_duration_since(arrived));
             relay(reply, |body| {
-                let delivery = (traffic.deliveries.clone(), caller);
+                let delivery = (traffic.deliveries.clone(), connection);
                 CallerBody::relayed(body, (request_id, time_left), delivery, now)
             })
         }
         Ok(answer) => encode_answer(answer),
         // The request was dropped without an answer.
         Err(_) => empty_response(StatusCode::BAD_GATEWAY, HeaderMap::new()),
-    }
+    };
+    response.body_mut().set_awaited(awaited);
+    response
 }
 
 /// Reads the body of a request; a body for which there is no memory is read to its end and dropped.
--- /dev/null
+++ b/crates/berylpin_daemon/src/direct/connections.rs
@@ -0,0 +1,109 @@
+//! The open connections of callers, of which the one that is idle longest is closed for a new one.
+
+use super::delivery::CallerConnection;
+use crate::logging::Log;
+use crate::metrics::CALLERS_CLOSED;
+use berylpin_core::clock::Clock;
+use berylpin_core::direct::{Admission, CallerKey, Callers};
+use metrics::counter;
+use slog::{info, warn};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The open connections of callers.
+pub(super) struct CallerConnections {
+    log: Log,
+    clock: Arc<dyn Clock>,
+    callers: RefCell<Callers<CallerConnection>>,
+    /// The connections that were closed since there was last room for a new one.
+    closed: Cell<u64>,
+}
+
+impl CallerConnections {
+    /// Creates a table of at most `limit` connections.
+    pub(super) fn new(limit: usize, log: Log, clock: Arc<dyn Clock>) -> Rc<Self> {
+        let callers = RefCell::new(Callers::new(limit));
+        Rc::new(Self { log, clock, callers, closed: Cell::new(0) })
+    }
+
+    /// Adds a new connection; `None` if it is to be closed at once.
+    ///
+    /// If need be, the connection that is idle longest is closed before this returns.
+    pub(super) async fn admit(self: &Rc<Self>) -> Option<Rc<OpenCaller>> {
+        let connection = CallerConnection::default();
+        let admission = self.callers.borrow_mut().admit(connection.clone(), self.clock.now());
+        let key = match admission {
+            Admission::Accepted(key) => {
+                let closed = self.closed.take();
+                if closed > 0 {
+                    info!(self.log, "caller: connections accepted again"; "closed" => closed);
+                }
+                key
+            }
+            Admission::Replaces { key, closed, idle } => {
+                self.record_closed(Some(idle));
+                closed.notify_cut_off();
+                // The notified task runs first, and drops its connection.
+                tokio::task::yield_now().await;
+                key
+            }
+            Admission::Full => {
+                self.record_closed(None);
+                return None;
+            }
+        };
+        Some(Rc::new(OpenCaller { key, connection, table: self.clone() }))
+    }
+
+    /// Logs the first of several connections that are closed; `idle` is how long the daemon waited
+    /// for its caller, `None` if it is a new one.
+    fn record_closed(&self, idle: Option<Duration>) {
+        if self.closed.get() == 0 {
+            warn!(self.log, "caller: connections closed, too many are open";
+                "open" => self.callers.borrow().len(),
+                "idle_ms" => idle.map(|idle| idle.as_millis() as u64));
+        }
+        self.closed.set(self.closed.get() + 1);
+        let reason = if idle.is_some() { "idle" } else { "full" };
+        counter!(CALLERS_CLOSED, "reason" => reason).increment(1);
+    }
+}
+
+/// An open connection of a caller, which leaves the table when dropped.
+pub(super) struct OpenCaller {
+    key: CallerKey,
+    pub(super) connection: CallerConnection,
+    table: Rc<CallerConnections>,
+}
+
+impl OpenCaller {
+    /// Records that the caller has sent the head of a request.
+    pub(super) fn record_head(&self) {
+        self.table.callers.borrow_mut().record_head(self.key, self.table.clock.now());
+    }
+
+    /// Records that the caller has sent a whole request; its connection is not closed for others
+    /// until the returned value is dropped.
+    pub(super) fn await_answer(self: Rc<Self>) -> AwaitedAnswer {
+        self.table.callers.borrow_mut().begin_request(self.key);
+        AwaitedAnswer(self)
+    }
+}
+
+impl Drop for OpenCaller {
+    fn drop(&mut self) {
+        self.table.callers.borrow_mut().remove(self.key);
+    }
+}
+
+/// An answer for which a caller waits, until its connection has taken the last part of it.
+pub(super) struct AwaitedAnswer(Rc<OpenCaller>);
+
+impl Drop for AwaitedAnswer {
+    fn drop(&mut self) {
+        let OpenCaller { key, table, .. } = &*self.0;
+        table.callers.borrow_mut().end_request(*key, table.clock.now());
+    }
+}
--- a/crates/berylpin_daemon/src/direct/delivery.rs
+++ b/crates/berylpin_daemon/src/direct/delivery.rs
@@ -1,6 +1,7 @@
 //! The bodies of answers to callers, and the callers that are cut off since they take one too
 //! slowly while its memory is needed.
 
+use super::connections::AwaitedAnswer;
 use crate::logging::Log;
 use berylpin_core::direct::{Deliveries, Delivery, DeliveryKey};
 use bytes::Bytes;
@@ -27,6 +28,11 @@
     pub(super) async fn cut_off(&self) {
         self.0.notified().await;
     }
+
+    /// Cuts off the caller.
+    pub(super) fn notify_cut_off(&self) {
+        self.0.notify_one();
+    }
 }
 
 /// The long answers that are being delivered to callers.
@@ -52,7 +58,7 @@
             info!(self.log, "caller: answer cut off"; "request" => request, "bytes" => bytes,
                 "taken" => taken, "elapsed_ms" => elapsed);
             counter!("berylpin_answers_cut_off_total").increment(1);
-            connection.0.notify_one();
+            connection.notify_cut_off();
         }
         // The notified tasks run first; each drops its connection and the answer in it.
         tokio::task::yield_now().await;
@@ -65,12 +71,20 @@
     rest: Bytes,
     /// `None` for an answer that is passed to the connection as a whole.
     delivery: Option<(Rc<CallerDeliveries>, DeliveryKey)>,
+    /// Keeps the connection from being closed for another caller; `None` for an answer that the
+    /// caller has not waited for with a whole request.
+    awaited: Option<AwaitedAnswer>,
 }
 
 impl CallerBody {
     /// Returns a body that is passed to the connection as a whole.
     pub(super) fn whole(body: Bytes) -> Self {
-        Self { rest: body, delivery: None }
+        Self { rest: body, delivery: None, awaited: None }
+    }
+
+    /// Sets the answer for which the caller waits until the connection has taken this body.
+    pub(super) fn set_awaited(&mut self, awaited: AwaitedAnswer) {
+        self.awaited = Some(awaited);
     }
 
     /// Returns the body of an answer to the request with the id `request`; a long one is passed to
@@ -86,7 +100,7 @@
         }
         let caller = (connection, request);
         let key = deliveries.deliveries.borrow_mut().start(body.len(), time_left, caller, now);
-        Self { rest: body, delivery: Some((deliveries, key)) }
+        Self { rest: body, delivery: Some((deliveries, key)), awaited: None }
     }
 }
 
--- a/crates/berylpin_daemon/src/direct/mod.rs
+++ b/crates/berylpin_daemon/src/direct/mod.rs
@@ -5,6 +5,7 @@
 mod body;
 mod bounded_stream;
 mod caller;
+mod connections;
 mod control;
 mod decision_log;
 mod delivery;
--- a/crates/berylpin_daemon/src/metrics.rs
+++ b/crates/berylpin_daemon/src/metrics.rs
@@ -172,7 +172,10 @@
 }
 
 fn describe_metrics() {
-    describe_counter!(CALLERS_CLOSED, "Connections of callers that were closed for lack of memory");
+    describe_counter!(
+        CALLERS_CLOSED,
+        "Connections of callers closed for lack of memory, by reason"
+    );
     describe_histogram!(REQUEST_DURATION, "Time from a request's arrival to its end");
     describe_histogram!(QUERY_DURATION, "Time from request to answer, by rank and target");
     describe_counter!(QUERIES, "Queries by rank, target and outcome");
