--- a/crates/berylpin_daemon/tests/platform/silent_store.rs
+++ b/crates/berylpin_daemon/tests/platform/silent_store.rs
@@ -9,6 +9,7 @@
 use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 /// The timeout until a daemon serves, and of each answer; ample even on a loaded machine.
@@ -19,6 +20,10 @@
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
 
+/// The daemons that see a silence, each this much later in its watch than the one before.
+const SILENCE_ROUNDS: u32 = 8;
+const SILENCE_PHASE: Duration = Duration::from_millis(70);
+
 /// How long after a change of an entry the next watch has begun.
 const WATCH_DELAY: Duration = Duration::from_millis(600);
 
@@ -120,14 +125,28 @@
 
 /// A call that failed because its connection was silent counted as an outage of the store, after
 /// which a removed replica is kept for a grace time that went beyond the settle time.
+///
+/// The grace time begins with the daemon's next call, so several daemons see the silence at other points of
+/// their watches.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_replica_removed_during_a_silence_gets_nothing_after_the_settle_time() {
-    let setup = Setup::start("removed-in-silence").await;
+    let mut rounds = JoinSet::new();
+    for round in 0..SILENCE_ROUNDS {
+        rounds.spawn(remove_during_silence(round));
+    }
+    while let Some(round) = rounds.join_next().await {
+        round.unwrap();
+    }
+}
+
+/// Removes a replica behind a silence; it must get nothing after the settle time.
+async fn remove_during_silence(round: u32) {
+    let setup = Setup::start(&format!("removed-in-silence-{round}")).await;
     let mut changed = entry(&setup.replicas[0]);
     changed["slots"] = 5.into();
     setup.store.put("servers", setup.replicas[0].id(), changed);
     setup.wait_for_line("control: replica changed").await;
-    sleep(NEW_WATCH_DELAY).await;
+    sleep(NEW_WATCH_DELAY + SILENCE_PHASE * round).await;
     setup.net.silence_connections();
     let settled = std::time::Instant::now() + SETTLE_TIME;
     let [leaving, staying] = setup.replicas_of("ledger")[..] else { panic!("two replicas") };
