Test that unreadable watches count as no outage of the store

Watches that cannot be read fail again and again while the lists between them are answered: a removed replica gets nothing after the drain limit then too.

--- a/crates/berylpin_daemon/tests/platform/odd_entries.rs
+++ b/crates/berylpin_daemon/tests/platform/odd_entries.rs
@@ -13,6 +13,13 @@
 /// The timeout until a daemon serves, and of each answer; ample even on a loaded machine.
 const SERVE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The time after which a removed replica gets nothing, as the settings of the daemon say.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+
+/// How long watches cannot be read before a replica is removed; longer than an outage in which
+/// entries expire.
+const UNREADABLE_TIME: Duration = Duration::from_secs(4);
+
 const SHARDS: [&str; 4] = ["a0", "a1", "a2", "a3"];
 
 /// Names with characters that have a meaning in a URL. Each sorts before the names of all replicas,
@@ -171,6 +178,11 @@
     process.start();
     wait_until_serves(&process).await;
     store.return_as("\"events\"", b"\"changes\"");
+    // Meanwhile watches fail again and again, which is no outage of the store.
+    sleep(UNREADABLE_TIME).await;
+    let removed_at = Instant::now();
     store.remove("servers", &format!("i-{}", SHARDS[0]));
     wait_until_misses(&process, 1).await;
+    let used_for = removed_at.elapsed();
+    assert!(used_for <= DRAIN_LIMIT, "used for {used_for:?}:\n{}", process.log());
 }
