Drop the body that is stalled longest before a new one is refused

What callers saw: while bodies that did not end held the memory for bodies (64 of 200 KB at a daemon with 32 MB), each new request with a body was refused with 503. Such a body is given up after 3 s, but its caller can send the next one at once.

Cause: as with connections, whoever came last was turned away, although the daemon waited for the others.

Change: when memory is lacking, the caller whose body is unfinished for longest is closed, if 1 s has passed since its head. The bodies of a burst, which arrive sooner, are not dropped, and the newest is refused as before.

Failed before: new_bodies_are_read_beside_bodies_that_do_not_end (the first charge refused); 8 of 8 charges are answered with the change.

--- a/crates/berylpin_core/src/direct/callers/tests.rs
+++ b/crates/berylpin_core/src/direct/callers/tests.rs
@@ -65,6 +65,27 @@
     assert_eq!(callers.admit(3, now), Admission::Full);
 }
 
+/// Bodies that did not end held all memory for bodies, and each new body was refused.
+#[test]
+fn the_body_that_is_stalled_longest_makes_room_for_another() {
+    let start = Instant::now();
+    let mut callers = Callers::new(9);
+    let names = ["own", "idle", "waiting", "ended", "second", "first", "recent"];
+    let keys = names.map(|name| accept(&mut callers, name, start));
+    callers.begin_request(keys[2]);
+    callers.record_head(keys[0], start);
+    callers.record_head(keys[3], start);
+    callers.record_body_end(keys[3], start);
+    callers.record_head(keys[4], start + MS * 2);
+    callers.record_head(keys[5], start + MS);
+    let now = start + BODY_STALL_TIME + MS * 5;
+    callers.record_head(keys[6], now.checked_sub(BODY_STALL_TIME).unwrap() + MS);
+    let mut take = || callers.take_stalled_body(keys[0], now);
+    assert_eq!(take(), Some(("first", BODY_STALL_TIME + MS * 4)));
+    assert_eq!(take(), Some(("second", BODY_STALL_TIME + MS * 3)));
+    assert_eq!(take(), None);
+}
+
 proptest! {
     #[test]
     fn no_more_than_the_limit_are_open_and_no_waiting_caller_is_closed(
--- a/crates/berylpin_daemon/src/direct/body.rs
+++ b/crates/berylpin_daemon/src/direct/body.rs
@@ -46,6 +46,11 @@
         Self { available: Arc::new(AtomicUsize::new(bytes)) }
     }
 
+    /// Returns the number of bytes that are not reserved.
+    pub(super) fn available(&self) -> usize {
+        self.available.load(Ordering::Relaxed)
+    }
+
     /// Returns a reservation without memory.
     pub(super) fn reserve(&self) -> ReservedMemory {
         ReservedMemory { available: self.available.clone(), bytes: 0 }
--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -142,8 +142,11 @@
         return empty_response(StatusCode::BAD_REQUEST, HeaderMap::new());
     }
     let memory = traffic.request_memory().reserve();
-    let body = read_request_body(body, limits.body_bytes, memory);
-    let body = match tokio::time::timeout(limits.header_timeout, body).await {
+    let reclaim = async |bytes| caller.reclaim_bodies(bytes, traffic.request_memory()).await;
+    let body = read_request_body(body, limits.body_bytes, memory, reclaim);
+    let body = tokio::time::timeout(limits.header_timeout, body).await;
+    caller.record_body_end();
+    let body = match body {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::TooLong)) => {
             return empty_response(StatusCode::PAYLOAD_TOO_LARGE, HeaderMap::new());
@@ -193,12 +196,18 @@
 }
 
 /// Reads the body of a request; a body for which there is no memory is read to its end and dropped.
-async fn read_request_body(
+///
+/// `reclaim` may make memory available.
+async fn read_request_body<F>(
     mut body: Incoming,
     limit: usize,
     memory: ReservedMemory,
-) -> Result<Bytes, BodyError> {
-    let read = read_body(&mut body, limit, memory, async |_| ()).await;
+    reclaim: F,
+) -> Result<Bytes, BodyError>
+where
+    F: AsyncFn(usize),
+{
+    let read = read_body(&mut body, limit, memory, reclaim).await;
     if read == Err(BodyError::NoMemory) {
         discard_body(&mut body, limit).await?;
     }
--- a/crates/berylpin_daemon/tests/platform/callers.rs
+++ b/crates/berylpin_daemon/tests/platform/callers.rs
@@ -20,6 +20,12 @@
 /// More connections than fit into that memory, by their heads alone.
 const CONNECTIONS: usize = 900;
 
+/// Unfinished bodies of 200 KB for each MB of memory, which take more than the memory for bodies.
+const BODIES_PER_MB: usize = 2;
+
+/// The time after which unfinished bodies count as stalled, and before which they are given up.
+const STALL_TIME: Duration = Duration::from_millis(1500);
+
 /// The start of a request with as long a head as the limits allow.
 fn unfinished_head() -> Vec<u8> {
     let mut head = b"GET /query/x HTTP/1.1\r\nhost: a.example\r\nx-long: ".to_vec();
@@ -33,6 +39,15 @@
         .to_vec()
 }
 
+/// The start of a request with a long body that does not end.
+fn unfinished_long_body() -> Vec<u8> {
+    let mut start = b"POST /charge/x HTTP/1.1\r\nhost: a.example\r\nx-request-id: x\r\n\
+        content-length: 250000\r\n\r\n"
+        .to_vec();
+    start.resize(start.len() + (200 << 10), b'x');
+    start
+}
+
 /// One daemon with little memory and one replica.
 struct Harness {
     process: Process,
@@ -47,7 +62,7 @@
         let (store, ports) = (Store::start().await.unwrap(), FleetPorts::reserve());
         let replica = Replica::start("a0", "a0", Arc::<RunLog>::default(), 1).await.unwrap();
         store.put("servers", "a0", replica_entry("a0", replica.address(), "centre-0", false));
-        store.put("config", "main", configuration(1, &["a0".to_owned()], "ledger"));
+        store.put("config", "main", configuration(1, &["a0".to_owned()], "a0"));
         let mut process = Process::new(Zone(0), &ports, store.address(), name);
         process.set_memory_mb(MEMORY_MB);
         process.start();
@@ -122,6 +137,24 @@
     }
 }
 
+/// Bodies that did not end held the memory for bodies for as long as they may take, and each new one
+/// was refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_bodies_are_read_beside_bodies_that_do_not_end() {
+    let (harness, _) = Harness::start("stalled-bodies").await;
+    let start = unfinished_long_body();
+    let _open = harness.open_callers(MEMORY_MB as usize * BODIES_PER_MB, &start).await;
+    sleep(STALL_TIME).await;
+    for number in 0..8 {
+        let caller = harness.new_caller().with_charge_body(vec![b'1'; 32 << 10].into());
+        let id = format!("charge-{number}");
+        let outcome = caller.send(RequestKind::Charge, &id, SERVE_TIMEOUT).await;
+        let log = harness.process.log();
+        assert!(matches!(outcome, Outcome::Answered(_)), "{number}: {outcome:?}:\n{log}");
+    }
+    assert!(harness.process.log().contains("caller: stalled bodies dropped for memory"));
+}
+
 /// A request was cut off to make room for a caller that had not sent one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_caller_that_waits_for_its_answer_is_not_closed_for_new_ones() {
