--- a/crates/berylpin_core/src/direct/callers.rs
+++ b/crates/berylpin_core/src/direct/callers.rs
@@ -87,8 +87,8 @@
         self.set_state(key, Some(now), true);
     }
 
-    /// Records that the body of a caller's request was read or given up.
-    pub fn record_body_end(&mut self, key: CallerKey, now: Instant) {
+    /// Records that the body of a caller's request was given up.
+    pub fn record_body_failure(&mut self, key: CallerKey, now: Instant) {
         self.set_state(key, Some(now), false);
     }
 
--- a/crates/berylpin_core/src/direct/callers/tests.rs
+++ b/crates/berylpin_core/src/direct/callers/tests.rs
@@ -70,12 +70,12 @@
 fn the_body_that_is_stalled_longest_makes_room_for_another() {
     let start = Instant::now();
     let mut callers = Callers::new(9);
-    let names = ["own", "idle", "waiting", "ended", "second", "first", "recent"];
+    let names = ["own", "idle", "waiting", "failed", "second", "first", "recent"];
     let keys = names.map(|name| accept(&mut callers, name, start));
     callers.begin_request(keys[2]);
     callers.record_head(keys[0], start);
     callers.record_head(keys[3], start);
-    callers.record_body_end(keys[3], start);
+    callers.record_body_failure(keys[3], start);
     callers.record_head(keys[4], start + MS * 2);
     callers.record_head(keys[5], start + MS);
     let now = start + BODY_STALL_TIME + MS * 5;
--- a/crates/berylpin_daemon/src/direct/caller.rs
+++ b/crates/berylpin_daemon/src/direct/caller.rs
@@ -134,7 +134,6 @@
     caller: Rc<OpenCaller>,
 ) -> Response<CallerBody> {
     let arrived = traffic.now();
-    caller.record_head();
     let limits = traffic.view().map_or(DEFAULT_CLIENT_LIMITS, |view| view.limits);
     let (parts, body) = request.into_parts();
     let head = read_request_head(&parts.headers);
@@ -144,8 +143,11 @@
     let memory = traffic.request_memory().reserve();
     let reclaim = async |bytes| caller.reclaim_bodies(bytes, traffic.request_memory()).await;
     let body = read_request_body(body, limits.body_bytes, memory, reclaim);
+    caller.record_head(arrived);
     let body = tokio::time::timeout(limits.header_timeout, body).await;
-    caller.record_body_end();
+    if !matches!(body, Ok(Ok(_))) {
+        caller.record_body_failure();
+    }
     let body = match body {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::TooLong)) => {
--- a/crates/berylpin_daemon/src/direct/connections.rs
+++ b/crates/berylpin_daemon/src/direct/connections.rs
@@ -68,6 +68,7 @@
         Some(Rc::new(OpenCaller { key, connection, table: self.clone() }))
     }
 
+    /// Counts a connection that is closed for the memory of its body, and logs it at times.
     fn record_stalled_body(&self, idle: Duration) {
         counter!(CALLERS_CLOSED, "reason" => "stalled_body").increment(1);
         let now = self.clock.now();
@@ -103,13 +104,13 @@
 
 impl OpenCaller {
     /// Records that the caller has sent the head of a request.
-    pub(super) fn record_head(&self) {
-        self.table.callers.borrow_mut().record_head(self.key, self.table.clock.now());
+    pub(super) fn record_head(&self, now: Instant) {
+        self.table.callers.borrow_mut().record_head(self.key, now);
     }
 
-    /// Records that the body of the caller's request was read or given up.
-    pub(super) fn record_body_end(&self) {
-        self.table.callers.borrow_mut().record_body_end(self.key, self.table.clock.now());
+    /// Records that the body of the caller's request was given up.
+    pub(super) fn record_body_failure(&self) {
+        self.table.callers.borrow_mut().record_body_failure(self.key, self.table.clock.now());
     }
 
     /// Closes the connections of callers whose bodies are stalled until `lacking` bytes more are
