Keep no service that only an entry names, and a bounded number of data centres

An entry of another writer that names another service and data centre with each change made the catalogue keep each name for good, and each view hold one more service.

Cause: ids are never used again, and entries registered names as the configuration does.

Change: a service is registered once a configuration names it; its replicas are known before by their entries, and are in the view from then on. Data centres are 256 at most, and an entry of a further one is unusable.

Failed before: names_in_entries_take_bounded_memory (1,027 services instead of 3 after 1,024 changes).

--- a/crates/berylpin_core/src/direct/catalogue.rs
+++ b/crates/berylpin_core/src/direct/catalogue.rs
@@ -29,6 +29,10 @@
 /// Connections that a replica accepts if the configuration does not set a limit.
 const DEFAULT_MAX_CONNECTIONS: u32 = 16;
 
+/// The maximum number of data centres. Entries of further ones are unusable: ids are never used
+/// again, so names that another writer makes up would take memory without end.
+const MAX_DATA_CENTRES: usize = 256;
+
 /// A replica with an entry, or one whose entry may only have expired in an outage of the store.
 #[derive(Debug)]
 struct KnownReplica {
@@ -86,14 +90,15 @@
     /// When the replicas must be listed again, because a list contained the predecessor of a replica
     /// in use.
     relist_at: Option<Instant>,
-    /// The names of services; the index is the id.
+    /// The names of the services that configurations have named; the index is the id. Entries add
+    /// none, since another writer may name any.
     services: Vec<Arc<str>>,
     /// The ids of all services, sorted by name.
     services_by_name: Vec<ServiceId>,
     /// The names of the routes in force with their ids, sorted.
     routes: Vec<(Arc<str>, RouteId)>,
     pub(super) fleet: Fleet,
-    /// The names of data centres; the index is the id.
+    /// The names of data centres, at most `MAX_DATA_CENTRES`; the index is the id.
     data_centres: Vec<String>,
     next_replica: usize,
     next_route: u32,
@@ -155,10 +160,9 @@
         position: StorePosition,
         now: Instant,
     ) -> bool {
-        entries.retain(|entry| self.location.names_daemon(entry));
-        for entry in &entries {
-            self.add_data_centre(&entry.data_centre);
-        }
+        entries.retain(|entry| {
+            self.location.names_daemon(entry) && self.add_data_centre(&entry.data_centre)
+        });
         self.fleet.set_entries(entries, position, now)
     }
 
@@ -166,10 +170,9 @@
     ///
     /// An entry that names no daemon to call removes the one of its name, as a list does.
     pub fn put_daemon(&mut self, entry: DaemonEntry, now: Instant) -> bool {
-        if !self.location.names_daemon(&entry) {
+        if !self.location.names_daemon(&entry) || !self.add_data_centre(&entry.data_centre) {
             return self.remove_daemon(&entry.name);
         }
-        self.add_data_centre(&entry.data_centre);
         self.fleet.put(entry, now)
     }
 
@@ -300,7 +303,8 @@
         }
         for known in self.replicas.iter().filter(|known| known.accepts_work()) {
             let entry = &known.entry;
-            services[self.service_id(&entry.service)].replicas.push(Arc::new(Replica {
+            let Some(service) = self.find_service(&entry.service) else { continue };
+            services[service].replicas.push(Arc::new(Replica {
                 id: known.id,
                 tag: ReplicaTag::of([entry.id.as_str()]),
                 name: known.name.clone(),
@@ -351,17 +355,28 @@
         DataCentreId::from_index(position.expect("every named data centre is registered"))
     }
 
-    fn add_data_centre(&mut self, name: &str) {
-        if !self.data_centres.iter().any(|other| other == name) {
+    /// Registers a data centre; returns false if too many are registered.
+    fn add_data_centre(&mut self, name: &str) -> bool {
+        if self.data_centres.iter().any(|other| other == name) {
+            return true;
+        }
+        let has_room = self.data_centres.len() < MAX_DATA_CENTRES;
+        if has_room {
             self.data_centres.push(name.to_owned());
         }
+        has_room
     }
 
-    /// Returns the id of a registered service.
+    /// Returns the id of a service that a configuration names.
     fn service_id(&self, name: &str) -> ServiceId {
+        self.find_service(name).expect("every service of a configuration is registered")
+    }
+
+    /// Returns the id of a service; `None` if no configuration has named it.
+    fn find_service(&self, name: &str) -> Option<ServiceId> {
         let found =
             self.services_by_name.binary_search_by(|id| (*self.services[id.index()]).cmp(name));
-        self.services_by_name[found.expect("every named service is registered")]
+        found.ok().map(|position| self.services_by_name[position])
     }
 
     fn add_service(&mut self, name: &str) {
--- a/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
+++ b/crates/berylpin_core/src/direct/catalogue/replica_entries.rs
@@ -27,7 +27,7 @@
         // Also for a list of a new era without other entries: peers compare the view's position.
         let mut changed = before.is_none() || is_new_era;
         self.relist_at = self.relist_at.filter(|at| *at > now);
-        entries.retain(|entry| entry.check().is_ok());
+        entries.retain(|entry| entry.check().is_ok() && self.add_data_centre(&entry.data_centre));
         if is_new_era {
             self.remove_predecessors(&mut entries, now);
         }
@@ -55,6 +55,9 @@
     /// Ignores an unusable entry. A replica that restarted or moved gets a new id, so that its
     /// statistics are not reused.
     pub fn put_replica(&mut self, entry: ReplicaEntry, now: Instant) -> bool {
+        if !self.add_data_centre(&entry.data_centre) {
+            return self.remove_replica(&entry.id, now);
+        }
         self.apply_entry(entry, EntrySource::Change, now)
     }
 
@@ -62,8 +65,6 @@
         let Ok(name) = entry.check().and_then(|()| ReplicaName::new(&entry.id)) else {
             return false;
         };
-        self.add_service(&entry.service);
-        self.add_data_centre(&entry.data_centre);
         let unproven = self.check_departed(&entry, source, now);
         let leaving = self.leaving.contains(&entry.id, entry.started_ms);
         match self.position(&entry.id) {
--- a/crates/berylpin_core/src/direct/catalogue/tests.rs
+++ b/crates/berylpin_core/src/direct/catalogue/tests.rs
@@ -2,7 +2,7 @@
 use super::*;
 use crate::direct::store_times::StoreCall;
 use crate::direct::testing::{
-    EXPIRY_GRACE, catalogue, configuration, daemon_entry, position, replica_entry,
+    EXPIRY_GRACE, catalogue, configuration, daemon_entry, position, replica_entry, shard_name,
 };
 use crate::direct::{RouteConfig, StateDelta};
 use proptest::prelude::*;
@@ -31,6 +31,33 @@
     assert!(catalogue.view().is_some());
 }
 
+/// Each name that an entry of another writer gave to its service or data centre was kept for good,
+/// and was a part of each view.
+#[test]
+fn names_in_entries_take_bounded_memory() {
+    let (mut catalogue, now) = small_catalogue();
+    let before = (catalogue.services.len(), replica_names(&catalogue));
+    for number in 0..4 * MAX_DATA_CENTRES {
+        let (service, centre) = (format!("service-{number}"), format!("centre-{number}"));
+        catalogue.put_replica(replica_entry("odd", &service, &centre), now);
+        catalogue.put_daemon(daemon_entry("odd", &centre), now);
+    }
+    assert_eq!((catalogue.services.len(), replica_names(&catalogue)), before);
+    assert!(catalogue.data_centres.len() <= MAX_DATA_CENTRES);
+    let view = catalogue.view().unwrap();
+    assert!(view.peers.iter().all(|peer| peer.tag != MemberTag::of(["odd"])));
+}
+
+/// During a repartition replicas start some time before a version names their services.
+#[test]
+fn replicas_of_a_service_that_a_later_version_names_are_used_from_then_on() {
+    let (mut catalogue, now) = small_catalogue();
+    catalogue.put_replica(replica_entry("early", &shard_name(2), "palermo"), now);
+    assert!(!replica_names(&catalogue).contains(&"early".to_owned()));
+    catalogue.apply_configuration(configuration(2, 3));
+    assert!(replica_names(&catalogue).contains(&"early".to_owned()));
+}
+
 /// Odd entries counted in the size of the fleet, by which budgets and connections are shared, and
 /// were called; a daemon called itself through an entry of another name.
 #[test]
