--- a/crates/berylpin_daemon/tests/platform/silent_store.rs
+++ b/crates/berylpin_daemon/tests/platform/silent_store.rs
@@ -126,8 +126,8 @@
 /// A call that failed because its connection was silent counted as an outage of the store, after
 /// which a removed replica is kept for a grace time that went beyond the settle time.
 ///
-/// The grace time begins with the daemon's next call, so several daemons see the silence at other points of
-/// their watches.
+/// The grace time begins with a daemon's next call, so several daemons see the silence at other
+/// points of their watches.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_replica_removed_during_a_silence_gets_nothing_after_the_settle_time() {
     let mut rounds = JoinSet::new();
