Soak: send a series' signals to processes that have begun

Change: after a start, a series waits for the first line of the new process, which follows the handlers.

--- a/crates/berylpin_daemon/tests/platform/process.rs
+++ b/crates/berylpin_daemon/tests/platform/process.rs
@@ -13,6 +13,9 @@
 /// The timeout for a daemon to exit after SIGTERM.
 const STOP_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// The timeout for a daemon to write its first log line; ample even on a loaded machine.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// The memory of a VM in MB, unless a test sets it.
 const DEFAULT_MEMORY_MB: u32 = 128;
 
@@ -126,6 +129,17 @@
         self.child = Some(child.unwrap());
     }
 
+    /// Waits until the process that was started last has begun; before it installs its handlers, a
+    /// signal ends it.
+    pub(super) async fn wait_until_begun(&self) {
+        let id = self.child.as_ref().unwrap().id();
+        let (begun, deadline) = (format!("\"process\":{id},"), Instant::now() + START_TIMEOUT);
+        while !self.log().lines().any(|l| l.contains("daemon: starting") && l.contains(&begun)) {
+            assert!(Instant::now() < deadline, "{} does not begin:\n{}", self.name(), self.log());
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     /// Sends a signal, named as an option of `kill`, to the daemon's process if it was started.
     pub(super) fn signal(&self, option: &str) {
         if let Some(child) = &self.child {
@@ -151,13 +165,17 @@
     pub(super) async fn wait_for_stop(&mut self) {
         let deadline = Instant::now() + STOP_TIMEOUT;
         let mut child = self.child.take().unwrap();
-        while child.try_wait().unwrap().is_none() {
+        let status = loop {
+            if let Some(status) = child.try_wait().unwrap() {
+                break status;
+            }
             assert!(Instant::now() < deadline, "{} does not exit after SIGTERM", self.name());
             sleep(Duration::from_millis(20)).await;
-        }
+        };
         let log = self.log();
         let last = log.lines().last().unwrap_or_default();
-        assert!(last.contains("daemon: stopped"), "last log line of {}: {last}", self.name());
+        let name = self.name();
+        assert!(last.contains("daemon: stopped"), "{name} ended with {status}, last line: {last}");
     }
 
     /// Returns the peak memory of the running process, in KB.
--- a/crates/berylpin_daemon/tests/platform/soak.rs
+++ b/crates/berylpin_daemon/tests/platform/soak.rs
@@ -26,12 +26,14 @@
 use tokio::time::{sleep, timeout};
 
 /// Seeds that once found the fault described at each; they are always run.
-const REGRESSION_SEEDS: [u64; 2] = [
+const REGRESSION_SEEDS: [u64; 3] = [
     // After SIGTERM, a process exited before its last log line was written.
     16,
     // After SIGTERM, the control thread wrote a line after `daemon: stopped`; in a later failure
     // the traffic thread did.
     301,
+    // A series sent a signal to a process before its program had begun, which ended it.
+    431_047,
 ];
 
 /// The first seed and the number of seeds without `BERYLPIN_SOAK_SEEDS`.
--- a/crates/berylpin_daemon/tests/platform/soak/series.rs
+++ b/crates/berylpin_daemon/tests/platform/soak/series.rs
@@ -41,7 +41,7 @@
         let mut daemons = vec![SignalledDaemon::default(); self.processes.len()];
         for _ in 0..self.series_rng.random_range(3..10) {
             let daemon = self.series_rng.random_range(0..daemons.len());
-            self.inject_series_event(daemon, &mut daemons[daemon]);
+            self.inject_series_event(daemon, &mut daemons[daemon]).await;
             let pause = self.series_rng.random_range(0..MAX_PAUSE_MS);
             sleep(Duration::from_millis(pause)).await;
         }
@@ -54,11 +54,12 @@
             if daemon.stopping {
                 process.wait_for_stop().await;
                 process.start();
+                process.wait_until_begun().await;
             }
         }
     }
 
-    fn inject_series_event(&mut self, daemon: usize, state: &mut SignalledDaemon) {
+    async fn inject_series_event(&mut self, daemon: usize, state: &mut SignalledDaemon) {
         let events = [
             SeriesEvent::Reload,
             SeriesEvent::Pause,
@@ -82,6 +83,7 @@
                 *state = SignalledDaemon::default();
                 process.kill();
                 process.start();
+                process.wait_until_begun().await;
             }
             SeriesEvent::NewConfiguration => self.put_next_configuration(1),
         }
