Write the whole log before the process ends

Cause: a log line waits in a queue for a thread of its own, and at the end the process slept 100 ms for it. The thread was 0.6 s behind.

Change: the end waits until the writer has written all lines, for 500 ms at most, which is within the time that a stop reserves for the end. On an idle machine that takes less than before. Lines that threads write after the end of the writer are dropped.

Tests: all_lines_are_written_before_the_end_whoever_holds_the_log (400 ms of writing, which 100 ms did not cover), a_blocked_output_does_not_hold_up_the_end.

--- a/crates/berylpin_daemon/src/direct/lifecycle.rs
+++ b/crates/berylpin_daemon/src/direct/lifecycle.rs
@@ -1,7 +1,7 @@
 //! The process of a daemon on the users' platform, from its start to its end.
 
 use super::process::{RunError, Threads};
-use crate::logging::Log;
+use crate::logging::{Log, LogWriter};
 use crate::signals::{Request, Signals, Wake};
 use berylpin_core::clock::Clock;
 use berylpin_core::direct::{StartAttempts, StopSchedule};
@@ -11,8 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long the process waits for the log thread's last lines; a full queue takes less.
-const LOG_FLUSH_TIME: Duration = Duration::from_millis(100);
+/// How long the process waits until its last log lines are written, unless the output is blocked; a
+/// part of the time that a stop reserves for the end of the process.
+const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The interval at which the settings file is read, because it may change without a signal.
 const SETTINGS_RELOAD_INTERVAL: Duration = Duration::from_secs(5);
@@ -21,7 +22,12 @@
 ///
 /// A start that fails is repeated: the settings file may be about to be written, and an address
 /// about to be free. If a part of the daemon fails, all its threads are started again.
-pub fn run_on_platform(path: &Path, clock: Arc<dyn Clock>, log: Log, mut signals: Signals) {
+pub fn run_on_platform(
+    path: &Path,
+    clock: Arc<dyn Clock>,
+    (log, log_writer): (Log, LogWriter),
+    mut signals: Signals,
+) {
     info!(log, "daemon: starting"; "version" => env!("CARGO_PKG_VERSION"),
         "process" => std::process::id());
     log_panics(&log);
@@ -43,8 +49,7 @@
             }
         }
     }
-    // The log thread cannot be joined.
-    std::thread::sleep(LOG_FLUSH_TIME);
+    log_writer.finish(LOG_FLUSH_TIMEOUT);
 }
 
 /// Logs panics in place of the message on standard error.
--- a/crates/berylpin_daemon/src/lib.rs
+++ b/crates/berylpin_daemon/src/lib.rs
@@ -19,7 +19,8 @@
 pub use direct::run_on_platform;
 pub use log_levels::{LOG_PARTS, LevelError, LogLevels};
 pub use logging::{
-    BOUNDED_LOG_CAPACITY, DECISION_LOG_CAPACITY, Log, LogFormat, discard_log, open_log,
+    BOUNDED_LOG_CAPACITY, DECISION_LOG_CAPACITY, Log, LogFormat, LogWriter, discard_log, open_log,
+    open_process_log,
 };
 pub use metrics::install_metrics;
 pub use settings::{DaemonSettings, DaemonSettingsBuilder, Secret, SettingsError};
--- a/crates/berylpin_daemon/src/logging.rs
+++ b/crates/berylpin_daemon/src/logging.rs
@@ -3,9 +3,12 @@
 use crate::log_levels::LogLevels;
 use berylpin_core::decision::Decision;
 use slog::{Drain, Logger, debug, info, o};
-use slog_async::{Async, OverflowStrategy};
+use slog_async::{Async, AsyncBuilder, AsyncGuard, OverflowStrategy};
 use std::io::Write;
 use std::ops::Deref;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
 
 /// Queue capacity of a log that receives every decision, in records.
 ///
@@ -53,24 +56,49 @@
     }
 }
 
-/// Opens a log that never blocks the caller.
+/// The thread that writes a log, which is to be ended before the process.
+pub struct LogWriter(AsyncGuard);
+
+impl LogWriter {
+    /// Waits until the records so far are written; returns false if that takes longer than
+    /// `timeout`, since a blocked output must not hold up the end of the process.
+    pub fn finish(self, timeout: Duration) -> bool {
+        let (tx, rx) = mpsc::channel();
+        thread::spawn(move || {
+            // Dropping the guard joins the thread that writes.
+            drop(self.0);
+            // An error means that the wait has timed out.
+            let _ = tx.send(());
+        });
+        rx.recv_timeout(timeout).is_ok()
+    }
+}
+
+/// Opens a log that never blocks the caller. Its writer ends with the last clone of the log.
 ///
 /// The log drops and counts the records that exceed the `capacity` of its queue.
 pub fn open_log<W>(format: LogFormat, capacity: usize, writer: W) -> Log
 where
     W: Write + Send + 'static,
 {
-    let levels = LogLevels::default();
     let drain = match format {
         LogFormat::Text => {
             let decorator = slog_term::PlainDecorator::new(writer);
-            async_drain(slog_term::FullFormat::new(decorator).build().ignore_res(), capacity)
+            let drain = slog_term::FullFormat::new(decorator).build().ignore_res();
+            async_builder(drain, capacity).build()
         }
-        LogFormat::Json => async_drain(slog_json::Json::default(writer).ignore_res(), capacity),
+        LogFormat::Json => async_builder(json_drain(writer), capacity).build(),
     };
-    let filter = levels.clone();
-    let drain = slog::Filter::new(drain, move |record| filter.is_enabled(record));
-    Log { logger: Logger::root(drain.fuse(), o!()), levels }
+    filtered_log(drain)
+}
+
+/// Opens a log of JSON lines like [`open_log`], whose writer ends with the returned [`LogWriter`].
+pub fn open_process_log<W>(capacity: usize, writer: W) -> (Log, LogWriter)
+where
+    W: Write + Send + 'static,
+{
+    let (drain, guard) = async_builder(json_drain(writer), capacity).build_with_guard();
+    (filtered_log(drain), LogWriter(guard))
 }
 
 /// Returns a log that discards all records.
@@ -78,12 +106,27 @@
     Log { logger: Logger::root(slog::Discard, o!()), levels: LogLevels::default() }
 }
 
-/// Creates a drain that writes on a separate thread.
-fn async_drain<D>(drain: D, capacity: usize) -> Async
+fn filtered_log(drain: Async) -> Log {
+    let levels = LogLevels::default();
+    let filter = levels.clone();
+    let drain = slog::Filter::new(drain, move |record| filter.is_enabled(record));
+    // Threads may still write while the process ends; what follows the end of the writer is lost.
+    Log { logger: Logger::root(drain.ignore_res(), o!()), levels }
+}
+
+fn json_drain<W>(writer: W) -> impl Drain<Ok = (), Err = slog::Never> + Send + 'static
+where
+    W: Write + Send + 'static,
+{
+    slog_json::Json::default(writer).ignore_res()
+}
+
+/// Describes a drain that writes on a separate thread.
+fn async_builder<D>(drain: D, capacity: usize) -> AsyncBuilder<D>
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    Async::new(drain).chan_size(capacity).overflow_strategy(OverflowStrategy::DropAndReport).build()
+    Async::new(drain).chan_size(capacity).overflow_strategy(OverflowStrategy::DropAndReport)
 }
 
 /// Logs a decision, unless its query is not sampled.
--- a/crates/berylpin_daemon/src/logging/tests.rs
+++ b/crates/berylpin_daemon/src/logging/tests.rs
@@ -17,6 +17,47 @@
     }
 }
 
+/// A writer that takes its time for each line.
+struct SlowWriter(Buffer, Duration);
+
+impl Write for SlowWriter {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        if buf.ends_with(b"\n") {
+            thread::sleep(self.1);
+        }
+        self.0.write(buf)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The process waited for a fixed time at its end, and its last lines were lost when the thread that
+/// writes had no processor time meanwhile.
+#[test]
+fn all_lines_are_written_before_the_end_whoever_holds_the_log() {
+    let buffer = Buffer::default();
+    let writer = SlowWriter(buffer.clone(), Duration::from_millis(10));
+    let (log, log_writer) = open_process_log(64, writer);
+    for number in 0..40 {
+        info!(log, "daemon: test"; "number" => number);
+    }
+    assert!(log_writer.finish(Duration::from_secs(20)));
+    // Another thread may write later.
+    info!(log, "daemon: test");
+    assert_eq!(buffer.0.lock().unwrap().split(|byte| *byte == b'\n').count(), 41);
+}
+
+/// A reader that stops reading would hold up the end of the process.
+#[test]
+fn a_blocked_output_does_not_hold_up_the_end() {
+    let writer = SlowWriter(Buffer::default(), Duration::from_secs(20));
+    let (log, log_writer) = open_process_log(64, writer);
+    info!(log, "daemon: test");
+    assert!(!log_writer.finish(Duration::from_millis(10)));
+}
+
 proptest! {
     /// Names of entries come from other writers; none may end a line or forge a field.
     #[test]
--- a/crates/berylpin_daemon/src/main.rs
+++ b/crates/berylpin_daemon/src/main.rs
@@ -2,7 +2,7 @@
 
 use berylpin_daemon::{
     BOUNDED_LOG_CAPACITY, DECISION_LOG_CAPACITY, Daemon, DaemonSettings, LogFormat, Request,
-    Signals, SystemClock, install_metrics, open_log, run_on_platform,
+    Signals, SystemClock, install_metrics, open_log, open_process_log, run_on_platform,
 };
 use slog::warn;
 use std::io::IsTerminal;
@@ -73,7 +73,7 @@
 }
 
 fn run_platform(path: &Path, signals: Signals) -> ExitCode {
-    let log = open_log(LogFormat::Json, BOUNDED_LOG_CAPACITY, std::io::stdout());
+    let log = open_process_log(BOUNDED_LOG_CAPACITY, std::io::stdout());
     if let Err(e) = install_metrics() {
         eprintln!("berylpind: {e}");
         return ExitCode::FAILURE;
--- a/crates/berylpin_daemon/tests/platform/soak.rs
+++ b/crates/berylpin_daemon/tests/platform/soak.rs
@@ -32,7 +32,7 @@
     // After SIGTERM, the control thread wrote a line after `daemon: stopped`; in a later failure
     // the traffic thread did.
     301,
-    // A series sent a signal to a process before its program had begun, which ended it.
+    // The last 0.6 s of a daemon's log were lost on a loaded machine.
     431_047,
 ];
 
