--- a/crates/berylpin_daemon/tests/platform/soak.rs
+++ b/crates/berylpin_daemon/tests/platform/soak.rs
@@ -32,7 +32,8 @@
     // After SIGTERM, the control thread wrote a line after `daemon: stopped`; in a later failure
     // the traffic thread did.
     301,
-    // The last 0.6 s of a daemon's log were lost on a loaded machine.
+    // On a loaded machine the last 0.6 s of a daemon's log were lost, because the thread that writes
+    // it had no processor time when the process ended.
     431_047,
 ];
 
