--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -164,14 +164,13 @@
     /// Sends requests one after the other at an interval, on one connection.
     pub fn send_for(
         &self,
-        daemon: usize,
         prefix: &str,
-        path: &str,
+        (method, path): (&str, &str),
         interval: Duration,
         time: Duration,
         deadline: Duration,
     ) -> Vec<Exchange> {
-        let mut client = Client::new(self.daemons[daemon].front());
+        let mut client = Client::new(self.daemons[0].front());
         let end = Instant::now() + time;
         let mut exchanges = Vec::new();
         for number in 0.. {
@@ -179,7 +178,7 @@
             if next > end {
                 break;
             }
-            let exchange = client.send("GET", path, &format!("{prefix}{number}"), deadline, b"");
+            let exchange = client.send(method, path, &format!("{prefix}{number}"), deadline, b"");
             self.record.add_exchange(&exchange);
             exchanges.push(exchange);
             std::thread::sleep(next.saturating_duration_since(Instant::now()));
@@ -192,7 +191,7 @@
         &self,
         clients: usize,
         prefix: &str,
-        path: &str,
+        request: (&str, &str),
         interval: Duration,
         time: Duration,
         deadline: Duration,
@@ -201,7 +200,7 @@
             let threads: Vec<_> = (0..clients)
                 .map(|client| {
                     let prefix = format!("{prefix}{client}-");
-                    scope.spawn(move || self.send_for(0, &prefix, path, interval, time, deadline))
+                    scope.spawn(move || self.send_for(&prefix, request, interval, time, deadline))
                 })
                 .collect();
             threads.into_iter().flat_map(|thread| thread.join().unwrap_or_default()).collect()
--- a/review/standin-3/replica.rs
+++ b/review/standin-3/replica.rs
@@ -1,7 +1,8 @@
 //! Replicas, which record what arrives and answer as a scenario says.
 
 use crate::http::{Connection, Message, response};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -38,6 +39,8 @@
     pub arrivals: Mutex<Vec<Arrival>>,
     pub refusals: Mutex<Vec<Instant>>,
     behaviour: Mutex<Arc<Behaviour>>,
+    exited: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 impl Replica {
@@ -52,11 +55,19 @@
             behaviour: Mutex::new(Arc::new(Box::new(|_| {
                 Act::Serve(Duration::from_millis(5), String::new())
             }))),
+            exited: AtomicBool::new(false),
+            connections: Mutex::default(),
         });
         let shared = replica.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let replica = shared.clone();
+                let mut connections = replica.connections.lock().unwrap();
+                if replica.exited.load(Ordering::Relaxed) {
+                    return;
+                }
+                connections.extend(stream.try_clone());
+                drop(connections);
                 std::thread::spawn(move || replica.serve(stream));
             }
         });
@@ -70,6 +81,18 @@
         *self.behaviour.lock().unwrap() = Arc::new(Box::new(behaviour));
     }
 
+    /// Ends all connections, and listens no more.
+    pub fn exit(&self) {
+        let connections = self.connections.lock().unwrap();
+        self.exited.store(true, Ordering::Relaxed);
+        for connection in connections.iter() {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        drop(connections);
+        // The listener is dropped after one more connection.
+        let _ = TcpStream::connect(self.address);
+    }
+
     /// Returns the spec of its entry in the store.
     pub fn entry(&self, zone: &str, state: &str, born: u64) -> String {
         format!(
--- a/review/standin-3/scenarios.rs
+++ b/review/standin-3/scenarios.rs
@@ -1,7 +1,7 @@
 //! The scenarios, one for each case with a script.
 
 use crate::daemon::{Figures, SIGHUP};
-use crate::{Act, Deployment, End, Record, configuration, route};
+use crate::{Act, Deployment, End, Exchange, Record, configuration, route};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -52,8 +52,14 @@
         }
     });
     deployment.replica("i-a2").set(|_| Act::Serve(MS(20), String::new()));
-    let exchanges =
-        deployment.send_in_parallel(6, "p", "/read/x", MS(50), Duration::from_secs(time), MS(1500));
+    let exchanges = deployment.send_in_parallel(
+        6,
+        "p",
+        ("GET", "/read/x"),
+        MS(50),
+        Duration::from_secs(time),
+        MS(1500),
+    );
     let served = exchanges.iter().filter(|exchange| exchange.status == 200).count();
     let refusals = replica.refusals.lock().unwrap().clone();
     let end = match refusals.first() {
@@ -109,7 +115,14 @@
             store.put("servers", "i-a1", &entry);
             record.now("i-a1 writes its entry at its heartbeat".to_owned());
         });
-        deployment.send_in_parallel(6, "p", "/read/x", MS(50), Duration::from_secs(18), MS(1500))
+        deployment.send_in_parallel(
+            6,
+            "p",
+            ("GET", "/read/x"),
+            MS(50),
+            Duration::from_secs(18),
+            MS(1500),
+        )
     });
     let served = exchanges.iter().filter(|exchange| exchange.status == 200).count();
     let refusals = replica.refusals.lock().unwrap().clone();
@@ -164,7 +177,7 @@
         });
     }
     let exchanges =
-        deployment.send_for(0, "b", "/read/x", MS(20), Duration::from_secs(20), MS(1500));
+        deployment.send_for("b", ("GET", "/read/x"), MS(20), Duration::from_secs(20), MS(1500));
     let mut arrivals: Vec<_> =
         deployment.replicas.iter().flat_map(|r| r.arrivals.lock().unwrap().clone()).collect();
     arrivals.sort_by_key(|arrival| arrival.at);
@@ -199,7 +212,8 @@
     finish(deployment, end)
 }
 
-/// A replica drains and serves on for a while; another writer leaves an entry without `born` under its id.
+/// A replica drains, serves on for a while and exits; another writer leaves an entry without `born`
+/// under its id meanwhile.
 fn odd_entry(directory: &Path, program: &Path, trouble: bool) -> (End, Option<Record>) {
     let mut deployment = Deployment::new(
         directory,
@@ -207,56 +221,69 @@
         1,
         &[("i-a1", "desk"), ("i-a2", "desk"), ("i-a3", "desk")],
     );
-    let routes = [route("read", "/read/", "idempotent", 1500, 500, 2, "\"service\":\"desk\"")];
+    let routes = [
+        route("read", "/read/", "idempotent", 1500, 500, 2, "\"service\":\"desk\""),
+        route("book", "/book/", "non_idempotent", 1500, 500, 2, "\"service\":\"desk\""),
+    ];
     deployment.store.put("config", "main", &configuration(1, &routes, &["desk"]));
     for replica in &deployment.replicas {
-        replica.set(|_| Act::Serve(MS(40), String::new()));
+        replica.set(|_| Act::Serve(MS(120), String::new()));
     }
     if let Err(end) = deployment.start(&Figures::default()) {
         return finish(deployment, end);
     }
-    let (store, replica) = (deployment.store.clone(), deployment.replica("i-a1"));
+    let replica = deployment.replica("i-a1");
+    let (store, record) = (&deployment.store, &deployment.record);
     let draining = replica.entry("zone-a", "draining", 1);
     let odd = replica.entry_without_born("zone-a", "ready");
-    let plan = std::thread::spawn(move || {
+    let plan = || {
         std::thread::sleep(MS(3000));
         store.put("servers", "i-a1", &draining);
         let drained = Instant::now();
+        record.add(drained, "the store acknowledged that i-a1 drains".to_owned());
         // The replica writes its entry at each heartbeat.
-        for beat in 1..=9 {
+        for _ in 1..=4 {
             std::thread::sleep(MS(1200));
             store.put("servers", "i-a1", &draining);
-            if trouble && beat == 4 {
-                std::thread::sleep(MS(100));
-                store.put("servers", "i-a1", &odd);
-            }
         }
+        std::thread::sleep(MS(100));
+        if trouble {
+            store.put("servers", "i-a1", &odd);
+            record.now("another writer leaves an odd entry under i-a1".to_owned());
+        }
+        std::thread::sleep(MS(1000));
+        replica.exit();
+        store.remove("servers", "i-a1");
+        record.now("i-a1 exits, its entry is removed".to_owned());
         drained
+    };
+    let time = Duration::from_secs(12);
+    let (drained, reads, writes) = std::thread::scope(|scope| {
+        let plan = scope.spawn(plan);
+        let reads = scope.spawn(|| {
+            deployment.send_in_parallel(4, "o", ("GET", "/read/x"), MS(30), time, MS(1500))
+        });
+        let writes =
+            deployment.send_in_parallel(6, "w", ("POST", "/book/x"), MS(30), time, MS(1500));
+        (plan.join(), reads.join().unwrap_or_default(), writes)
     });
-    let exchanges =
-        deployment.send_in_parallel(8, "o", "/read/x", MS(30), Duration::from_secs(14), MS(1500));
-    let Ok(drained) = plan.join() else {
+    let Ok(drained) = drained else {
         return finish(deployment, End::CouldNotRun("the plan failed".to_owned()));
     };
-    deployment.record.add(drained, "the store acknowledged that i-a1 drains".to_owned());
-    let served = exchanges.iter().filter(|exchange| exchange.status == 200).count();
-    let before =
-        replica.arrivals.lock().unwrap().iter().filter(|arrival| arrival.at < drained).count();
-    let late = replica
-        .arrivals
-        .lock()
-        .unwrap()
-        .iter()
-        .filter(|arrival| arrival.at > drained + MS(3000))
-        .count();
-    let end = if served * 10 < exchanges.len() * 9 || before == 0 {
-        End::CouldNotRun(format!(
-            "{served} of {} requests were served, {before} by i-a1 before it drained",
-            exchanges.len()
-        ))
+    let exchanges = reads.len() + writes.len();
+    let served = |exchanges: &[Exchange]| exchanges.iter().filter(|e| e.status == 200).count();
+    let lost = writes.len() - served(&writes);
+    let (before, late) = {
+        let arrivals = replica.arrivals.lock().unwrap();
+        let before = arrivals.iter().filter(|arrival| arrival.at < drained).count();
+        let late = arrivals.iter().filter(|arrival| arrival.at > drained + MS(3000)).count();
+        (before, late)
+    };
+    let end = if (served(&reads) + served(&writes)) * 10 < exchanges * 9 || before == 0 {
+        End::CouldNotRun("too few requests are served".to_owned())
     } else if late > 0 {
         End::Broken(format!(
-            "{late} requests reached i-a1 later than 3 s after the store had acknowledged that it drains"
+            "{late} requests reached i-a1 later than 3 s after the store had acknowledged that it drains; {lost} requests that may not run twice were answered with a failure"
         ))
     } else {
         End::Held
