--- a/review/standin-3/replica.rs
+++ b/review/standin-3/replica.rs
@@ -101,10 +101,11 @@
         )
     }
 
-    /// Returns an entry without the field `born`, as another writer may leave one.
-    pub fn entry_without_born(&self, zone: &str, state: &str) -> String {
-        let entry = self.entry(zone, state, 0);
-        entry.replace(",\"born\":0", "")
+    /// Returns an entry for a service without the field `born`, as another writer may leave one.
+    pub fn entry_without_born(&self, service: &str) -> String {
+        let entry = self.entry("zone-a", "ready", 0);
+        let own = format!("\"service\":\"{}\"", self.service);
+        entry.replace(",\"born\":0", "").replace(&own, &format!("\"service\":\"{service}\""))
     }
 
     /// Returns the success that the replica sends for a request: head lines and body.
--- a/review/standin-3/scenarios.rs
+++ b/review/standin-3/scenarios.rs
@@ -1,7 +1,7 @@
 //! The scenarios, one for each case with a script.
 
 use crate::daemon::{Figures, SIGHUP};
-use crate::{Act, Deployment, End, Exchange, Record, configuration, route};
+use crate::{Act, Deployment, End, Exchange, Record, Replica, configuration, route};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,6 +15,10 @@
         "pause-plain" => pause(directory, program, trouble, "", 8, 12),
         "odd-entry" => odd_entry(directory, program, trouble),
         "pause-forgotten" => pause_forgotten(directory, program, trouble),
+        "wrong-service" => wrong_service(directory, program, trouble),
+        "imitation" => imitation(directory, program, trouble),
+        "long-list" => long_list(directory, program, trouble),
+        "many-zones" => many_zones(directory, program, trouble),
         "reload" => reload(directory, program, trouble),
         _ => (End::CouldNotRun(format!("no scenario `{name}`")), None),
     }
@@ -235,7 +239,7 @@
     let replica = deployment.replica("i-a1");
     let (store, record) = (&deployment.store, &deployment.record);
     let draining = replica.entry("zone-a", "draining", 1);
-    let odd = replica.entry_without_born("zone-a", "ready");
+    let odd = replica.entry_without_born("desk");
     let plan = || {
         std::thread::sleep(MS(3000));
         store.put("servers", "i-a1", &draining);
@@ -290,3 +294,165 @@
     };
     finish(deployment, end)
 }
+
+/// Sends requests that may not run twice to a service, while `disturb` runs; counts those that a
+/// replica of another service runs.
+fn foreign_runs<F>(
+    directory: &Path,
+    program: &Path,
+    time: Duration,
+    disturb: F,
+) -> (End, Option<Record>)
+where
+    F: FnOnce(&Deployment, &Replica) + Send,
+{
+    let replicas = [("i-a1", "desk"), ("i-a2", "desk"), ("i-r1", "vault"), ("i-r2", "vault")];
+    let mut deployment = Deployment::new(directory, program, 1, &replicas);
+    let routes = [
+        route("book", "/book/", "non_idempotent", 1500, 500, 2, "\"service\":\"desk\""),
+        route("keep", "/keep/", "idempotent", 1500, 500, 2, "\"service\":\"vault\""),
+    ];
+    deployment.store.put("config", "main", &configuration(1, &routes, &["desk", "vault"]));
+    for replica in &deployment.replicas {
+        replica.set(|_| Act::Serve(MS(40), String::new()));
+    }
+    if let Err(end) = deployment.start(&Figures::default()) {
+        return finish(deployment, end);
+    }
+    let replica = deployment.replica("i-r1");
+    let exchanges = std::thread::scope(|scope| {
+        scope.spawn(|| disturb(&deployment, &replica));
+        deployment.send_in_parallel(6, "w", ("POST", "/book/x"), MS(50), time, MS(1500))
+    });
+    let served = exchanges.iter().filter(|exchange| exchange.status == 200).count();
+    let foreign = exchanges.iter().filter(|exchange| exchange.stamp.starts_with("vault")).count();
+    let arrivals = replica.arrivals.lock().unwrap();
+    let runs = arrivals.iter().filter(|arrival| arrival.target.starts_with("/book/")).count();
+    drop(arrivals);
+    let end = if runs > 0 {
+        End::Broken(format!(
+            "{runs} of {} requests for desk were run by i-r1 of vault, {foreign} clients got its answer",
+            exchanges.len()
+        ))
+    } else if served * 10 < exchanges.len() * 9 {
+        End::CouldNotRun("too few requests are served".to_owned())
+    } else {
+        End::Held
+    };
+    finish(deployment, end)
+}
+
+/// Another writer leaves an entry for another service and without `born` under a replica's id; the
+/// replica writes its own one at its next heartbeat.
+fn wrong_service(directory: &Path, program: &Path, trouble: bool) -> (End, Option<Record>) {
+    foreign_runs(directory, program, Duration::from_secs(8), |deployment, replica| {
+        let (store, record) = (&deployment.store, &deployment.record);
+        std::thread::sleep(MS(3000));
+        if trouble {
+            store.put("servers", "i-r1", &replica.entry_without_born("desk"));
+            record.now("another writer leaves an odd entry under i-r1".to_owned());
+        }
+        std::thread::sleep(MS(1100));
+        store.put("servers", "i-r1", &replica.entry("zone-a", "ready", 1));
+        record.now("i-r1 writes its entry at its heartbeat".to_owned());
+    })
+}
+
+/// Another writer leaves an entry, under a name of its own, whose spec has the words with which the
+/// store ends and begins an event; it is removed 1 s later.
+fn imitation(directory: &Path, program: &Path, trouble: bool) -> (End, Option<Record>) {
+    foreign_runs(directory, program, Duration::from_secs(8), |deployment, replica| {
+        let (store, record) = (&deployment.store, &deployment.record);
+        std::thread::sleep(MS(3000));
+        if !trouble {
+            return;
+        }
+        let entry = replica.entry("zone-a", "ready", 1).replace("vault", "desk");
+        let spec = format!(
+            "{{}}}},\"deleted\":false}},{{\"object\":{{\"meta\":{{\"name\":\"i-r1\",\"revision\":1}},\"spec\":{entry}"
+        );
+        store.put("servers", "odd", &spec);
+        record.now(format!("another writer leaves an entry under `odd`, its spec: {spec}"));
+        std::thread::sleep(MS(1000));
+        store.remove("servers", "odd");
+        record.now("the entry `odd` is removed".to_owned());
+    })
+}
+
+/// Entries of another writer that exceed 16 MB lie in the store while all processes are killed and
+/// start again.
+fn long_list(directory: &Path, program: &Path, trouble: bool) -> (End, Option<Record>) {
+    restart_all(directory, program, "zone-a", |deployment| {
+        if trouble {
+            let spec = format!("{{\"blob\":\"{}\"}}", "x".repeat(1_000_000));
+            for number in 1..=20 {
+                deployment.store.put("servers", &format!("blob-{number:02}"), &spec);
+            }
+            deployment.record.now("another writer leaves 20 entries of 1 MB".to_owned());
+        }
+    })
+}
+
+/// Entries of another writer, of a service that no configuration names and each with a zone of its
+/// own, lie in the store while all processes are killed and start again.
+fn many_zones(directory: &Path, program: &Path, trouble: bool) -> (End, Option<Record>) {
+    restart_all(directory, program, "zone-b", |deployment| {
+        if trouble {
+            for number in 0..256 {
+                let replica = &deployment.replicas[0];
+                let entry = replica.entry(&format!("rack-{number:03}"), "ready", 1);
+                let entry = entry.replace("\"desk\"", "\"press\"");
+                deployment.store.put("servers", &format!("host-{number:03}"), &entry);
+            }
+            let line = "another writer leaves 256 entries of the service `press`";
+            deployment.record.now(line.to_owned());
+        }
+    })
+}
+
+/// Kills all processes and starts them again, with the replicas in a zone; counts the requests that
+/// are served before and after.
+fn restart_all<F>(directory: &Path, program: &Path, zone: &str, disturb: F) -> (End, Option<Record>)
+where
+    F: FnOnce(&Deployment),
+{
+    let mut deployment =
+        Deployment::new(directory, program, 1, &[("i-a1", "desk"), ("i-a2", "desk")]);
+    for replica in &deployment.replicas {
+        deployment.store.put("servers", &replica.id, &replica.entry(zone, "ready", 1));
+    }
+    let routes = [route("read", "/read/", "idempotent", 1500, 500, 2, "\"service\":\"desk\"")];
+    deployment.store.put("config", "main", &configuration(1, &routes, &["desk"]));
+    if let Err(end) = deployment.start(&Figures::default()) {
+        return finish(deployment, end);
+    }
+    disturb(&deployment);
+    std::thread::sleep(Duration::from_secs(3));
+    let send = |deployment: &Deployment, prefix: &str| {
+        let time = Duration::from_secs(4);
+        let request = ("GET", "/read/x");
+        let exchanges = deployment.send_in_parallel(3, prefix, request, MS(100), time, MS(1500));
+        let served = exchanges.iter().filter(|exchange| exchange.status == 200).count();
+        (served, exchanges.len())
+    };
+    let (served_before, sent_before) = send(&deployment, "before");
+    deployment.daemons[0].kill();
+    deployment.record.now("all processes are killed".to_owned());
+    std::thread::sleep(MS(1200));
+    deployment.daemons[0].start(&Figures::default());
+    deployment.record.now("all processes are back".to_owned());
+    // `recovery_s` is 12.
+    std::thread::sleep(Duration::from_secs(13));
+    let (served, sent) = send(&deployment, "after");
+    let counts = format!(
+        "{served} of {sent} requests were served 13 s after the processes were back, {served_before} of {sent_before} before"
+    );
+    let end = if served_before * 4 < sent_before {
+        End::CouldNotRun(counts)
+    } else if served * 4 < sent {
+        End::Broken(counts)
+    } else {
+        End::Held
+    };
+    finish(deployment, end)
+}
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -108,7 +108,7 @@
                     let wait = parameter("wait_ms").and_then(|v| v.parse().ok()).unwrap_or(0);
                     self.watch(kind, since, Duration::from_millis(wait))
                 }
-                None => self.list(kind),
+                None => self.list(kind, &percent_decoded(parameter("after").unwrap_or(""))),
             },
             "POST" | "PUT" => {
                 let body = String::from_utf8_lossy(&request.body).into_owned();
@@ -137,16 +137,24 @@
         }
     }
 
-    fn list(&self, kind: &str) -> Vec<u8> {
+    /// Returns a page of the objects of a kind: those after a name, 500 or 1 MB at most.
+    fn list(&self, kind: &str, after: &str) -> Vec<u8> {
         let state = self.state.lock().unwrap();
-        let items: Vec<String> = state
-            .objects
-            .iter()
-            .filter(|((object_kind, _), _)| object_kind == kind)
-            .map(|((_, name), object)| document(name, object.revision, &object.spec))
-            .collect();
+        let listed = state.objects.iter().filter(|((object_kind, name), _)| {
+            object_kind == kind && (after.is_empty() || name.as_str() > after)
+        });
+        let (mut items, mut bytes, mut has_more) = (Vec::new(), 0, false);
+        for ((_, name), object) in listed {
+            let text = document(name, object.revision, &object.spec);
+            has_more = items.len() == 500 || !items.is_empty() && bytes + text.len() > 1 << 20;
+            if has_more {
+                break;
+            }
+            bytes += text.len();
+            items.push(text);
+        }
         let body = format!(
-            "{{\"items\":[{}],\"has_more\":false,\"as_of\":{}}}",
+            "{{\"items\":[{}],\"has_more\":{has_more},\"as_of\":{}}}",
             items.join(","),
             state.revision
         );
@@ -191,6 +199,17 @@
     )
 }
 
+fn percent_decoded(text: &str) -> String {
+    let mut parts = text.split('%');
+    let mut decoded = parts.next().unwrap_or("").as_bytes().to_vec();
+    for part in parts {
+        let code = part.get(..2).and_then(|code| u8::from_str_radix(code, 16).ok());
+        decoded.extend(code);
+        decoded.extend(part.bytes().skip(2));
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
+
 /// Returns the name and the spec of a document that a daemon writes.
 fn name_and_spec(body: &str) -> Option<(String, String)> {
     let name = body.split("\"name\":\"").nth(1)?.split('"').next()?.to_owned();
