--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -14,9 +14,6 @@
     /// 0 if the connection ended without a complete answer, 1 if the client gave up.
     pub status: u16,
     pub stamp: String,
-    pub parts: String,
-    pub missing: String,
-    pub retry_after: String,
     pub body: Vec<u8>,
     pub error: String,
 }
@@ -47,9 +44,6 @@
             ended: sent,
             status: 0,
             stamp: String::new(),
-            parts: String::new(),
-            missing: String::new(),
-            retry_after: String::new(),
             body: Vec::new(),
             error: String::new(),
         };
@@ -97,9 +91,6 @@
         exchange.status = answer.status();
         let text = |name: &str| answer.header(name).unwrap_or("").to_owned();
         exchange.stamp = text("x-server-stamp");
-        exchange.parts = text("x-part-stamps");
-        exchange.missing = text("x-missing-parts");
-        exchange.retry_after = text("retry-after");
         let closes = text("connection").contains("close");
         exchange.body = answer.body;
         if closes {
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -48,12 +48,14 @@
     }
 
     pub fn add_exchange(&self, exchange: &Exchange) {
-        let Exchange { id, method, status, stamp, parts, missing, retry_after, error, .. } =
-            exchange;
+        let Exchange { id, method, status, stamp, error, .. } = exchange;
         self.add(exchange.sent, format!("client sends {method} {id}"));
         self.add(
             exchange.ended,
-            format!("client gets {status} for {id} stamp={stamp} parts={parts} missing={missing} retry_after={retry_after} error={error} bytes={}", exchange.body.len()),
+            format!(
+                "client gets {status} for {id} stamp={stamp} error={error} bytes={}",
+                exchange.body.len()
+            ),
         );
     }
 
@@ -133,7 +135,7 @@
             .map(|(id, service)| Replica::start(&format!("127.{net}.12.1"), id, service))
             .collect();
         for replica in &replicas {
-            store.put("servers", &replica.id, &replica.entry("zone-a", "ready", 1));
+            store.put("servers", &replica.id, &replica.entry("zone-a", "ready"));
         }
         let daemons = (0..daemons)
             .map(|number| {
--- a/review/standin-3/replica.rs
+++ b/review/standin-3/replica.rs
@@ -6,6 +6,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// The Unix millisecond at which replicas started.
+const BORN: u64 = 1_765_000_000_000;
+
 /// A request that arrived.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -13,8 +16,6 @@
     pub id: String,
     pub method: String,
     pub target: String,
-    pub body: Vec<u8>,
-    pub deadline_ms: u64,
     /// Whether the replica began to work on it.
     pub ran: bool,
 }
@@ -22,8 +23,8 @@
 /// What a replica does with a request.
 #[derive(Clone, Debug)]
 pub enum Act {
-    /// Works for a time and answers with success and these headers.
-    Serve(Duration, String),
+    /// Works for a time and answers with success.
+    Serve(Duration),
     /// Turns the request away, with this status and these headers.
     Refuse(u16, String),
     /// Works for a time and answers with this status.
@@ -52,9 +53,7 @@
             address: listener.local_addr().expect("a bound listener has an address"),
             arrivals: Mutex::default(),
             refusals: Mutex::default(),
-            behaviour: Mutex::new(Arc::new(Box::new(|_| {
-                Act::Serve(Duration::from_millis(5), String::new())
-            }))),
+            behaviour: Mutex::new(Arc::new(Box::new(|_| Act::Serve(Duration::from_millis(5))))),
             exited: AtomicBool::new(false),
             connections: Mutex::default(),
         });
@@ -94,21 +93,23 @@
     }
 
     /// Returns the spec of its entry in the store.
-    pub fn entry(&self, zone: &str, state: &str, born: u64) -> String {
+    pub fn entry(&self, zone: &str, state: &str) -> String {
         format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":4,\"state\":\"{state}\",\"warmup_left_ms\":0,\"sequence\":1,\"born\":{born}}}",
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":4,\"state\":\"{state}\",\"warmup_left_ms\":0,\"sequence\":1,\"born\":{BORN}}}",
             self.service, self.address
         )
     }
 
     /// Returns an entry for a service without the field `born`, as another writer may leave one.
     pub fn entry_without_born(&self, service: &str) -> String {
-        let entry = self.entry("zone-a", "ready", 0);
+        let entry = self.entry("zone-a", "ready");
         let own = format!("\"service\":\"{}\"", self.service);
-        entry.replace(",\"born\":0", "").replace(&own, &format!("\"service\":\"{service}\""))
+        entry
+            .replace(&format!(",\"born\":{BORN}"), "")
+            .replace(&own, &format!("\"service\":\"{service}\""))
     }
 
-    /// Returns the success that the replica sends for a request: head lines and body.
+    /// Returns the signature of a success.
     pub fn stamp(&self, id: &str) -> String {
         format!("{}.{}.{id}", self.service, self.id)
     }
@@ -135,8 +136,6 @@
             id: id.clone(),
             method: request.start[0].clone(),
             target: request.target().to_owned(),
-            body: request.body.clone(),
-            deadline_ms: request.header("x-deadline-ms").and_then(|v| v.parse().ok()).unwrap_or(0),
             ran: false,
         };
         let behaviour = self.behaviour.lock().unwrap().clone();
@@ -144,9 +143,9 @@
         arrival.ran = !matches!(act, Act::Refuse(..));
         self.arrivals.lock().unwrap().push(arrival.clone());
         match act {
-            Act::Serve(work, headers) => {
+            Act::Serve(work) => {
                 std::thread::sleep(work);
-                let headers = format!("{echo}X-Server-Stamp: {}\r\n{headers}", self.stamp(&id));
+                let headers = format!("{echo}X-Server-Stamp: {}\r\n", self.stamp(&id));
                 connection.write(&response(200, &headers, self.body(&id).as_bytes())).is_ok()
             }
             Act::Refuse(status, headers) => {
--- a/review/standin-3/scenarios.rs
+++ b/review/standin-3/scenarios.rs
@@ -50,12 +50,12 @@
     let once = asked.clone();
     replica.set(move |_| {
         if once.swap(true, Ordering::Relaxed) {
-            Act::Serve(MS(20), String::new())
+            Act::Serve(MS(20))
         } else {
             Act::Refuse(503, format!("{header}Retry-After: {seconds}\r\n"))
         }
     });
-    deployment.replica("i-a2").set(|_| Act::Serve(MS(20), String::new()));
+    deployment.replica("i-a2").set(|_| Act::Serve(MS(20)));
     let exchanges = deployment.send_in_parallel(
         6,
         "p",
@@ -100,13 +100,13 @@
     let once = asked.clone();
     replica.set(move |_| {
         if once.swap(true, Ordering::Relaxed) {
-            Act::Serve(MS(20), String::new())
+            Act::Serve(MS(20))
         } else {
             Act::Refuse(503, "X-Not-Executed: 1\r\nRetry-After: 20\r\n".to_owned())
         }
     });
-    deployment.replica("i-a2").set(|_| Act::Serve(MS(20), String::new()));
-    let (store, entry) = (deployment.store.clone(), replica.entry("zone-a", "ready", 1));
+    deployment.replica("i-a2").set(|_| Act::Serve(MS(20)));
+    let (store, entry) = (deployment.store.clone(), replica.entry("zone-a", "ready"));
     let record = &deployment.record;
     let exchanges = std::thread::scope(|scope| {
         scope.spawn(move || {
@@ -176,7 +176,7 @@
             if failures.fetch_add(1, Ordering::Relaxed) % 3 == 0 {
                 Act::Fail(MS(3), 500)
             } else {
-                Act::Serve(MS(3), String::new())
+                Act::Serve(MS(3))
             }
         });
     }
@@ -231,14 +231,14 @@
     ];
     deployment.store.put("config", "main", &configuration(1, &routes, &["desk"]));
     for replica in &deployment.replicas {
-        replica.set(|_| Act::Serve(MS(120), String::new()));
+        replica.set(|_| Act::Serve(MS(120)));
     }
     if let Err(end) = deployment.start(&Figures::default()) {
         return finish(deployment, end);
     }
     let replica = deployment.replica("i-a1");
     let (store, record) = (&deployment.store, &deployment.record);
-    let draining = replica.entry("zone-a", "draining", 1);
+    let draining = replica.entry("zone-a", "draining");
     let odd = replica.entry_without_born("desk");
     let plan = || {
         std::thread::sleep(MS(3000));
@@ -314,7 +314,7 @@
     ];
     deployment.store.put("config", "main", &configuration(1, &routes, &["desk", "vault"]));
     for replica in &deployment.replicas {
-        replica.set(|_| Act::Serve(MS(40), String::new()));
+        replica.set(|_| Act::Serve(MS(40)));
     }
     if let Err(end) = deployment.start(&Figures::default()) {
         return finish(deployment, end);
@@ -353,7 +353,7 @@
             record.now("another writer leaves an odd entry under i-r1".to_owned());
         }
         std::thread::sleep(MS(1100));
-        store.put("servers", "i-r1", &replica.entry("zone-a", "ready", 1));
+        store.put("servers", "i-r1", &replica.entry("zone-a", "ready"));
         record.now("i-r1 writes its entry at its heartbeat".to_owned());
     })
 }
@@ -367,7 +367,7 @@
         if !trouble {
             return;
         }
-        let entry = replica.entry("zone-a", "ready", 1).replace("vault", "desk");
+        let entry = replica.entry("zone-a", "ready").replace("vault", "desk");
         let spec = format!(
             "{{}}}},\"deleted\":false}},{{\"object\":{{\"meta\":{{\"name\":\"i-r1\",\"revision\":1}},\"spec\":{entry}"
         );
@@ -400,7 +400,7 @@
         if trouble {
             for number in 0..256 {
                 let replica = &deployment.replicas[0];
-                let entry = replica.entry(&format!("rack-{number:03}"), "ready", 1);
+                let entry = replica.entry(&format!("rack-{number:03}"), "ready");
                 let entry = entry.replace("\"desk\"", "\"press\"");
                 deployment.store.put("servers", &format!("host-{number:03}"), &entry);
             }
@@ -419,7 +419,7 @@
     let mut deployment =
         Deployment::new(directory, program, 1, &[("i-a1", "desk"), ("i-a2", "desk")]);
     for replica in &deployment.replicas {
-        deployment.store.put("servers", &replica.id, &replica.entry(zone, "ready", 1));
+        deployment.store.put("servers", &replica.id, &replica.entry(zone, "ready"));
     }
     let routes = [route("read", "/read/", "idempotent", 1500, 500, 2, "\"service\":\"desk\"")];
     deployment.store.put("config", "main", &configuration(1, &routes, &["desk"]));
